--- a/src/bin/woadpoint-benchlink.rs
+++ b/src/bin/streamusher-benchlink.rs
@@ -5,10 +5,10 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    match woadpoint::wire::run(stdin().lock(), BufWriter::new(stdout().lock())) {
+    match streamusher::wire::run(stdin().lock(), BufWriter::new(stdout().lock())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(reason) => {
-            eprintln!("woadpoint-benchlink: {reason}");
+            eprintln!("streamusher-benchlink: {reason}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,13 +5,13 @@
 //! It forks each repeatable job into copies queued at the workers with the fewest own waiting jobs, more copies
 //! as queues build, and cancels the other copies as soon as one starts running: the (n, 1) fork-early-cancel
 //! system of Joshi, Soljanin and Wornell, "Queues with Redundancy: Latency-Cost Analysis". `docs/design.md`
-//! tells what was kept, what was changed and why. All decisions stand in `src/balance.rs`, 610 lines at most.
+//! tells what was kept, what was changed and why. All decisions stand in `src/balance.rs`, 710 lines at most.
 //!
 //! The library has no clock, threads, sockets or global state: the embedder hands it events with the time
 //! and carries out the actions it gets back.
 //!
 //! ```
-//! use woadpoint::{interface::*, Balancer};
+//! use streamusher::{interface::*, Balancer};
 //!
 //! let settings = Settings {
 //!     classes: vec![Class { aim_us: 100_000, deadline_us: 2_000_000, ..Class::default() }],
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Shared by the tests: a small site, one dispatcher and short words for events.
 #![allow(dead_code)]
 
-use woadpoint::{interface::*, Balancer};
+use streamusher::{interface::*, Balancer};
 
 pub const MS: Micros = 1_000;
 pub const SECOND: Micros = 1_000_000;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use woadpoint::interface::*;
+use streamusher::interface::*;
 
 /// A worker that fails at once empties its count, ranks lowest and would draw every next job.
 #[test]
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use woadpoint::interface::*;
+use streamusher::interface::*;
 
 #[test]
 fn one_copy_while_nothing_of_ours_waits() {
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeMap;
-use woadpoint::{interface::*, Balancer};
+use streamusher::{interface::*, Balancer};
 
 struct Sent {
     worker: u32,
