--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,212 @@
+//! The one place where configuration is read, checked and given its defaults. Messages name the faulty key.
+//!
+//! The platform's configuration is the JSON file that `NODE_CONFIG` names; `NODE_NAME`, `NODE_LISTEN` and
+//! `NODE_DISCOVERY` go before its `name`, `listen` and `discovery`. The DRMAA front has a TOML file of its own.
+
+use crate::inventory;
+use crate::net::discovery::List;
+use crate::settings::Setup;
+use serde::de::DeserializeOwned;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// Everything that the program is told at its start.
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where front sockets are accepted.
+    pub listen: SocketAddr,
+    /// Where discovery answers; none, where all workers stand in the inventory.
+    pub discovery: Option<SocketAddr>,
+    /// For random numbers.
+    pub seed: u64,
+    /// What it may use.
+    pub limits: Limits,
+    /// The pool config as it was last known.
+    pub(crate) known: List,
+    pub(crate) setup: Setup,
+    /// The DRMAA front and its workers, where they are wanted.
+    pub drmaa: Option<Drmaa>,
+}
+
+/// What the program may use.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default)]
+pub struct Limits {
+    /// File descriptors.
+    pub sockets: usize,
+    /// Memory, in MB.
+    pub memory_mb: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { sockets: 1_024, memory_mb: 192 }
+    }
+}
+
+impl Limits {
+    /// Front sockets at most: half of all, so that route steps always find room beside them.
+    pub fn front_sockets(&self) -> usize {
+        (self.sockets / 2).max(8)
+    }
+
+    /// Connections to workers at most; the rest is for discovery, listeners, files and the event loop.
+    pub fn worker_sockets(&self) -> usize {
+        (self.sockets * 3 / 8).max(8)
+    }
+}
+
+/// The DRMAA front and its workers.
+#[derive(Clone, Debug)]
+pub struct Drmaa {
+    /// Where job sessions are accepted; none, where only workers are driven.
+    pub listen: Option<SocketAddr>,
+    /// Jobs known at once, done ones included.
+    pub max_jobs: usize,
+    /// How long a job's information is kept after its end, in seconds.
+    pub keep_s: f64,
+    /// The workers to be driven.
+    pub workers: Vec<inventory::Host>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct ConfigFile {
+    name: String,
+    listen: String,
+    discovery: String,
+    seed: String,
+    limits: Limits,
+    known: List,
+    settings: Option<Setup>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct DrmaaFile {
+    listen: Option<String>,
+    inventory: Option<String>,
+    #[serde(default = "max_jobs")]
+    max_jobs: usize,
+    #[serde(default = "keep_s")]
+    keep_s: f64,
+}
+
+fn max_jobs() -> usize {
+    2_048
+}
+
+fn keep_s() -> f64 {
+    60.0
+}
+
+impl Config {
+    /// Reads all of it. `env` looks up a variable of the environment; `drmaa` names the file of that front.
+    pub fn load(env: impl Fn(&str) -> Option<String>, drmaa: Option<&Path>) -> Result<Config, String> {
+        let path = env("NODE_CONFIG").ok_or("NODE_CONFIG: not set; it names the configuration file")?;
+        let text = std::fs::read(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
+        let mut config = Config::parse(&text, env)?;
+        config.drmaa = drmaa.map(Drmaa::load).transpose()?;
+        Ok(config)
+    }
+
+    /// The platform's part, from the text of its file.
+    pub fn parse(text: &[u8], env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        let file: ConfigFile = keyed(&mut serde_json::Deserializer::from_slice(text))?;
+        let or = |key: &str, value: String| env(key).filter(|v| !v.is_empty()).unwrap_or(value);
+        let discovery = or("NODE_DISCOVERY", file.discovery);
+        let setup = file.settings.ok_or("settings: missing")?;
+        check(&setup)?;
+        if file.limits.sockets < 64 {
+            return Err("limits.sockets: at least 64 are needed".into());
+        }
+        Ok(Config {
+            name: or("NODE_NAME", file.name),
+            listen: address("listen", &or("NODE_LISTEN", file.listen))?,
+            discovery: (!discovery.is_empty()).then(|| address("discovery", &discovery)).transpose()?,
+            seed: match file.seed.as_str() {
+                "" => 1,
+                hex => u64::from_str_radix(hex, 16).map_err(|_| format!("seed: not a hex number: {hex}"))?,
+            },
+            limits: file.limits,
+            known: file.known,
+            setup,
+            drmaa: None,
+        })
+    }
+}
+
+impl Drmaa {
+    /// Reads the file of the DRMAA front and the inventory that it names, beside it.
+    pub fn load(path: &Path) -> Result<Drmaa, String> {
+        let at = path.display();
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{at}: {e}"))?;
+        let file: DrmaaFile = toml::Deserializer::parse(&text)
+            .map_err(|e| e.to_string())
+            .and_then(keyed)
+            .map_err(|e| format!("{at}: {}", one_line(&e)))?;
+        let listen =
+            file.listen.map(|l| address("listen", &l)).transpose().map_err(|e| format!("{at}: {e}"))?;
+        if file.max_jobs == 0 {
+            return Err(format!("{at}: max_jobs: must be above 0"));
+        }
+        if !(0.0..=86_400.0).contains(&file.keep_s) {
+            return Err(format!("{at}: keep_s: must lie between 0 and 86400"));
+        }
+        let beside = |name: &String| path.parent().unwrap_or(Path::new(".")).join(name);
+        let workers = file.inventory.as_ref().map(|n| inventory::load(&beside(n))).transpose()?;
+        let workers = workers.unwrap_or_default();
+        Ok(Drmaa { listen, max_jobs: file.max_jobs, keep_s: file.keep_s, workers })
+    }
+}
+
+/// Decodes with the path of the key that does not fit.
+fn keyed<'de, T: DeserializeOwned, D>(d: D) -> Result<T, String>
+where
+    D: serde::Deserializer<'de>,
+{
+    serde_path_to_error::deserialize(d).map_err(|e| {
+        let (path, inner) = (e.path().to_string(), one_line(&e.inner().to_string()));
+        if path == "." {
+            inner
+        } else {
+            format!("{path}: {inner}")
+        }
+    })
+}
+
+fn one_line(text: &str) -> String {
+    text.split_whitespace().collect::<Vec<_>>().join(" ")
+}
+
+pub(crate) fn address(key: &str, text: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_| format!("{key}: not an address and port: {text:?}"))
+}
+
+/// What no type says. The decisions divide by some of these and index by others.
+fn check(s: &Setup) -> Result<(), String> {
+    let bad = |key: &str, why: &str| Err(format!("settings.{key}: {why}"));
+    if s.request_classes.is_empty() {
+        return bad("requestClasses", "no class");
+    }
+    for (i, c) in s.request_classes.iter().enumerate() {
+        if c.name.is_empty() || s.request_classes[..i].iter().any(|d| d.name == c.name) {
+            return bad(&format!("requestClasses[{i}].name"), "empty or given twice");
+        }
+        if c.deadline_us == 0 {
+            return bad(&format!("requestClasses[{i}].deadlineUs"), "must be above 0");
+        }
+        if !["free", "guarded", "single_shot"].contains(&c.semantics.as_str()) {
+            return bad(&format!("requestClasses[{i}].semantics"), "neither free, guarded nor single_shot");
+        }
+    }
+    if s.my_zone.is_empty() {
+        return bad("myZone", "missing");
+    }
+    if s.limits.max_attempts == 0 {
+        return bad("limits.maxAttempts", "must be above 0");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,494 @@
+//! The core: owns the decisions, the operation table, route steps, timers and the batch loop. Knows no wire.
+//!
+//! Fronts hand in operations, drivers carry route steps, sources tell pool configs. The core has no clock:
+//! time is passed in. Nothing here decides; it keeps the books and sees to it that each operation gets one
+//! final answer.
+
+mod operation;
+
+pub use operation::*;
+
+use crate::counters::Counters;
+use crate::interface::*;
+use crate::settings::{mark, Site};
+use crate::Balancer;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// Kept back of a client's time, so that the last byte of an answer lands before the client gives up: the way
+/// to the client and a slow moment of this machine.
+const MARGIN_US: Micros = 25_000;
+/// Most results kept for repeats of keyed operations, in bytes.
+const KEPT_BYTES: usize = 8 << 20;
+/// Most keyed operations remembered.
+const KEPT_KEYS: usize = 16_384;
+
+/// What has come in since the last turn.
+enum Input {
+    Arrived(JobId),
+    Gone(JobId),
+    Step(StepId, StepNews),
+    List { source: usize, complete: bool, members: Vec<Member> },
+    ListFailed,
+    Probed(WorkerId, bool, Option<Report>),
+    Timer(u64),
+    Deadline(JobId),
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Module(u64),
+    Deadline(JobId),
+}
+
+struct RouteStep {
+    worker: WorkerId,
+    sent: Micros,
+    ended: bool,
+    ran: bool,
+}
+
+struct Entered {
+    operation: Arc<Operation>,
+    waiting: Vec<(Rc<dyn Front>, u64)>,
+    steps: Vec<RouteStep>,
+    deadline: Micros,
+    answered: bool,
+}
+
+/// A keyed operation that may have run, or runs: a repeat of it must not run again inside the window.
+struct Kept {
+    job: JobId,
+    until: Micros,
+    answer: Option<Answer>,
+}
+
+struct Worker {
+    member: Member,
+    source: usize,
+    driver: usize,
+}
+
+/// See the module's own page.
+pub struct Core {
+    balancer: Balancer,
+    site: Site,
+    max_open: usize,
+    /// Repeats of keyed operations are joined here, as not all workers drop them.
+    joins_repeats: bool,
+    operations: BTreeMap<JobId, Entered>,
+    by_id: HashMap<String, JobId>,
+    kept: BTreeMap<(u32, String), Kept>,
+    kept_bytes: usize,
+    workers: Vec<Worker>,
+    drivers: Vec<Rc<dyn Driver>>,
+    sources: Vec<Rc<dyn PoolSource>>,
+    timers: BinaryHeap<Reverse<(Micros, u64, Due)>>,
+    timer_no: u64,
+    next_job: u64,
+    inputs: Vec<Input>,
+    owed: usize,
+    /// What was taken in, sent and answered.
+    pub counters: Counters,
+}
+
+impl Core {
+    /// A core that knows no workers yet. `joins_repeats`: see [`crate::config`].
+    pub(crate) fn new(mut site: Site, max_open: usize, joins_repeats: bool, seed: u64, now: Micros) -> Core {
+        if joins_repeats {
+            // Workers are not known to drop repeats for each other: an attempt that may have run is the last.
+            let keyed = |c: &&mut Class| matches!(c.repeat, Repeat::Keyed { .. });
+            site.settings.classes.iter_mut().filter(keyed).for_each(|c| c.repeat = Repeat::Once);
+        }
+        Core {
+            balancer: Balancer::new(site.settings.clone(), seed, now),
+            site,
+            max_open,
+            joins_repeats,
+            operations: BTreeMap::new(),
+            by_id: HashMap::new(),
+            kept: BTreeMap::new(),
+            kept_bytes: 0,
+            workers: Vec::new(),
+            drivers: Vec::new(),
+            sources: Vec::new(),
+            timers: BinaryHeap::new(),
+            timer_no: 0,
+            next_job: 0,
+            inputs: Vec::new(),
+            owed: 0,
+            counters: Counters::default(),
+        }
+    }
+
+    /// Adds a driver; pool configs name it by the number returned.
+    pub fn attach_driver(&mut self, driver: Rc<dyn Driver>) -> usize {
+        self.drivers.push(driver);
+        self.drivers.len() - 1
+    }
+
+    /// Adds a source of pool configs that wants to be asked.
+    pub fn attach_source(&mut self, source: Rc<dyn PoolSource>) {
+        self.sources.push(source);
+    }
+
+    /// The class of this name.
+    pub fn class(&self, name: &str) -> Option<ClassId> {
+        self.site.classes.known(name).map(ClassId)
+    }
+
+    /// What the settings say of a class.
+    pub fn class_settings(&self, class: ClassId) -> &Class {
+        &self.site.settings.classes[class.0 as usize]
+    }
+
+    /// Whether operations of this class carry an idempotency key.
+    pub fn is_keyed(&self, class: ClassId) -> bool {
+        self.site.keyed[class.0 as usize]
+    }
+
+    /// A load report by the names that the settings use.
+    pub fn report(&self, load: &HashMap<String, f64>) -> Report {
+        self.site.report(load)
+    }
+
+    /// Operations that still owe a final answer.
+    pub fn owed(&self) -> usize {
+        self.owed
+    }
+
+    /// Takes an operation; `front` gets its one final answer under the number `ticket`.
+    pub fn submit(
+        &mut self, now: Micros, operation: Operation, front: Rc<dyn Front>, ticket: u64,
+    ) -> Result<JobId, NotTaken> {
+        let key = operation.idempotency_key.clone().filter(|_| self.joins_repeats);
+        let key = key.filter(|_| self.is_keyed(operation.class)).map(|k| (operation.class.0, k));
+        if let Some(kept) = key.as_ref().and_then(|k| self.kept.get(k)).filter(|k| now < k.until) {
+            // Guards against a second run of a keyed job that was handed in twice, by whichever front.
+            let (job, answer) = (kept.job, kept.answer.clone());
+            self.counters.operations += 1;
+            self.counters.repeats_joined += 1;
+            match (answer, self.operations.get_mut(&job).filter(|o| !o.answered)) {
+                (None, Some(entered)) => entered.waiting.push((front, ticket)),
+                (answer, _) => {
+                    let answer = answer.unwrap_or(Answer::Failed { late: false });
+                    self.counters.answer(&answer);
+                    front.answer(ticket, &answer);
+                }
+            }
+            return Ok(job);
+        }
+        if self.by_id.contains_key(&operation.id) {
+            return Err(NotTaken::SameId);
+        }
+        if self.operations.len() >= self.max_open {
+            return Err(NotTaken::Full);
+        }
+        let job = JobId(self.next_job);
+        self.next_job += 1;
+        self.counters.operations += 1;
+        self.owed += 1;
+        let deadline = now.saturating_add(operation.left_us.saturating_sub(MARGIN_US));
+        self.at(deadline, Due::Deadline(job));
+        self.by_id.insert(operation.id.clone(), job);
+        if let Some(key) = key {
+            self.forget_old_keys(now);
+            self.kept.insert(key, Kept { job, until: Micros::MAX, answer: None });
+        }
+        let (operation, waiting) = (Arc::new(operation), vec![(front, ticket)]);
+        let entered = Entered { operation, waiting, steps: Vec::new(), deadline, answered: false };
+        self.operations.insert(job, entered);
+        self.inputs.push(Input::Arrived(job));
+        Ok(job)
+    }
+
+    /// The client behind one ticket has gone away; others may still wait for the same operation.
+    pub fn gone(&mut self, job: JobId, front: &Rc<dyn Front>, ticket: u64) {
+        let Some(entered) = self.operations.get_mut(&job).filter(|o| !o.answered) else { return };
+        entered.waiting.retain(|(f, t)| !(*t == ticket && Rc::ptr_eq(f, front)));
+        if entered.waiting.is_empty() {
+            self.inputs.push(Input::Gone(job));
+        }
+    }
+
+    /// News of a route step. What comes after its end is ignored.
+    pub fn step(&mut self, step: StepId, news: StepNews) {
+        self.inputs.push(Input::Step(step, news));
+    }
+
+    /// The route step that a worker's call-back means: by the operation's id and the worker's name.
+    pub fn find_step(&self, id: &str, worker: &str) -> Option<StepId> {
+        let job = *self.by_id.get(id)?;
+        let at = |s: &RouteStep| self.workers[s.worker.0 as usize].member.name == worker && !s.ended;
+        let attempt = self.operations.get(&job)?.steps.iter().rposition(at)? as u32;
+        Some(StepId { job, attempt })
+    }
+
+    /// A pool config, or the changes to one. `source` is the driver that reaches these workers.
+    pub fn pool_config(&mut self, source: usize, complete: bool, members: Vec<Member>) {
+        self.inputs.push(Input::List { source, complete, members });
+    }
+
+    /// A pool config could not be had, or its watch broke.
+    pub fn pool_config_failed(&mut self) {
+        self.inputs.push(Input::ListFailed);
+    }
+
+    /// A probe was answered, or not.
+    pub fn probed(&mut self, worker: WorkerId, ok: bool, report: Option<Report>) {
+        self.inputs.push(Input::Probed(worker, ok, report));
+    }
+
+    /// When the next timer falls due.
+    pub fn next_due(&self) -> Option<Micros> {
+        self.timers.peek().map(|t| t.0 .0)
+    }
+
+    /// Feeds all that has come in, says `Settled`, carries out what is decided; again, while that itself
+    /// ends route steps.
+    pub fn turn(&mut self, now: Micros) {
+        while let Some(Reverse((at, _, due))) = self.timers.peek().copied() {
+            if at > now {
+                break;
+            }
+            self.timers.pop();
+            self.inputs.push(match due {
+                Due::Module(token) => Input::Timer(token),
+                Due::Deadline(job) => Input::Deadline(job),
+            });
+        }
+        let mut overdue = Vec::new();
+        while !self.inputs.is_empty() {
+            let mut out = Vec::new();
+            for input in std::mem::take(&mut self.inputs) {
+                if let Input::Deadline(job) = input {
+                    overdue.push(job);
+                }
+                self.feed(now, input, &mut out);
+            }
+            self.balancer.handle(now, Event::Settled, &mut out);
+            for action in out {
+                self.carry_out(now, action);
+            }
+        }
+        // The decisions answer by the deadline; guards against an operation left without any answer.
+        for job in overdue {
+            self.finish(now, job, Answer::Failed { late: true });
+        }
+        self.sweep();
+    }
+
+    fn at(&mut self, when: Micros, due: Due) {
+        self.timer_no += 1;
+        self.timers.push(Reverse((when, self.timer_no, due)));
+    }
+
+    fn feed(&mut self, now: Micros, input: Input, out: &mut Vec<Action>) {
+        let event = match input {
+            Input::Arrived(job) => {
+                let Some(entered) = self.operations.get(&job) else { return };
+                let o = &entered.operation;
+                Event::Arrived(Request {
+                    job,
+                    class: o.class,
+                    tenant: None,
+                    expires_in_us: entered.deadline.saturating_sub(now),
+                    hint_us: None,
+                    slots: o.slots,
+                    key: o.subject.as_deref().map(mark),
+                })
+            }
+            Input::Gone(job) => {
+                let Some(entered) = self.operations.get_mut(&job) else { return };
+                if entered.answered || !entered.waiting.is_empty() {
+                    return; // answered meanwhile, or a repeat has joined
+                }
+                self.counters.clients_gone += 1;
+                self.close(now, job, Answer::Failed { late: false });
+                Event::ClientGone { job }
+            }
+            Input::Step(step, news) => match self.step_news(now, step, news) {
+                Some(event) => event,
+                None => return,
+            },
+            Input::List { source, complete, members } => self.list(source, complete, members),
+            Input::ListFailed => Event::ListFailed,
+            Input::Probed(worker, ok, report) => Event::Probed { worker, ok, report },
+            Input::Timer(token) => Event::Timer { token },
+            Input::Deadline(job) => {
+                let Some(entered) = self.operations.get(&job) else { return };
+                for attempt in (0..entered.steps.len()).filter(|&i| !entered.steps[i].ended) {
+                    let step = StepId { job, attempt: attempt as u32 };
+                    self.call_off(step);
+                    self.inputs.push(Input::Step(step, StepNews::Ended(Ending::TimedOut, None)));
+                }
+                return;
+            }
+        };
+        self.balancer.handle(now, event, out);
+    }
+
+    /// What a driver tells of a step, as an event; none if the step has ended before.
+    fn step_news(&mut self, now: Micros, step: StepId, news: StepNews) -> Option<Event> {
+        let StepId { job, attempt } = step;
+        let entered = self.operations.get_mut(&job)?;
+        let s = entered.steps.get_mut(attempt as usize).filter(|s| !s.ended)?;
+        Some(match news {
+            StepNews::Started => {
+                entered.waiting.iter().for_each(|(front, ticket)| front.started(*ticket));
+                Event::Started { job, attempt }
+            }
+            StepNews::Progress(done) => Event::Progress { job, attempt, done },
+            StepNews::Ended(ending, report) => {
+                (s.ended, s.ran) = (true, ending.may_have_run());
+                self.counters.ending(&ending);
+                let code = ending.code();
+                if let Ending::Served(result) = ending {
+                    self.finish(now, job, Answer::Served(result));
+                }
+                let complete = self.operations[&job].answered;
+                Event::Outcome(Outcome { job, attempt, code, complete, report })
+            }
+        })
+    }
+
+    fn list(&mut self, source: usize, complete: bool, members: Vec<Member>) -> Event {
+        let mut entries: Vec<Entry> = Vec::with_capacity(members.len());
+        if complete {
+            // Other sources' workers are not this list's to end.
+            let others = self.workers.iter().filter(|w| w.source != source);
+            let kept: Vec<Member> = others.map(|w| w.member.clone()).collect();
+            entries.extend(kept.iter().map(|m| self.entry(m)));
+            let named: std::collections::HashSet<&str> = members.iter().map(|m| m.name.as_str()).collect();
+            let missing = |w: &&mut Worker| w.source == source && !named.contains(w.member.name.as_str());
+            self.workers.iter_mut().filter(missing).for_each(|w| w.member.stage = Stage::Gone);
+        }
+        for member in members {
+            let entry = self.entry(&member);
+            let worker = Worker { member, source, driver: source };
+            match self.workers.get_mut(entry.worker.0 as usize) {
+                Some(known) => *known = worker,
+                None => self.workers.push(worker),
+            }
+            entries.push(entry);
+        }
+        Event::List { complete, entries }
+    }
+
+    fn entry(&mut self, m: &Member) -> Entry {
+        let (stage, since, cell, weight) = (m.stage, m.since, m.cell, m.weight);
+        self.site.entry(&m.name, &m.zone, &m.kind, Entry { stage, since, cell, weight, ..Entry::default() })
+    }
+
+    fn carry_out(&mut self, now: Micros, action: Action) {
+        match action {
+            Action::Send { job, worker } => self.send(now, job, worker),
+            Action::Cancel { job, attempt } => {
+                let step = StepId { job, attempt };
+                let Some(entered) = self.operations.get(&job) else { return };
+                if entered.steps.get(attempt as usize).is_some_and(|s| !s.ended) {
+                    self.call_off(step);
+                    self.inputs.push(Input::Step(step, StepNews::Ended(Ending::GivenUp, None)));
+                }
+            }
+            Action::Refuse { job, hold_off_us } => self.finish(now, job, Answer::Busy { hold_off_us }),
+            Action::Fail { job } => {
+                let late = self.operations.get(&job).is_some_and(|o| now >= o.deadline);
+                self.finish(now, job, Answer::Failed { late });
+            }
+            Action::Schedule { wait_us, token } => self.at(now.saturating_add(wait_us), Due::Module(token)),
+            Action::Probe { worker } => {
+                let w = &self.workers[worker.0 as usize];
+                self.drivers[w.driver].probe(worker, &w.member);
+            }
+            Action::Subscribe => self.sources.iter().for_each(|s| s.subscribe()),
+        }
+    }
+
+    fn send(&mut self, now: Micros, job: JobId, worker: WorkerId) {
+        let Some(entered) = self.operations.get_mut(&job) else { return };
+        let step = StepId { job, attempt: entered.steps.len() as u32 };
+        // A worker gets one attempt of an operation at a time: one to its earlier life died with it.
+        let earlier = entered.steps.iter().position(|s| s.worker == worker && !s.ended);
+        let useless = entered.answered || now >= entered.deadline;
+        entered.steps.push(RouteStep { worker, sent: now, ended: false, ran: false });
+        if let Some(attempt) = earlier.map(|a| a as u32) {
+            let step = StepId { job, attempt };
+            self.call_off(step);
+            self.inputs.push(Input::Step(step, StepNews::Ended(Ending::Lost, None)));
+        }
+        if useless {
+            self.inputs.push(Input::Step(step, StepNews::Ended(Ending::NeverSent, None)));
+            return;
+        }
+        self.counters.steps += 1;
+        let (entered, w) = (&self.operations[&job], &self.workers[worker.0 as usize]);
+        self.drivers[w.driver].send(step, &entered.operation, &w.member, entered.deadline - now);
+    }
+
+    /// Has the driver give a step up that is still out.
+    fn call_off(&self, step: StepId) {
+        let Some(entered) = self.operations.get(&step.job) else { return };
+        let w = &self.workers[entered.steps[step.attempt as usize].worker.0 as usize];
+        self.drivers[w.driver].cancel(step, &entered.operation, &w.member);
+    }
+
+    /// The one place that hands out final answers, once an operation.
+    fn finish(&mut self, now: Micros, job: JobId, answer: Answer) {
+        let Some(entered) = self.operations.get_mut(&job).filter(|o| !o.answered) else { return };
+        for (front, ticket) in std::mem::take(&mut entered.waiting) {
+            self.counters.answer(&answer);
+            front.answer(ticket, &answer);
+        }
+        self.close(now, job, answer);
+    }
+
+    /// Nothing more is owed for an operation. A keyed one that may have run stays known for its window.
+    fn close(&mut self, now: Micros, job: JobId, answer: Answer) {
+        let Some(entered) = self.operations.get_mut(&job) else { return };
+        entered.answered = true;
+        self.owed -= 1;
+        let Some(key) = entered.operation.idempotency_key.clone() else { return };
+        let key = (entered.operation.class.0, key);
+        let Some(kept) = self.kept.get_mut(&key).filter(|k| k.job == job && k.answer.is_none()) else {
+            return;
+        };
+        let Some(first) = entered.steps.iter().find(|s| !s.ended || s.ran) else {
+            self.kept.remove(&key);
+            return;
+        };
+        // The window runs from the first attempt that may have run, and one may run on as long as its client
+        // would have waited.
+        let window = self.site.windows[key.0 as usize];
+        kept.until = first.sent.saturating_add(window).max(now);
+        let served = matches!(&answer, Answer::Served(r) if self.kept_bytes + r.len() <= KEPT_BYTES);
+        let answer = if served { answer } else { Answer::Failed { late: false } };
+        if let Answer::Served(result) = &answer {
+            self.kept_bytes += result.len();
+        }
+        kept.answer = Some(answer);
+    }
+
+    /// Bounds what is remembered of keyed operations: those past their window, looked at when many are kept.
+    fn forget_old_keys(&mut self, now: Micros) {
+        if self.kept.len() < KEPT_KEYS && self.kept_bytes < KEPT_BYTES / 2 {
+            return;
+        }
+        self.kept.retain(|_, k| now < k.until);
+        let size = |k: &Kept| if let Some(Answer::Served(r)) = &k.answer { r.len() } else { 0 };
+        self.kept_bytes = self.kept.values().map(size).sum();
+    }
+
+    /// Drops operations that are answered and have nothing out.
+    fn sweep(&mut self) {
+        self.operations.retain(|_, o| {
+            let done = o.answered && o.steps.iter().all(|s| s.ended);
+            if done {
+                self.by_id.remove(&o.operation.id);
+            }
+            !done
+        });
+    }
+}
--- /dev/null
+++ b/src/core/operation.rs
@@ -0,0 +1,166 @@
+//! The words of the core: operations, route steps, how they end and how an operation is answered.
+
+use crate::interface::{ClassId, Code, JobId, Micros, Report, Stage, WorkerId};
+use std::sync::Arc;
+
+/// What a client asks for, free of any wire.
+#[derive(Clone, Debug, Default)]
+pub struct Operation {
+    /// The client's own name for it, new with every request.
+    pub id: String,
+    /// Its class.
+    pub class: ClassId,
+    /// What it is about, as workers get to see it: a path, with the query if there is one.
+    pub target: String,
+    /// The subject, which places work for the same data set together.
+    pub subject: Option<String>,
+    /// What repeats of it have in common, where its class is keyed.
+    pub idempotency_key: Option<String>,
+    /// The slots it takes.
+    pub slots: f64,
+    /// The client waits this much longer.
+    pub left_us: Micros,
+    /// What is handed to the worker.
+    pub body: Vec<u8>,
+}
+
+/// One route step of one operation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StepId {
+    /// The operation.
+    pub job: JobId,
+    /// The attempt, from 0.
+    pub attempt: u32,
+}
+
+/// Every way in which a route step, and with it a connection, can end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The worker gave its result.
+    Served(Arc<[u8]>),
+    /// The worker says that the job failed.
+    WorkerFailed,
+    /// The worker turned the job away, or handed it back unstarted.
+    TurnedAway,
+    /// No connection was accepted.
+    ConnectRefused,
+    /// No connection came up within the time allowed.
+    ConnectTimedOut,
+    /// The connection broke before the last byte was written.
+    BrokeUnsent,
+    /// The connection broke or ended after the last byte was written.
+    BrokeSent,
+    /// The job was killed, or the worker's process died.
+    Lost,
+    /// The time for the step ran out.
+    TimedOut,
+    /// The step was given up.
+    GivenUp,
+    /// The step was never begun.
+    NeverSent,
+}
+
+impl Ending {
+    /// The one place that says what an end means to the decisions.
+    pub fn code(&self) -> Code {
+        match self {
+            Ending::Served(_) => Code::Delivered,
+            Ending::WorkerFailed => Code::AppError,
+            Ending::TurnedAway => Code::Shed,
+            Ending::ConnectRefused | Ending::ConnectTimedOut | Ending::BrokeUnsent => Code::DialFailed,
+            Ending::BrokeSent | Ending::Lost => Code::Dropped,
+            Ending::TimedOut => Code::Expired,
+            Ending::GivenUp => Code::Revoked,
+            Ending::NeverSent => Code::Unused,
+        }
+    }
+
+    /// Whether the job may have run, or may yet.
+    pub fn may_have_run(&self) -> bool {
+        !matches!(self.code(), Code::Shed | Code::DialFailed | Code::Unused)
+    }
+}
+
+/// The final answer of an operation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// A worker's result, whole.
+    Served(Arc<[u8]>),
+    /// A busy reply: trying again is harmless.
+    Busy {
+        /// Advice to stay away this long; 0 for none.
+        hold_off_us: Micros,
+    },
+    /// Failed.
+    Failed {
+        /// The client's time had run out.
+        late: bool,
+    },
+}
+
+/// Why an operation was not taken; nothing of it has run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotTaken {
+    /// An operation of this id is in hand.
+    SameId,
+    /// As many operations as the settings allow are in hand.
+    Full,
+}
+
+/// News of a route step, as a driver tells it.
+#[derive(Clone, Debug)]
+pub enum StepNews {
+    /// The job has begun to run.
+    Started,
+    /// It has done this part.
+    Progress(f64),
+    /// The step has ended.
+    Ended(Ending, Option<Report>),
+}
+
+/// A worker as a pool config names it.
+#[derive(Clone, Debug, Default)]
+pub struct Member {
+    /// Its name, the same everywhere.
+    pub name: String,
+    /// Where it listens.
+    pub addr: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its machine kind.
+    pub kind: String,
+    /// Its cell.
+    pub cell: u32,
+    /// Its state.
+    pub stage: Stage,
+    /// Its weight.
+    pub weight: f64,
+    /// When its process last started, on the core's clock; 0 for long ago.
+    pub since: Micros,
+}
+
+/// Takes the answers for operations that came in by one front.
+pub trait Front {
+    /// The final answer for the operation that this front numbered `ticket`. Called once; must not block.
+    fn answer(&self, ticket: u64, answer: &Answer);
+
+    /// A worker has begun to run the operation. May come more than once, for several attempts.
+    fn started(&self, _ticket: u64) {}
+}
+
+/// Carries route steps to the workers of one kind of wire. None of its calls may block or call the core;
+/// what becomes of a step is told to the core later.
+pub trait Driver {
+    /// Begins a route step.
+    fn send(&self, step: StepId, operation: &Arc<Operation>, worker: &Member, left_us: Micros);
+    /// Gives a route step up.
+    fn cancel(&self, step: StepId, operation: &Arc<Operation>, worker: &Member);
+    /// Asks a worker for its load.
+    fn probe(&self, worker: WorkerId, member: &Member);
+}
+
+/// A source of pool configs that may have to be asked.
+pub trait PoolSource {
+    /// The decisions want to hear of changes from now on; it may be called while a watch runs.
+    fn subscribe(&self);
+}
--- /dev/null
+++ b/src/counters.rs
@@ -0,0 +1,88 @@
+//! Counters of what is taken in, sent and answered.
+
+use crate::core::{Answer, Ending};
+use crate::interface::Code;
+use serde::Serialize;
+
+/// All counters since the start.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Counters {
+    /// Front sockets accepted.
+    pub front_sockets: u64,
+    /// Operations taken in.
+    pub operations: u64,
+    /// Keyed operations joined to an earlier one.
+    pub repeats_joined: u64,
+    /// Requests turned away as malformed, too large or misdirected.
+    pub bad_requests: u64,
+    /// Call-backs from workers.
+    pub callbacks: u64,
+    /// Call-backs that matched no route step still out.
+    pub callbacks_unmatched: u64,
+    /// Route steps sent.
+    pub steps: u64,
+    /// Connections opened to workers.
+    pub worker_connections: u64,
+    /// Cancels sent.
+    pub cancels: u64,
+    /// Lines of pool config read.
+    pub pool_configs: u64,
+    /// Watches that failed or broke.
+    pub watches_broken: u64,
+    /// Operations answered with a result.
+    pub served: u64,
+    /// Operations answered with a busy reply.
+    pub busy_replies: u64,
+    /// Operations failed.
+    pub failed: u64,
+    /// Operations failed as their time was up.
+    pub failed_late: u64,
+    /// Operations whose clients went away.
+    pub clients_gone: u64,
+    /// Route steps by how they ended.
+    pub endings: Endings,
+}
+
+/// Route steps by how they ended.
+#[derive(Clone, Debug, Default, Serialize)]
+#[allow(missing_docs)]
+pub struct Endings {
+    pub served: u64,
+    pub worker_failed: u64,
+    pub turned_away: u64,
+    pub not_connected: u64,
+    pub broken: u64,
+    pub timed_out: u64,
+    pub given_up: u64,
+    pub never_sent: u64,
+}
+
+impl Counters {
+    pub(crate) fn answer(&mut self, answer: &Answer) {
+        *match answer {
+            Answer::Served(_) => &mut self.served,
+            Answer::Busy { .. } => &mut self.busy_replies,
+            Answer::Failed { late: false } => &mut self.failed,
+            Answer::Failed { late: true } => &mut self.failed_late,
+        } += 1;
+    }
+
+    pub(crate) fn ending(&mut self, ending: &Ending) {
+        let e = &mut self.endings;
+        *match ending.code() {
+            Code::Delivered => &mut e.served,
+            Code::AppError => &mut e.worker_failed,
+            Code::Shed => &mut e.turned_away,
+            Code::DialFailed => &mut e.not_connected,
+            Code::Dropped => &mut e.broken,
+            Code::Expired => &mut e.timed_out,
+            Code::Revoked => &mut e.given_up,
+            Code::Unused => &mut e.never_sent,
+        } += 1;
+    }
+
+    /// One line of JSON.
+    pub fn line(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -61,8 +61,19 @@
 //! ```
 
 mod balance;
+pub mod config;
+pub mod core;
+pub mod counters;
+mod drmaa;
+mod handle;
 pub mod interface;
+pub mod inventory;
+mod net;
+pub mod program;
+mod runtime;
+mod settings;
 mod state;
 pub mod wire;
 
 pub use balance::Balancer;
+pub use runtime::run;
--- /dev/null
+++ b/src/net/http.rs
@@ -0,0 +1,268 @@
+//! HTTP/1.1 over one TCP connection, for both sides: heads by httparse, bodies by length or in chunks.
+
+use async_io::Async;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use std::io;
+use std::net::TcpStream;
+
+/// The longest head.
+const HEAD: usize = 16 << 10;
+/// The longest body.
+pub const BODY: usize = 64 << 10;
+const HEADERS: usize = 64;
+
+/// Why a message cannot be read.
+#[derive(Debug)]
+pub enum Bad {
+    /// The connection ended or broke.
+    Ended,
+    /// It is not HTTP as it should be.
+    Malformed(&'static str),
+    /// Its body is over the limit.
+    TooLarge,
+}
+
+impl From<io::Error> for Bad {
+    fn from(_: io::Error) -> Bad {
+        Bad::Ended
+    }
+}
+
+/// The head of a request or an answer.
+#[derive(Debug, Default)]
+pub struct Head {
+    /// The method; empty for an answer.
+    pub method: String,
+    /// Path and query.
+    pub target: String,
+    /// The status; 0 for a request.
+    pub status: u16,
+    /// The sender closes after this message.
+    pub close: bool,
+    headers: Vec<(String, String)>,
+}
+
+impl Head {
+    /// The value of a header; the first, if there are several.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+    }
+}
+
+enum Framing {
+    Length(usize),
+    Chunked,
+    ToEnd,
+}
+
+/// A connection, and what has been read from it but not used.
+pub struct Conn {
+    stream: Async<TcpStream>,
+    buf: Vec<u8>,
+}
+
+impl Conn {
+    /// Wraps a connected stream.
+    pub fn new(stream: Async<TcpStream>) -> Conn {
+        // Guards against small answers waiting for acknowledgements.
+        let _ = stream.get_ref().set_nodelay(true);
+        Conn { stream, buf: Vec::new() }
+    }
+
+    /// The stream below.
+    pub fn stream(&self) -> &Async<TcpStream> {
+        &self.stream
+    }
+
+    async fn fill(&mut self) -> io::Result<usize> {
+        let mut part = [0u8; 8 << 10];
+        let n = self.stream.read(&mut part).await?;
+        self.buf.extend_from_slice(&part[..n]);
+        Ok(n)
+    }
+
+    /// Comes back when the other side has ended the connection, never otherwise. What it sends meanwhile is
+    /// kept, up to one message.
+    pub async fn ended(&mut self) {
+        while self.buf.len() < HEAD + BODY {
+            if !matches!(self.fill().await, Ok(n) if n > 0) {
+                return;
+            }
+        }
+        futures_lite::future::pending().await
+    }
+
+    /// Whether the connection can carry another request: nothing has come unasked, the end neither.
+    pub fn is_quiet(&self) -> bool {
+        let mut one = [0u8; 1];
+        let peeked = self.stream.get_ref().peek(&mut one);
+        self.buf.is_empty() && matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Whether anything of a next message has come already.
+    pub fn has_input(&self) -> bool {
+        !self.buf.is_empty()
+    }
+
+    /// Waits until something of the next message is there. An error at the end.
+    pub async fn wait_input(&mut self) -> Result<(), Bad> {
+        if self.buf.is_empty() && !matches!(self.fill().await, Ok(n) if n > 0) {
+            return Err(Bad::Ended);
+        }
+        Ok(())
+    }
+
+    /// Writes all of it.
+    pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes).await
+    }
+
+    /// Reads the head of a request.
+    pub async fn request(&mut self) -> Result<Head, Bad> {
+        loop {
+            let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+            let mut request = httparse::Request::new(&mut headers);
+            match request.parse(&self.buf) {
+                Ok(httparse::Status::Complete(length)) => {
+                    let (method, target) = (request.method.unwrap_or(""), request.path.unwrap_or(""));
+                    let (method, target) = (method.to_string(), target.to_string());
+                    let head = Head { method, target, ..head(request.headers, request.version)? };
+                    self.buf.drain(..length);
+                    return Ok(head);
+                }
+                Ok(httparse::Status::Partial) => self.more().await?,
+                Err(_) => return Err(Bad::Malformed("not an HTTP/1.1 request")),
+            }
+        }
+    }
+
+    /// Reads the head of an answer, past those that only say to go on.
+    pub async fn answer(&mut self) -> Result<Head, Bad> {
+        loop {
+            let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+            let mut response = httparse::Response::new(&mut headers);
+            match response.parse(&self.buf) {
+                Ok(httparse::Status::Complete(length)) => {
+                    let status = response.code.unwrap_or(0);
+                    let head = Head { status, ..head(response.headers, response.version)? };
+                    self.buf.drain(..length);
+                    if status >= 200 {
+                        return Ok(head);
+                    }
+                }
+                Ok(httparse::Status::Partial) => self.more().await?,
+                Err(_) => return Err(Bad::Malformed("not an HTTP/1.1 answer")),
+            }
+        }
+    }
+
+    async fn more(&mut self) -> Result<(), Bad> {
+        if self.buf.len() > HEAD + BODY {
+            return Err(Bad::Malformed("the head is too long"));
+        }
+        match self.fill().await {
+            Ok(n) if n > 0 && self.buf.len() <= HEAD + BODY => Ok(()),
+            Ok(n) if n > 0 => Err(Bad::Malformed("the head is too long")),
+            _ => Err(Bad::Ended),
+        }
+    }
+
+    /// Reads the body that belongs to a head.
+    pub async fn body(&mut self, head: &Head) -> Result<Vec<u8>, Bad> {
+        match framing(head)? {
+            Framing::Length(n) if n > BODY => Err(Bad::TooLarge),
+            Framing::Length(n) => {
+                if n > self.buf.len()
+                    && head.get("expect").is_some_and(|e| e.eq_ignore_ascii_case("100-continue"))
+                {
+                    self.write(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+                }
+                while self.buf.len() < n {
+                    if self.fill().await? == 0 {
+                        return Err(Bad::Ended);
+                    }
+                }
+                Ok(self.buf.drain(..n).collect())
+            }
+            Framing::Chunked => {
+                let mut body = Vec::new();
+                while let Some(part) = self.chunk().await? {
+                    body.extend_from_slice(&part);
+                    if body.len() > BODY {
+                        return Err(Bad::TooLarge);
+                    }
+                }
+                Ok(body)
+            }
+            Framing::ToEnd => {
+                while self.fill().await? > 0 {
+                    if self.buf.len() > BODY {
+                        return Err(Bad::TooLarge);
+                    }
+                }
+                Ok(std::mem::take(&mut self.buf))
+            }
+        }
+    }
+
+    /// Reads one chunk of a chunked body; none at its end.
+    pub async fn chunk(&mut self) -> Result<Option<Vec<u8>>, Bad> {
+        loop {
+            match httparse::parse_chunk_size(&self.buf) {
+                Ok(httparse::Status::Complete((start, size))) => {
+                    // A list may be longer than a body, but not without end.
+                    let size = usize::try_from(size).ok().filter(|&s| s <= 64 * BODY).ok_or(Bad::TooLarge)?;
+                    while self.buf.len() < start + size + 2 {
+                        if self.fill().await? == 0 {
+                            return Err(Bad::Ended);
+                        }
+                    }
+                    if &self.buf[start + size..start + size + 2] != b"\r\n" {
+                        return Err(Bad::Malformed("a chunk without its end"));
+                    }
+                    let part = self.buf[start..start + size].to_vec();
+                    self.buf.drain(..start + size + 2);
+                    return Ok((size > 0).then_some(part));
+                }
+                Ok(httparse::Status::Partial) => self.more().await?,
+                Err(_) => return Err(Bad::Malformed("not a chunk")),
+            }
+        }
+    }
+}
+
+fn head(headers: &[httparse::Header], version: Option<u8>) -> Result<Head, Bad> {
+    let text = |h: &httparse::Header| {
+        let value = std::str::from_utf8(h.value).map_err(|_| Bad::Malformed("a header that is not text"))?;
+        Ok((h.name.to_string(), value.trim().to_string()))
+    };
+    let headers = headers.iter().map(text).collect::<Result<Vec<_>, Bad>>()?;
+    let mut head = Head { headers, ..Head::default() };
+    let says = |word: &str| {
+        let has = |c: &str| c.split(',').any(|w| w.trim().eq_ignore_ascii_case(word));
+        head.headers.iter().any(|(n, v)| n.eq_ignore_ascii_case("connection") && has(v))
+    };
+    head.close = says("close") || version == Some(0) && !says("keep-alive");
+    Ok(head)
+}
+
+fn framing(head: &Head) -> Result<Framing, Bad> {
+    let lengths = head.headers.iter().filter(|(n, _)| n.eq_ignore_ascii_case("content-length"));
+    let mut lengths = lengths.map(|(_, v)| v.as_str());
+    match (head.get("transfer-encoding"), lengths.next()) {
+        (Some(_), Some(_)) => Err(Bad::Malformed("both Content-Length and Transfer-Encoding")),
+        (Some(t), None) if t.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
+        (Some(_), None) => Err(Bad::Malformed("an unknown Transfer-Encoding")),
+        (None, Some(n)) => {
+            let digits = !n.is_empty() && n.bytes().all(|b| b.is_ascii_digit());
+            if !digits || lengths.any(|other| other != n) {
+                return Err(Bad::Malformed("Content-Length"));
+            }
+            Ok(Framing::Length(n.parse().unwrap_or(usize::MAX)))
+        }
+        (None, None) if head.status == 0 || head.status == 204 || head.status == 304 => {
+            Ok(Framing::Length(0))
+        }
+        (None, None) => Ok(Framing::ToEnd),
+    }
+}
--- /dev/null
+++ b/src/net/route.rs
@@ -0,0 +1,157 @@
+//! Route steps over HTTP: one exchange that hands a job to a worker, and the cancel.
+
+use super::http::{Bad, Head};
+use super::pool::{Lent, Pool};
+use super::{load_from_header, load_from_json, Figures};
+use crate::core::{Driver, Ending, Member, Operation, StepId, StepNews};
+use crate::interface::{Micros, Report, WorkerId};
+use crate::runtime::Hub;
+use async_channel::{bounded, Sender};
+use async_io::Timer;
+use futures_lite::future;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long a cancel or a probe may take: long enough for a worker that stands still for a moment.
+const SHORT: Duration = Duration::from_secs(2);
+
+/// Carries route steps to workers that speak the platform's protocol.
+pub(crate) struct HttpDriver {
+    me: Weak<HttpDriver>,
+    hub: Rc<Hub>,
+    pool: Rc<Pool>,
+    /// Steps not taken by their worker yet; dropping one ends its exchange and closes the connection.
+    handing: RefCell<BTreeMap<StepId, Sender<()>>>,
+}
+
+impl HttpDriver {
+    pub(crate) fn new(hub: Rc<Hub>, figures: Figures) -> Rc<HttpDriver> {
+        let pool = Pool::new(hub.clone(), figures);
+        Rc::new_cyclic(|me| HttpDriver { me: me.clone(), hub, pool, handing: RefCell::default() })
+    }
+
+    fn me(&self) -> Rc<HttpDriver> {
+        self.me.upgrade().expect("called through an Rc")
+    }
+
+    /// Hands the job over. `Ok` when the worker has taken it.
+    async fn hand_over(&self, addr: SocketAddr, request: Vec<u8>) -> Result<(), (Ending, Option<Report>)> {
+        let mut lent = self.pool.take(addr).await.map_err(|e| (e, None))?;
+        // Nothing is sent again from here: whether there is another attempt is not decided here.
+        lent.conn.write(&request).await.map_err(|_| (Ending::BrokeUnsent, None))?;
+        let (head, _) = self.exchange(addr, lent).await.map_err(|_| (Ending::BrokeSent, None))?;
+        let report = || head.get("x-backend-load").map(|l| self.report(load_from_header(l)));
+        match head.status {
+            202 => Ok(()),
+            503 | 504 if head.get("x-unprocessed") == Some("1") => Err((Ending::TurnedAway, report())),
+            _ => Err((Ending::WorkerFailed, report())),
+        }
+    }
+
+    /// Reads one answer, and gives the connection back if it can carry another request.
+    async fn exchange(&self, addr: SocketAddr, mut lent: Lent) -> Result<(Head, Vec<u8>), Bad> {
+        let head = lent.conn.answer().await?;
+        let body = lent.conn.body(&head).await?;
+        if !head.close && head.get("content-length").is_some() | (head.status == 204) {
+            self.pool.give_back(addr, lent);
+        }
+        Ok((head, body))
+    }
+
+    fn report(&self, load: HashMap<String, f64>) -> Report {
+        self.hub.with(|core, _| core.report(&load))
+    }
+
+    /// A small request of our own: a cancel or a probe.
+    async fn ask(&self, addr: SocketAddr, request: String) -> Option<(Head, Vec<u8>)> {
+        let asked = async {
+            let mut lent = self.pool.take(addr).await.ok()?;
+            lent.conn.write(request.as_bytes()).await.ok()?;
+            self.exchange(addr, lent).await.ok()
+        };
+        future::or(asked, async {
+            Timer::after(SHORT).await;
+            None
+        })
+        .await
+    }
+}
+
+fn request(operation: &Operation, addr: SocketAddr, left_us: Micros) -> Vec<u8> {
+    let mut head = format!(
+        "POST {} HTTP/1.1\r\nHost: {addr}\r\nX-Correlation-Id: {}\r\nX-Time-Left-Ms: {}\r\nContent-Length: {}\r\n",
+        operation.target,
+        operation.id,
+        left_us / 1_000,
+        operation.body.len()
+    );
+    if let Some(key) = &operation.idempotency_key {
+        let _ = write!(head, "Idempotency-Key: {key}\r\n");
+    }
+    head.push_str("\r\n");
+    let mut bytes = head.into_bytes();
+    bytes.extend_from_slice(&operation.body);
+    bytes
+}
+
+impl Driver for HttpDriver {
+    fn send(&self, step: StepId, operation: &Arc<Operation>, worker: &Member, left_us: Micros) {
+        let (give_up, given_up) = bounded::<()>(1);
+        self.handing.borrow_mut().insert(step, give_up);
+        let (me, operation, addr) = (self.me(), operation.clone(), worker.addr.parse::<SocketAddr>());
+        self.hub.spawn(async move {
+            let handed = async {
+                let Ok(addr) = addr else { return Err((Ending::ConnectRefused, None)) };
+                me.hand_over(addr, request(&operation, addr, left_us)).await
+            };
+            let cancelled = async {
+                let _ = given_up.recv().await;
+                Ok(())
+            };
+            // A call-back may have ended the step before any answer: the connection is not kept for ever.
+            let never = async {
+                Timer::after(Duration::from_micros(left_us) + Duration::from_secs(1)).await;
+                Ok(())
+            };
+            let handed = future::or(handed, future::or(cancelled, never)).await;
+            me.handing.borrow_mut().remove(&step);
+            if let Err((ending, report)) = handed {
+                me.hub.with(|core, _| core.step(step, StepNews::Ended(ending, report)));
+            }
+        });
+    }
+
+    fn cancel(&self, step: StepId, operation: &Arc<Operation>, worker: &Member) {
+        // Before the 202, closing the connection cancels too, and cannot overtake the job.
+        if self.handing.borrow_mut().remove(&step).is_some() {
+            return;
+        }
+        let Ok(addr) = worker.addr.parse::<SocketAddr>() else { return };
+        let request = format!("DELETE /jobs/{} HTTP/1.1\r\nHost: {addr}\r\n\r\n", operation.id);
+        let me = self.me();
+        self.hub.spawn(async move {
+            me.hub.with(|core, _| core.counters.cancels += 1);
+            me.ask(addr, request).await;
+        });
+    }
+
+    fn probe(&self, worker: WorkerId, member: &Member) {
+        let Ok(addr) = member.addr.parse::<SocketAddr>() else { return };
+        let request = format!("GET /metrics/load HTTP/1.1\r\nHost: {addr}\r\n\r\n");
+        let me = self.me();
+        self.hub.spawn(async move {
+            let answer = me.ask(addr, request).await.filter(|(head, _)| head.status == 200);
+            let report = answer.as_ref().map(|(_, body)| match serde_json::from_slice(body) {
+                Ok(load) => load_from_json(&load),
+                Err(_) => load_from_header(&String::from_utf8_lossy(body)),
+            });
+            let report = report.map(|load| me.report(load));
+            me.hub.with(|core, _| core.probed(worker, answer.is_some(), report));
+        });
+    }
+}
--- /dev/null
+++ b/src/runtime.rs
@@ -0,0 +1,212 @@
+//! What runs the core: one thread, its clock, the batch loop, signals and the orderly end.
+
+use crate::config::Config;
+use crate::core::{Answer, Core, Front, Member, NotTaken, Operation};
+use crate::interface::{JobId, Micros};
+use crate::settings::Site;
+use crate::{drmaa, net};
+use async_channel::{bounded, Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use async_signal::{Signal, Signals};
+use futures_lite::{future, StreamExt};
+use slog::{info, warn, Logger};
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::rc::{Rc, Weak};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// After SIGTERM new connections keep coming for up to 0.4 s; idle ones stay open a little longer than that.
+const STILL_COMING: Duration = Duration::from_millis(600);
+/// Time for the last cancels to reach their workers.
+const LAST_CANCELS: Duration = Duration::from_millis(300);
+
+/// A steady clock that reads Unix time in microseconds at its start, so that start times told by discovery
+/// fall on it without a second clock.
+#[derive(Clone, Copy)]
+struct Clock {
+    base: Micros,
+    start: Instant,
+}
+
+/// What fronts, drivers and sources share: the core, the clock, the executor and the log.
+pub(crate) struct Hub {
+    core: RefCell<Core>,
+    wake: (Sender<()>, Receiver<()>),
+    clock: Clock,
+    /// Weak, as its tasks hold this: at the end they are dropped with it.
+    executor: Weak<LocalExecutor<'static>>,
+    pub(crate) log: Logger,
+    /// SIGTERM has come.
+    pub(crate) stopping: Cell<bool>,
+}
+
+impl Hub {
+    pub(crate) fn now(&self) -> Micros {
+        self.clock.base + self.clock.start.elapsed().as_micros() as Micros
+    }
+
+    /// Hands something to the core; the batch loop then takes a turn. Not to be called from within one.
+    pub(crate) fn with<R>(&self, f: impl FnOnce(&mut Core, Micros) -> R) -> R {
+        let done = f(&mut self.core.borrow_mut(), self.now());
+        let _ = self.wake.0.try_send(());
+        done
+    }
+
+    pub(crate) fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        if let Some(executor) = self.executor.upgrade() {
+            executor.spawn(task).detach();
+        }
+    }
+
+    /// Hands in an operation whose answer is waited for in one place.
+    pub(crate) fn submit(self: &Rc<Self>, operation: Operation) -> Result<Pending, NotTaken> {
+        let (tx, answer) = bounded(1);
+        let front: Rc<dyn Front> = Rc::new(Waiting(tx));
+        let job = self.with(|core, now| core.submit(now, operation, front.clone(), 0))?;
+        Ok(Pending { hub: self.clone(), job, front, answer })
+    }
+
+    /// Batches: as soon as something has come in, or a timer is due.
+    async fn batches(&self) {
+        loop {
+            let now = self.now();
+            let next = {
+                let mut core = self.core.borrow_mut();
+                core.turn(now);
+                core.next_due()
+            };
+            let due = async {
+                match next {
+                    Some(at) => {
+                        Timer::after(Duration::from_micros(at.saturating_sub(self.now()))).await;
+                    }
+                    None => future::pending().await,
+                }
+            };
+            future::or(
+                async {
+                    let _ = self.wake.1.recv().await;
+                },
+                due,
+            )
+            .await;
+        }
+    }
+}
+
+struct Waiting(Sender<Answer>);
+
+impl Front for Waiting {
+    fn answer(&self, _ticket: u64, answer: &Answer) {
+        let _ = self.0.try_send(answer.clone());
+    }
+}
+
+/// An operation in hand. Dropping it unanswered tells the core that the client has gone away.
+pub(crate) struct Pending {
+    hub: Rc<Hub>,
+    job: JobId,
+    front: Rc<dyn Front>,
+    answer: Receiver<Answer>,
+}
+
+impl Pending {
+    pub(crate) async fn answer(&self) -> Answer {
+        self.answer.recv().await.unwrap_or(Answer::Failed { late: false })
+    }
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        self.hub.with(|core, _| core.gone(self.job, &self.front, 0));
+    }
+}
+
+/// Runs the dispatcher until SIGTERM or SIGINT and all that it has taken is answered.
+pub fn run(config: Config, log: Logger) -> Result<(), String> {
+    start(config, log, None)
+}
+
+/// The same, with a channel for operations from inside the process; it ends when the channel is closed.
+pub(crate) fn start(
+    config: Config, log: Logger, calls: Option<Receiver<crate::handle::Call>>,
+) -> Result<(), String> {
+    let executor = Rc::new(LocalExecutor::new());
+    let base = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1 << 40, |d| d.as_micros() as Micros);
+    let clock = Clock { base, start: Instant::now() };
+    let site = Site::new(config.setup);
+    let net = net::Figures::new(&site, &config.limits);
+    // Off the platform workers may not drop repeats of keyed jobs for each other, so the core does.
+    let joins_repeats = config.drmaa.is_some();
+    let max_open = site.max_open;
+    let core = Core::new(site, max_open, joins_repeats, config.seed, base);
+    let hub = Rc::new(Hub {
+        core: RefCell::new(core),
+        wake: bounded(1),
+        clock,
+        executor: Rc::downgrade(&executor),
+        log: log.clone(),
+        stopping: Cell::new(false),
+    });
+    let main = async {
+        let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1])
+            .map_err(|e| format!("signals cannot be heard: {e}"))?;
+        let driver = hub.with(|core, _| core.attach_driver(net::route::HttpDriver::new(hub.clone(), net)));
+        let known: Vec<Member> = config.known.servers.iter().map(|s| s.member()).collect();
+        hub.with(|core, _| core.pool_config(driver, true, known));
+        if let Some(addr) = config.discovery {
+            let source = net::discovery::Watch::new(hub.clone(), addr, driver, config.known.version);
+            hub.with(|core, _| core.attach_source(source));
+        }
+        let jobs = match config.drmaa {
+            Some(d) => drmaa::attach(&hub, d, net.connect_timeout)?,
+            None => None,
+        };
+        let sockets = net::front::listen(&hub, config.listen, config.limits.front_sockets())
+            .map_err(|e| format!("listen: {}: {e}", config.listen))?;
+        info!(log, "serving"; "name" => &config.name, "listen" => %config.listen);
+        let batches = hub.clone();
+        hub.spawn(async move { batches.batches().await });
+        let stop = async {
+            match calls {
+                Some(calls) => crate::handle::serve(&hub, calls).await,
+                None => wait_for_stop(&hub, signals).await,
+            }
+        };
+        stop.await;
+        drain(&hub, &sockets, jobs.as_deref()).await;
+        info!(log, "counters"; "counters" => hub.core.borrow().counters.line());
+        Ok(())
+    };
+    async_io::block_on(executor.run(main))
+}
+
+async fn wait_for_stop(hub: &Rc<Hub>, mut signals: Signals) {
+    while let Some(signal) = signals.next().await {
+        match signal {
+            Ok(Signal::Usr1) => {
+                info!(hub.log, "counters"; "counters" => hub.core.borrow().counters.line())
+            }
+            Ok(_) => return,
+            Err(e) => warn!(hub.log, "a signal could not be read"; "error" => %e),
+        }
+    }
+}
+
+/// Operations still come in for a while and on connections kept: all are taken and answered before the end.
+async fn drain(hub: &Rc<Hub>, sockets: &net::front::Sockets, jobs: Option<&drmaa::front::JobTable>) {
+    info!(hub.log, "stopping"; "owed" => hub.core.borrow().owed());
+    hub.stopping.set(true);
+    Timer::after(STILL_COMING).await;
+    loop {
+        sockets.close_idle(false);
+        let open = hub.core.borrow().owed() > 0 || sockets.clients() > 0 || jobs.is_some_and(|j| j.busy());
+        Timer::after(Duration::from_millis(20)).await;
+        if !open && hub.core.borrow().owed() == 0 && sockets.clients() == 0 {
+            break;
+        }
+    }
+    sockets.close_idle(true);
+    Timer::after(LAST_CANCELS).await;
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,271 @@
+//! The settings as the platform words them, decoded once for the adapter and the daemon.
+//!
+//! Both are handed the same object: the adapter in its first message, the daemon in its configuration.
+
+use crate::interface::*;
+use serde::Deserialize;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+#[derive(Deserialize, Default)]
+#[serde(default, rename_all = "camelCase")]
+pub(crate) struct Setup {
+    pub(crate) balancers: u32,
+    pub(crate) costs: Costs,
+    pub(crate) discovery: String,
+    pub(crate) family_info: FamilyInfo,
+    pub(crate) feedback: Feedback,
+    pub(crate) kinds: Vec<String>,
+    pub(crate) limits: Limits,
+    pub(crate) my_zone: String,
+    pub(crate) over_share_worth: f64,
+    pub(crate) realms: Vec<Realm>,
+    pub(crate) request_classes: Vec<RequestClass>,
+    pub(crate) rules: Rules,
+    pub(crate) tick_us: u64,
+    pub(crate) value_by: String,
+    pub(crate) weights: String,
+    pub(crate) zones: Vec<String>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default, rename_all = "camelCase")]
+pub(crate) struct FamilyInfo {
+    pub(crate) class_kind: Vec<i64>,
+    pub(crate) class_priority: Vec<i64>,
+    pub(crate) class_stretch: Vec<f64>,
+    pub(crate) progress_us: u64,
+    pub(crate) report_x0: String,
+    pub(crate) tells_start: bool,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+pub(crate) struct Costs {
+    pub(crate) handshake: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default, rename_all = "camelCase")]
+pub(crate) struct Feedback {
+    pub(crate) fields: Vec<String>,
+    pub(crate) via: String,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default, rename_all = "camelCase")]
+pub(crate) struct Limits {
+    pub(crate) cancel: bool,
+    pub(crate) connect_timeout_us: u64,
+    pub(crate) idle_close_us: u64,
+    pub(crate) max_attempts: u32,
+    pub(crate) max_open: u64,
+    pub(crate) max_retry_after_us: u64,
+    pub(crate) may_duplicate: bool,
+    pub(crate) multiplex: u32,
+    pub(crate) probes: bool,
+    pub(crate) retry_after: bool,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default, rename_all = "camelCase")]
+pub(crate) struct Realm {
+    pub(crate) name: String,
+    pub(crate) quota_rps: f64,
+    pub(crate) share: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default, rename_all = "camelCase")]
+pub(crate) struct RequestClass {
+    pub(crate) aim_stretch: f64,
+    pub(crate) deadline_us: u64,
+    pub(crate) key_scope: String,
+    pub(crate) late_share: f64,
+    pub(crate) name: String,
+    pub(crate) on_time_us: u64,
+    pub(crate) semantics: String,
+    pub(crate) served_on: Vec<String>,
+    pub(crate) window_us: u64,
+    pub(crate) worth: f64,
+    pub(crate) zones_allowed: Vec<String>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default, rename_all = "camelCase")]
+pub(crate) struct Rules {
+    pub(crate) answer_slack_us: u64,
+    pub(crate) ask_within_us: u64,
+    pub(crate) drain_grace_us: u64,
+    pub(crate) fall_us: u64,
+    pub(crate) full_may_have_run: bool,
+    pub(crate) start_capacity: f64,
+    pub(crate) tip_multiple: f64,
+    pub(crate) warm_after_us: u64,
+}
+
+/// Names in the order first met: the position is the id.
+#[derive(Default)]
+pub(crate) struct Names(HashMap<Arc<str>, u32>, Vec<Arc<str>>);
+
+impl Names {
+    pub(crate) fn known(&self, name: &str) -> Option<u32> {
+        self.0.get(name).copied()
+    }
+
+    pub(crate) fn id(&mut self, name: &str) -> u32 {
+        if let Some(id) = self.known(name) {
+            return id;
+        }
+        let (id, name) = (self.1.len() as u32, Arc::<str>::from(name));
+        self.1.push(name.clone());
+        self.0.insert(name, id);
+        id
+    }
+
+    pub(crate) fn name(&self, id: u32) -> &str {
+        &self.1[id as usize]
+    }
+
+    pub(crate) fn of<'a>(names: impl IntoIterator<Item = &'a String>) -> Names {
+        let mut all = Names::default();
+        names.into_iter().for_each(|n| {
+            all.id(n);
+        });
+        all
+    }
+}
+
+/// The settings decoded, with the names behind the module's ids.
+pub(crate) struct Site {
+    pub(crate) settings: Settings,
+    pub(crate) workers: Names,
+    pub(crate) classes: Names,
+    pub(crate) tenants: Names,
+    zones: Names,
+    kinds: Names,
+    pub(crate) connect_timeout_us: Micros,
+    /// Most requests in hand at once.
+    pub(crate) max_open: usize,
+    /// Which classes are keyed, and for how long repeats are dropped.
+    pub(crate) keyed: Vec<bool>,
+    pub(crate) windows: Vec<Micros>,
+    /// `x0` counts free slots here.
+    x0_is_free: bool,
+}
+
+/// A number for a name, the same everywhere (FNV-1a).
+pub(crate) fn mark(name: &str) -> u64 {
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
+}
+
+/// A list of the only permitted ones; an empty list restricts nothing.
+fn some<T>(list: Vec<T>) -> Option<Vec<T>> {
+    (!list.is_empty()).then_some(list)
+}
+
+impl Site {
+    pub(crate) fn new(setup: Setup) -> Site {
+        let (mut zones, mut kinds) = (Names::of(&setup.zones), Names::of(&setup.kinds));
+        let fam = &setup.family_info;
+        let mut class = |(i, c): (usize, &RequestClass)| Class {
+            repeat: match (c.semantics.as_str(), c.key_scope.as_str()) {
+                ("free", _) => Repeat::Free,
+                ("guarded", scope) => Repeat::Keyed {
+                    scope: match scope {
+                        "all" => Scope::All,
+                        "zone" => Scope::Zone,
+                        _ => Scope::Cell,
+                    },
+                    window_us: c.window_us,
+                },
+                _ => Repeat::Once,
+            },
+            aim_us: c.on_time_us,
+            stretch: fam.class_stretch.get(i).copied().unwrap_or(c.aim_stretch),
+            deadline_us: c.deadline_us,
+            worth: c.worth,
+            late_share: c.late_share,
+            kind: fam.class_kind.get(i).and_then(|&k| u32::try_from(k).ok()).map(KindId),
+            kinds: some(c.served_on.iter().map(|k| KindId(kinds.id(k))).collect()),
+            zones: some(c.zones_allowed.iter().map(|z| ZoneId(zones.id(z))).collect()),
+            priority: fam.class_priority.get(i).copied().unwrap_or(0),
+        };
+        let classes = setup.request_classes.iter().enumerate().map(&mut class).collect();
+        let my_zone = ZoneId(zones.id(&setup.my_zone));
+        let settings = Settings {
+            dispatchers: setup.balancers,
+            my_zone,
+            tick_us: setup.tick_us,
+            classes,
+            tenants: setup.realms.iter().map(|r| Tenant { quota_rps: r.quota_rps, share: r.share }).collect(),
+            over_share_worth: setup.over_share_worth,
+            worth_by_work: setup.value_by == "work",
+            list_must_be_asked: setup.discovery == "on_request",
+            reports_on_probe: setup.feedback.via == "on_probe" && setup.limits.probes,
+            reports_count_jobs: setup.feedback.fields.iter().any(|f| f == "active" || f == "waiting"),
+            tells_start: fam.tells_start,
+            progress_us: fam.progress_us,
+            cancel: setup.limits.cancel,
+            may_duplicate: setup.limits.may_duplicate,
+            max_attempts: setup.limits.max_attempts.max(1),
+            streams: setup.limits.multiplex.max(1),
+            idle_close_us: setup.limits.idle_close_us,
+            connection_cost: setup.costs.handshake,
+            max_retry_after_us: if setup.limits.retry_after { setup.limits.max_retry_after_us } else { 0 },
+            answer_slack_us: setup.rules.answer_slack_us,
+            ask_within_us: setup.rules.ask_within_us,
+            full_may_have_run: setup.rules.full_may_have_run,
+            drain_grace_us: setup.rules.drain_grace_us,
+            start_capacity: setup.rules.start_capacity,
+            warm_after_us: setup.rules.warm_after_us,
+            tip_multiple: setup.rules.tip_multiple,
+            fall_us: setup.rules.fall_us,
+            weights: match setup.weights.as_str() {
+                "live" => Weights::Live,
+                "nominal" | "rough" => Weights::Size,
+                _ => Weights::Off,
+            },
+        };
+        Site {
+            classes: Names::of(setup.request_classes.iter().map(|c| &c.name)),
+            tenants: Names::of(setup.realms.iter().map(|r| &r.name)),
+            kinds,
+            zones,
+            workers: Names::default(),
+            connect_timeout_us: if setup.limits.connect_timeout_us > 0 {
+                setup.limits.connect_timeout_us
+            } else {
+                250_000
+            },
+            max_open: if setup.limits.max_open > 0 { setup.limits.max_open as usize } else { 30_000 },
+            keyed: setup.request_classes.iter().map(|c| c.semantics == "guarded").collect(),
+            windows: setup.request_classes.iter().map(|c| c.window_us).collect(),
+            x0_is_free: setup.feedback.via != "off" && fam.report_x0.contains("slots"),
+            settings,
+        }
+    }
+
+    /// A line of a list with its names turned into ids; a worker that is new gets the next one.
+    pub(crate) fn entry(&mut self, worker: &str, zone: &str, kind: &str, entry: Entry) -> Entry {
+        Entry {
+            worker: WorkerId(self.workers.id(worker)),
+            zone: ZoneId(self.zones.id(zone)),
+            kind: KindId(self.kinds.id(kind)),
+            mark: mark(worker),
+            ..entry
+        }
+    }
+
+    /// A load report by the names that the settings use.
+    pub(crate) fn report(&self, u: &HashMap<String, f64>) -> Report {
+        let get = |name: &str| u.get(name).copied();
+        Report {
+            active: get("active"),
+            waiting: get("waiting"),
+            busy: get("cpu"),
+            service_us: get("avg_ms").map(|ms| ms * 1000.0),
+            free_slots: get("x0").filter(|_| self.x0_is_free),
+        }
+    }
+}
