--- a/src/config.rs
+++ b/src/config.rs
@@ -46,15 +46,35 @@
     }
 }
 
+/// Descriptors that are always taken or must stay free: standard streams, the event loop, signals, listeners,
+/// discovery, and a new connection on its way in or out.
+const OWN: usize = 24;
+
 impl Limits {
-    /// Front sockets at most: half of all, so that route steps always find room beside them.
+    /// So many sixteenths of the descriptors that are not taken by files, listeners and the event loop. Front
+    /// sockets and their reserve, connections to workers and job sessions have fifteen of them.
+    fn share(&self, sixteenths: usize) -> usize {
+        ((self.sockets - OWN) * sixteenths / 16).max(2)
+    }
+
+    /// Front sockets that are accepted although all others are busy: workers' call-backs end what they wait for.
+    pub fn front_reserve(&self) -> usize {
+        self.share(1)
+    }
+
+    /// Front sockets at most, beside the reserve.
     pub fn front_sockets(&self) -> usize {
-        (self.sockets / 2).max(8)
+        self.share(7)
+    }
+
+    /// Job sessions of the DRMAA front at most.
+    pub fn sessions(&self) -> usize {
+        self.share(1)
     }
 
-    /// Connections to workers at most; the rest is for discovery, listeners, files and the event loop.
+    /// Connections to workers at most.
     pub fn worker_sockets(&self) -> usize {
-        (self.sockets * 3 / 8).max(8)
+        self.share(6)
     }
 }
 
--- a/src/drmaa/front.rs
+++ b/src/drmaa/front.rs
@@ -1,7 +1,513 @@
-//! Front.
-pub(crate) struct JobTable;
+//! The DRMAA front: job sessions of batch tools. Jobs outlive the connection that ran them.
+
+use super::{from_hex, line, Call, Error, JobInfo, JobState, JobTemplate, Said, What, LINE};
+use crate::config::Drmaa;
+use crate::core::{Answer, Front, Operation};
+use crate::interface::{JobId, Micros};
+use crate::net::http::{Conn, BODY};
+use crate::runtime::Hub;
+use async_channel::{bounded, Receiver, Sender};
+use async_io::{Async, Timer};
+use futures_lite::future;
+use slog::{info, warn};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+/// Answers and notifications that may wait for a slow session.
+const QUEUE: usize = 256;
+/// Waits that one session may have running.
+const WAITS: usize = 256;
+/// Most bytes kept of inputs and outputs of all jobs.
+const KEPT_BYTES: usize = 32 << 20;
+
+struct Job {
+    info: JobInfo,
+    /// The core's number; none before it is taken.
+    operation: Option<JobId>,
+    /// Dropped and made anew at each change of state, which wakes all who wait.
+    changed: (Sender<()>, Receiver<()>),
+    /// The session that ran it, for notifications.
+    session: Sender<Vec<u8>>,
+    bytes: usize,
+}
+
+impl Job {
+    fn is_over(&self) -> bool {
+        matches!(self.info.job_state, JobState::Done | JobState::Failed)
+    }
+
+    fn enter(&mut self, state: JobState) {
+        self.info.job_state = state;
+        self.changed = bounded(1);
+        let said = Said {
+            event: Some("NEW_STATE".into()),
+            job_id: Some(self.info.job_id.clone()),
+            job_state: Some(state),
+            ..Said::default()
+        };
+        let _ = self.session.try_send(line(&said)); // a session that does not read misses it
+    }
+}
+
+/// All jobs of this front.
+pub(crate) struct JobTable {
+    me: Weak<JobTable>,
+    hub: Rc<Hub>,
+    jobs: RefCell<BTreeMap<u64, Job>>,
+    next: Cell<u64>,
+    bytes: Cell<usize>,
+    /// Answers that sessions still wait for.
+    waits: Cell<usize>,
+    sessions: Cell<usize>,
+    max_jobs: usize,
+    keep_us: Micros,
+}
+
+impl Front for JobTable {
+    fn answer(&self, ticket: u64, answer: &Answer) {
+        let now = self.seconds();
+        let mut jobs = self.jobs.borrow_mut();
+        let Some(job) = jobs.get_mut(&ticket).filter(|j| !j.is_over()) else { return };
+        job.info.finish_time = Some(now);
+        let state = match answer {
+            Answer::Served(result) => {
+                job.info.exit_status = Some(0);
+                job.info.output = Some(String::from_utf8_lossy(result).into_owned());
+                job.bytes += result.len();
+                self.bytes.set(self.bytes.get() + result.len());
+                JobState::Done
+            }
+            Answer::Busy { hold_off_us } => {
+                job.info.error = Some(Error::TryLater);
+                job.info.retry_after = (*hold_off_us > 0).then_some(*hold_off_us as f64 / 1e6);
+                job.info.annotation = Some("turned away; trying again is harmless".into());
+                JobState::Failed
+            }
+            Answer::Failed { late } => {
+                job.info.error = Some(if *late { Error::Timeout } else { Error::Internal });
+                JobState::Failed
+            }
+        };
+        job.enter(state);
+    }
+
+    fn started(&self, ticket: u64) {
+        let now = self.seconds();
+        let mut jobs = self.jobs.borrow_mut();
+        if let Some(job) = jobs.get_mut(&ticket).filter(|j| j.info.job_state == JobState::Queued) {
+            job.info.dispatch_time = Some(now);
+            job.enter(JobState::Running);
+        }
+    }
+}
+
+type Reply = Result<Said, (Error, String)>;
+
+fn refuse<T>(error: Error, why: impl Into<String>) -> Result<T, (Error, String)> {
+    Err((error, why.into()))
+}
+
 impl JobTable {
+    /// Whether answers are still on their way to sessions.
     pub(crate) fn busy(&self) -> bool {
-        false
+        self.waits.get() > 0
+    }
+
+    fn seconds(&self) -> f64 {
+        self.hub.now() as f64 / 1e6
+    }
+
+    /// Makes room for another job: what is over for long goes first, then what is over the longest.
+    fn make_room(&self, bytes: usize) -> bool {
+        let mut jobs = self.jobs.borrow_mut();
+        let long_ago = (self.hub.now().saturating_sub(self.keep_us)) as f64 / 1e6;
+        let over = |j: &Job| j.is_over().then_some(j.info.finish_time.unwrap_or(0.0));
+        jobs.retain(|_, j| over(j).is_none_or(|at| at > long_ago));
+        loop {
+            let held: usize = jobs.values().map(|j| j.bytes).sum();
+            self.bytes.set(held);
+            if jobs.len() < self.max_jobs && held + bytes <= KEPT_BYTES {
+                return true;
+            }
+            let oldest =
+                jobs.iter().filter_map(|(n, j)| Some((over(j)?, *n))).min_by(|a, b| a.0.total_cmp(&b.0));
+            let Some((_, number)) = oldest else { return false };
+            jobs.remove(&number);
+        }
+    }
+
+    fn run_job(&self, template: serde_json::Value, session: &Sender<Vec<u8>>) -> Reply {
+        let template = read_template(template)?;
+        let name = template.job_name.clone();
+        let number = self.next.get();
+        let operation = self.operation(template, number)?;
+        // Looked at when the table is full or a keyed one comes: most calls find room at once.
+        let full = self.jobs.borrow().len() >= self.max_jobs || self.bytes.get() + BODY > KEPT_BYTES;
+        if full && !self.make_room(BODY) {
+            return refuse(Error::TryLater, "too many jobs");
+        }
+        self.next.set(number + 1);
+        let job_id = number.to_string();
+        let info = JobInfo {
+            job_id: job_id.clone(),
+            job_name: name,
+            job_state: JobState::Queued,
+            exit_status: None,
+            terminating_signal: None,
+            annotation: None,
+            submission_time: Some(self.seconds()),
+            dispatch_time: None,
+            finish_time: None,
+            output: None,
+            error: None,
+            retry_after: None,
+        };
+        let bytes = operation.body.len();
+        self.bytes.set(self.bytes.get() + bytes);
+        let job = Job { info, operation: None, changed: bounded(1), session: session.clone(), bytes };
+        self.jobs.borrow_mut().insert(number, job);
+        let front = self.front();
+        match self.hub.with(|core, now| core.submit(now, operation, front, number)) {
+            Ok(job) => {
+                let mut jobs = self.jobs.borrow_mut();
+                if let Some(entry) = jobs.get_mut(&number) {
+                    entry.operation = Some(job);
+                }
+                Ok(Said { job_id: Some(job_id), ..Said::default() })
+            }
+            Err(_) => {
+                self.jobs.borrow_mut().remove(&number);
+                refuse(Error::TryLater, "too many operations")
+            }
+        }
     }
+
+    fn front(&self) -> Rc<dyn Front> {
+        self.me.upgrade().expect("called through an Rc")
+    }
+
+    fn operation(&self, t: JobTemplate, number: u64) -> Result<Operation, (Error, String)> {
+        let visible = |s: &str| s.bytes().all(|b| b.is_ascii_graphic());
+        if !t.remote_command.starts_with('/') || !visible(&t.remote_command) {
+            return refuse(Error::InvalidArgument, "remoteCommand: not a path");
+        }
+        let path = t.remote_command.split('?').next().unwrap_or("");
+        let mut parts = path.split('/').skip(1);
+        let named = parts.next().unwrap_or("");
+        let category = t.job_category.as_deref().unwrap_or(named);
+        let class = self.hub.with(|core, _| core.class(category)).filter(|_| category == named);
+        let Some(class) = class else {
+            return refuse(
+                Error::InvalidArgument,
+                "jobCategory: no such class, or not that of remoteCommand",
+            );
+        };
+        let (keyed, deadline_us) =
+            self.hub.with(|core, _| (core.is_keyed(class), core.class_settings(class).deadline_us));
+        let key = t.idempotency_key.filter(|k| !k.is_empty());
+        if key.as_deref().map_or(keyed, |k| !visible(k)) {
+            return refuse(
+                Error::InvalidArgument,
+                "streamusher_idempotencyKey: missing, or not visible text",
+            );
+        }
+        let slots = t.min_slots.unwrap_or(1.0);
+        if !(slots.is_finite() && slots > 0.0) {
+            return refuse(Error::InvalidArgument, "minSlots: must be above 0");
+        }
+        let left_us = match t.deadline_time {
+            Some(at) if !at.is_finite() => return refuse(Error::InvalidArgument, "deadlineTime: not a time"),
+            Some(at) => ((at - self.seconds()).clamp(0.0, 86_400.0) * 1e6) as Micros,
+            None => deadline_us,
+        };
+        if left_us == 0 {
+            return refuse(Error::InvalidArgument, "deadlineTime: is over");
+        }
+        let body = match (t.input, t.input_hex) {
+            (Some(_), Some(_)) => return refuse(Error::InvalidArgument, "two inputs"),
+            (Some(text), None) => text.into_bytes(),
+            (None, Some(hex)) => match from_hex(&hex) {
+                Some(bytes) => bytes,
+                None => return refuse(Error::InvalidArgument, "streamusher_inputHex: not hex digits"),
+            },
+            (None, None) => Vec::new(),
+        };
+        if body.len() > BODY {
+            return refuse(Error::OutOfResource, "the input is over 64 KiB");
+        }
+        Ok(Operation {
+            // Apart from what clients of the other front choose.
+            id: format!("drmaa-{:x}-{number}", self.hub.start()),
+            class,
+            subject: parts.filter(|p| !p.is_empty()).last().map(str::to_string),
+            target: t.remote_command,
+            idempotency_key: key,
+            slots,
+            left_us,
+            body,
+        })
+    }
+
+    fn look<T>(&self, id: &str, at: impl FnOnce(&mut Job) -> T) -> Result<T, (Error, String)> {
+        let mut jobs = self.jobs.borrow_mut();
+        let job = id.parse().ok().and_then(|number: u64| jobs.get_mut(&number));
+        job.map(at).ok_or((Error::InvalidArgument, "jobId: no such job".to_string()))
+    }
+
+    /// A job that is over cannot be terminated; one that is not gets its one end here.
+    fn terminate(&self, id: &str) -> Reply {
+        let now = self.seconds();
+        let operation = self.look(id, |job| {
+            if job.is_over() {
+                return None;
+            }
+            job.info.finish_time = Some(now);
+            job.info.terminating_signal = Some("SIGTERM".into());
+            job.info.annotation = Some("terminated".into());
+            job.enter(JobState::Failed);
+            job.operation
+        })?;
+        let (Some(operation), Ok(number)) = (operation, id.parse()) else {
+            return refuse(Error::InvalidState, "the job is over");
+        };
+        let front = self.front();
+        self.hub.with(|core, _| core.gone(operation, &front, number));
+        Ok(Said::default())
+    }
+
+    /// Waits until a job is over, or has started.
+    async fn wait(&self, id: &str, timeout: f64, until_started: bool) -> Reply {
+        let reached = async {
+            loop {
+                let there = self.look(id, |job| {
+                    let started = until_started && job.info.job_state == JobState::Running;
+                    if job.is_over() || started {
+                        Ok(job.info.clone())
+                    } else {
+                        Err(job.changed.1.clone())
+                    }
+                })?;
+                match there {
+                    Ok(info) => return Ok(Said { job_info: Some(info), ..Said::default() }),
+                    Err(changed) => drop(changed.recv().await),
+                }
+            }
+        };
+        let late = async {
+            match Duration::try_from_secs_f64(timeout) {
+                Ok(limit) => Timer::after(limit.min(Duration::from_secs(86_400))).await,
+                Err(_) => future::pending().await,
+            };
+            refuse(Error::Timeout, "not yet")
+        };
+        future::or(reached, late).await
+    }
+
+    /// One call; those that wait are answered from a task of their own.
+    fn call(
+        &self, call: Call, session: &Sender<Vec<u8>>, ended: &Receiver<()>, waits: &Rc<Cell<usize>>,
+    ) -> Option<Reply> {
+        Some(match call.what {
+            What::RunJob { job_template } => self.run_job(job_template, session),
+            What::Terminate { job_id } => self.terminate(&job_id),
+            What::GetState { job_id } => {
+                let state = self.look(&job_id, |job| job.info.job_state);
+                state.map(|s| Said { job_state: Some(s), ..Said::default() })
+            }
+            What::GetInfo { job_id } => {
+                let info = self.look(&job_id, |job| job.info.clone());
+                info.map(|i| Said { job_info: Some(i), ..Said::default() })
+            }
+            What::Reap { job_id } => match self.look(&job_id, |job| job.is_over()) {
+                Ok(true) => {
+                    job_id.parse().ok().and_then(|n: u64| self.jobs.borrow_mut().remove(&n));
+                    Ok(Said::default())
+                }
+                Ok(false) => refuse(Error::InvalidState, "the job is not over"),
+                Err(e) => Err(e),
+            },
+            What::WaitStarted { .. } | What::WaitTerminated { .. } if waits.get() >= WAITS => {
+                refuse(Error::OutOfResource, "too many waits")
+            }
+            What::WaitStarted { job_id, timeout } => {
+                self.answer_later(call.seq, job_id, timeout, true, session, ended, waits);
+                return None;
+            }
+            What::WaitTerminated { job_id, timeout } => {
+                self.answer_later(call.seq, job_id, timeout, false, session, ended, waits);
+                return None;
+            }
+            What::Suspend { .. } | What::Resume { .. } | What::Hold { .. } | What::Release { .. } => {
+                refuse(Error::UnsupportedOperation, "jobs are neither held nor suspended here")
+            }
+        })
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn answer_later(
+        &self, seq: u64, id: String, timeout: f64, until_started: bool, session: &Sender<Vec<u8>>,
+        ended: &Receiver<()>, waits: &Rc<Cell<usize>>,
+    ) {
+        let me = self.me.upgrade().expect("called through an Rc");
+        let (session, ended, waits) = (session.clone(), ended.clone(), waits.clone());
+        waits.set(waits.get() + 1);
+        self.waits.set(self.waits.get() + 1);
+        self.hub.spawn(async move {
+            let answered = async {
+                let reply = me.wait(&id, timeout, until_started).await;
+                let _ = session.send(said(seq, reply)).await;
+            };
+            let left = async {
+                let _ = ended.recv().await;
+            };
+            future::or(answered, left).await;
+            waits.set(waits.get() - 1);
+            me.waits.set(me.waits.get() - 1);
+        });
+    }
+
+    async fn session(&self, stream: Async<TcpStream>) {
+        enum Turn {
+            Call(Vec<u8>),
+            Say(Vec<u8>),
+            End(Option<&'static str>),
+        }
+        let mut conn = Conn::new(stream);
+        let (say, to_say) = bounded::<Vec<u8>>(QUEUE);
+        let (_open, ended) = bounded::<()>(1);
+        let waits = Rc::new(Cell::new(0));
+        loop {
+            let call = async {
+                match conn.line(LINE).await {
+                    Ok(line) => Turn::Call(line),
+                    Err(crate::net::http::Bad::TooLarge) => Turn::End(Some("the line is too long")),
+                    Err(_) => Turn::End(None),
+                }
+            };
+            let turn =
+                future::or(async { to_say.recv().await.map_or(Turn::End(None), Turn::Say) }, call).await;
+            let text = match turn {
+                Turn::Say(text) => text,
+                Turn::End(None) => return,
+                Turn::End(Some(why)) => {
+                    let _ = conn.write(&said(0, refuse(Error::InvalidArgument, why))).await;
+                    return;
+                }
+                Turn::Call(text) => match serde_json::from_slice::<Call>(&text) {
+                    Ok(call) => {
+                        let seq = call.seq;
+                        match self.call(call, &say, &ended, &waits) {
+                            Some(reply) => said(seq, reply),
+                            None => continue,
+                        }
+                    }
+                    Err(e) => {
+                        // Guards against a silent end: a caller is told which of its calls was not understood.
+                        let seq = serde_json::from_slice::<serde_json::Value>(&text).ok();
+                        let seq = seq.and_then(|v| v.get("seq")?.as_u64()).unwrap_or(0);
+                        said(seq, refuse(Error::InvalidArgument, format!("not a call: {e}")))
+                    }
+                },
+            };
+            if conn.write(&text).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+fn said(seq: u64, reply: Reply) -> Vec<u8> {
+    let said = reply.unwrap_or_else(|(error, why)| Said {
+        error: Some(error),
+        message: Some(why),
+        ..Said::default()
+    });
+    line(&Said { seq: Some(seq), ..said })
+}
+
+/// Attributes that DRMAA v2 has and this front does not bear.
+const UNSUPPORTED: [&str; 21] = [
+    "args",
+    "submitAsHold",
+    "rerunnable",
+    "jobEnvironment",
+    "workingDirectory",
+    "email",
+    "emailOnStarted",
+    "emailOnTerminated",
+    "inputPath",
+    "outputPath",
+    "errorPath",
+    "joinFiles",
+    "reservationId",
+    "queueName",
+    "maxSlots",
+    "priority",
+    "candidateMachines",
+    "minPhysMemory",
+    "machineOS",
+    "startTime",
+    "resourceLimits",
+];
+
+fn read_template(template: serde_json::Value) -> Result<JobTemplate, (Error, String)> {
+    let known = ["remoteCommand", "jobCategory", "jobName", "minSlots", "deadlineTime"];
+    for name in template.as_object().into_iter().flat_map(|t| t.keys()) {
+        if UNSUPPORTED.contains(&name.as_str()) {
+            return refuse(Error::UnsupportedAttribute, name.clone());
+        }
+        let ours = ["streamusher_idempotencyKey", "streamusher_input", "streamusher_inputHex"];
+        if !known.contains(&name.as_str()) && !ours.contains(&name.as_str()) {
+            return refuse(Error::InvalidArgument, format!("{name}: no such attribute"));
+        }
+    }
+    serde_json::from_value(template).map_err(|e| (Error::InvalidArgument, e.to_string()))
+}
+
+/// Listens and serves from now on.
+pub(crate) fn listen(
+    hub: &Rc<Hub>, addr: SocketAddr, drmaa: &Drmaa, most: usize,
+) -> Result<Rc<JobTable>, String> {
+    let listener = Async::<TcpListener>::bind(addr).map_err(|e| format!("drmaa listen: {addr}: {e}"))?;
+    let addr = listener.get_ref().local_addr().map_err(|e| format!("drmaa listen: {addr}: {e}"))?;
+    info!(hub.log, "serving DRMAA"; "listen" => %addr);
+    let table = Rc::new_cyclic(|me| JobTable {
+        me: me.clone(),
+        hub: hub.clone(),
+        jobs: RefCell::default(),
+        next: Cell::new(1),
+        bytes: Cell::new(0),
+        waits: Cell::new(0),
+        sessions: Cell::new(0),
+        max_jobs: drmaa.max_jobs,
+        keep_us: (drmaa.keep_s * 1e6) as Micros,
+    });
+    let served = table.clone();
+    hub.spawn(async move {
+        loop {
+            match listener.accept().await {
+                // Over its share of descriptors the front turns sessions away, so that the rest is served.
+                Ok((stream, _)) if served.sessions.get() >= most => {
+                    let text = said(0, refuse(Error::TryLater, "too many sessions"));
+                    let _ = futures_lite::AsyncWriteExt::write(&mut &stream, &text).await;
+                }
+                Ok((stream, _)) => {
+                    let table = served.clone();
+                    table.sessions.set(table.sessions.get() + 1);
+                    served.hub.spawn(async move {
+                        table.session(stream).await;
+                        table.sessions.set(table.sessions.get() - 1);
+                    });
+                }
+                Err(e) => {
+                    warn!(served.hub.log, "a job session could not be accepted"; "error" => %e);
+                    Timer::after(Duration::from_millis(20)).await;
+                }
+            }
+        }
+    });
+    Ok(table)
 }
--- /dev/null
+++ b/src/drmaa/worker.rs
@@ -0,0 +1,186 @@
+//! Route steps to workers that speak DRMAA: `runJob`, then `waitTerminated`, and `terminate` as the cancel.
+
+use super::{line, to_hex, Call, Error, JobInfo, JobState, JobTemplate, Said, What, LINE};
+use crate::core::{Driver, Ending, Member, Operation, StepId, StepNews};
+use crate::interface::{Micros, WorkerId};
+use crate::net::pool::{Lent, Pool};
+use crate::runtime::Hub;
+use async_channel::{bounded, Receiver, Sender};
+use async_io::Timer;
+use futures_lite::future;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long a worker may take to accept a cancel.
+const CANCEL: Duration = Duration::from_secs(2);
+
+/// Carries route steps to workers that speak DRMAA, one job at a time on a connection.
+pub(crate) struct DrmaaDriver {
+    me: Weak<DrmaaDriver>,
+    hub: Rc<Hub>,
+    pool: Rc<Pool>,
+    out: RefCell<BTreeMap<StepId, Sender<()>>>,
+}
+
+impl DrmaaDriver {
+    pub(crate) fn new(hub: Rc<Hub>, pool: Rc<Pool>) -> Rc<DrmaaDriver> {
+        Rc::new_cyclic(|me| DrmaaDriver { me: me.clone(), hub, pool, out: RefCell::default() })
+    }
+
+    /// One job from hand-over to end. `job` is filled once the worker has named it.
+    async fn run(
+        &self, step: StepId, addr: SocketAddr, call: Vec<u8>, lent: &mut Option<Lent>,
+        job: &mut Option<String>,
+    ) -> Ending {
+        let mut taken = match self.pool.take(addr).await {
+            Ok(taken) => taken,
+            Err(ending) => return ending,
+        };
+        if taken.conn.write(&call).await.is_err() {
+            return Ending::BrokeUnsent;
+        }
+        let conn = &mut lent.insert(taken).conn;
+        loop {
+            let said = match conn.line(LINE).await.map(|l| serde_json::from_slice::<Said>(&l)) {
+                Ok(Ok(said)) => said,
+                _ => return Ending::BrokeSent,
+            };
+            match (said.seq, said.error) {
+                (None, _) if said.event.as_deref() == Some("NEW_STATE") => {
+                    let ours = job.is_none() || said.job_id.as_ref() == job.as_ref();
+                    if ours && said.job_state == Some(JobState::Running) {
+                        self.hub.with(|core, _| core.step(step, StepNews::Started));
+                    }
+                }
+                (None, _) => {}
+                (Some(1), Some(error)) => return turned_down(error),
+                (Some(1), None) => {
+                    let Some(id) = said.job_id else { return Ending::WorkerFailed };
+                    let wait = What::WaitTerminated { job_id: id.clone(), timeout: -1.0 };
+                    *job = Some(id);
+                    if conn.write(&line(&Call { seq: 2, what: wait })).await.is_err() {
+                        return Ending::BrokeSent;
+                    }
+                }
+                (Some(2), None) => return said.job_info.map_or(Ending::WorkerFailed, ended),
+                (Some(2), Some(_)) => return Ending::Lost,
+                (Some(_), _) => {}
+            }
+        }
+    }
+
+    /// Terminates a job on its own connection; one that the worker has not named yet is waited for.
+    async fn terminate(&self, lent: &mut Lent, mut job: Option<String>) -> Option<()> {
+        while job.is_none() {
+            let said: Said = serde_json::from_slice(&lent.conn.line(LINE).await.ok()?).ok()?;
+            if said.seq == Some(1) {
+                job = Some(said.job_id?);
+            }
+        }
+        self.hub.with(|core, _| core.counters.cancels += 1);
+        let call = Call { seq: 3, what: What::Terminate { job_id: job? } };
+        lent.conn.write(&line(&call)).await.ok()?;
+        loop {
+            let said: Said = serde_json::from_slice(&lent.conn.line(LINE).await.ok()?).ok()?;
+            if said.seq == Some(3) {
+                return Some(());
+            }
+        }
+    }
+
+    async fn step(&self, step: StepId, addr: SocketAddr, call: Vec<u8>, given_up: Receiver<()>) {
+        let (mut lent, mut job) = (None, None);
+        let run = async { Some(self.run(step, addr, call, &mut lent, &mut job).await) };
+        let cancelled = async {
+            let _ = given_up.recv().await;
+            None
+        };
+        let ended = future::or(run, cancelled).await;
+        self.out.borrow_mut().remove(&step);
+        match (ended, lent) {
+            (Some(ending), lent) => {
+                let whole = matches!(ending, Ending::Served(_) | Ending::WorkerFailed | Ending::TurnedAway);
+                if let Some(lent) = lent.filter(|_| whole) {
+                    self.pool.give_back(addr, lent);
+                }
+                self.hub.with(|core, _| core.step(step, StepNews::Ended(ending, None)));
+            }
+            (None, Some(mut lent)) => {
+                let terminate = async {
+                    self.terminate(&mut lent, job).await;
+                };
+                let late = async {
+                    Timer::after(CANCEL).await;
+                };
+                future::or(terminate, late).await;
+            }
+            (None, None) => {} // given up before the worker heard of it
+        }
+    }
+}
+
+/// What an error of `runJob` means: the first three come before anything has run.
+fn turned_down(error: Error) -> Ending {
+    match error {
+        Error::TryLater | Error::DeniedByDrms | Error::OutOfResource => Ending::TurnedAway,
+        _ => Ending::WorkerFailed,
+    }
+}
+
+/// What the end of a job means.
+fn ended(info: JobInfo) -> Ending {
+    match (info.job_state, info.output, info.error) {
+        (JobState::Done, Some(output), _) => Ending::Served(output.into_bytes().into()),
+        (JobState::Failed, _, Some(error)) => turned_down(error),
+        (JobState::Failed, ..) if info.terminating_signal.is_some() => Ending::Lost,
+        _ => Ending::WorkerFailed,
+    }
+}
+
+fn template(operation: &Operation, deadline_s: f64) -> JobTemplate {
+    let text = std::str::from_utf8(&operation.body).ok();
+    JobTemplate {
+        remote_command: operation.target.clone(),
+        job_category: None,
+        job_name: Some(operation.id.clone()),
+        min_slots: Some(operation.slots),
+        deadline_time: Some(deadline_s),
+        idempotency_key: operation.idempotency_key.clone(),
+        input: text.map(str::to_string),
+        input_hex: text.is_none().then(|| to_hex(&operation.body)),
+    }
+}
+
+impl Driver for DrmaaDriver {
+    fn send(&self, step: StepId, operation: &Arc<Operation>, worker: &Member, left_us: Micros) {
+        let (give_up, given_up) = bounded::<()>(1);
+        self.out.borrow_mut().insert(step, give_up);
+        let me = self.me.upgrade().expect("called through an Rc");
+        let deadline_s = (self.hub.now() + left_us) as f64 / 1e6;
+        let job_template = serde_json::to_value(template(operation, deadline_s)).expect("plain data");
+        let call = line(&Call { seq: 1, what: What::RunJob { job_template } });
+        let addr = worker.addr.parse::<SocketAddr>();
+        self.hub.spawn(async move {
+            match addr {
+                Ok(addr) => me.step(step, addr, call, given_up).await,
+                Err(_) => {
+                    me.hub.with(|core, _| core.step(step, StepNews::Ended(Ending::ConnectRefused, None)))
+                }
+            }
+        });
+    }
+
+    fn cancel(&self, step: StepId, _operation: &Arc<Operation>, _worker: &Member) {
+        self.out.borrow_mut().remove(&step);
+    }
+
+    /// DRMAA knows no probe: the answer is that there is none.
+    fn probe(&self, worker: WorkerId, _member: &Member) {
+        let hub = self.hub.clone();
+        self.hub.spawn(async move { hub.with(|core, _| core.probed(worker, false, None)) });
+    }
+}
--- /dev/null
+++ b/src/middleware.rs
@@ -0,0 +1,112 @@
+//! The dispatcher as a tower layer, and so for axum: requests for a class of the settings are dispatched, all
+//! others go on to the service below.
+//!
+//! ```no_run
+//! # use streamusher::{config::Config, handle::Handle, middleware::DispatchLayer, program};
+//! # use axum::{routing::get, Router};
+//! # fn wire() -> Result<(), Box<dyn std::error::Error>> {
+//! let config = Config::load(|name| std::env::var(name).ok(), None)?;
+//! let (dispatcher, thread) = Handle::start(config, program::log())?;
+//! let app: Router = Router::new()
+//!     .route("/help", get(|| async { "POST /CLASS/SUBJECT" }))
+//!     .fallback(|| async { "no such class" })
+//!     .layer(DispatchLayer::new(dispatcher));
+//! # let _ = (app, thread);
+//! # Ok(())
+//! # }
+//! ```
+
+use crate::handle::Handle;
+use crate::net::http::BODY;
+use crate::net::request::{self, Reply};
+use http::{Request, Response};
+use http_body::Body;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use std::error::Error;
+use std::future::Future;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use tower_layer::Layer;
+use tower_service::Service;
+
+/// Puts a dispatcher before a service.
+#[derive(Clone)]
+pub struct DispatchLayer(Handle);
+
+impl DispatchLayer {
+    /// The layer for a running dispatcher.
+    pub fn new(dispatcher: Handle) -> DispatchLayer {
+        DispatchLayer(dispatcher)
+    }
+}
+
+impl<S> Layer<S> for DispatchLayer {
+    type Service = Dispatch<S>;
+
+    fn layer(&self, inner: S) -> Dispatch<S> {
+        Dispatch { dispatcher: self.0.clone(), inner }
+    }
+}
+
+/// A service with a dispatcher before it.
+#[derive(Clone)]
+pub struct Dispatch<S> {
+    dispatcher: Handle,
+    inner: S,
+}
+
+impl<S, B, R> Service<Request<B>> for Dispatch<S>
+where
+    S: Service<Request<B>, Response = Response<R>>,
+    S::Future: Send + 'static,
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+    R: From<Vec<u8>>,
+{
+    type Response = Response<R>;
+    type Error = S::Error;
+    type Future = Pin<Box<dyn Future<Output = Result<Response<R>, S::Error>> + Send>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), S::Error>> {
+        self.inner.poll_ready(cx)
+    }
+
+    fn call(&mut self, asked: Request<B>) -> Self::Future {
+        let target = asked.uri().path_and_query().map_or("/", |t| t.as_str());
+        if request::class(&self.dispatcher.classes, target).is_none() {
+            return Box::pin(self.inner.call(asked));
+        }
+        let dispatcher = self.dispatcher.clone();
+        Box::pin(async move {
+            let reply = dispatch(&dispatcher, asked).await.unwrap_or_else(|reply| reply);
+            let mut response = Response::new(R::from(reply.body.to_vec()));
+            *response.status_mut() = http::StatusCode::from_u16(reply.status).unwrap_or_default();
+            if let Some((name, value)) = reply.header.and_then(|(n, v)| Some((n, v.parse().ok()?))) {
+                response.headers_mut().insert(name, value);
+            }
+            Ok(response)
+        })
+    }
+}
+
+async fn dispatch<B>(dispatcher: &Handle, asked: Request<B>) -> Result<Reply, Reply>
+where
+    B: Body,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let (head, body) = asked.into_parts();
+    let (method, target) = (head.method.as_str(), head.uri.path_and_query().map_or("/", |t| t.as_str()));
+    request::check(&dispatcher.classes, method, target)?;
+    let body = Limited::new(body, BODY).collect().await.map_err(|e| match e.is::<LengthLimitError>() {
+        true => Reply::plain(413, "the body is over 64 KiB"),
+        false => Reply::plain(400, "the body broke off"),
+    })?;
+    let get = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
+    let body = body.to_bytes().to_vec();
+    let operation = request::operation(&dispatcher.classes, method, target, get, body)?;
+    Ok(match dispatcher.call(operation).await {
+        Some(answer) => request::reply(answer),
+        None => Reply::plain(503, "not taken").with("Retry-After", "1".into()),
+    })
+}
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -3,8 +3,8 @@
 use super::http::{Bad, Conn, Head};
 use super::load_from_json;
 use super::pool::no_descriptors;
-use crate::core::{Answer, Ending, NotTaken, Operation, StepNews};
-use crate::interface::{ClassId, Micros};
+use super::request::{self, path, Reply};
+use crate::core::{Ending, NotTaken, Operation, StepNews};
 use crate::runtime::Hub;
 use async_channel::{bounded, Sender};
 use async_io::{Async, Timer};
@@ -46,8 +46,9 @@
         self.idle.borrow_mut().retain(|_, (worker, _)| *worker && !workers);
     }
 
-    fn make_room(&self) {
-        self.idle.borrow_mut().pop_first();
+    /// Closes the one that is idle for longest, if there is one.
+    fn make_room(&self) -> bool {
+        self.idle.borrow_mut().pop_first().is_some()
     }
 
     /// Waits for the next request; false if the connection is to be closed instead.
@@ -95,8 +96,11 @@
 }
 
 /// Listens and serves from now on.
-pub(crate) fn listen(hub: &Rc<Hub>, addr: SocketAddr, most: usize) -> io::Result<Rc<Sockets>> {
+pub(crate) fn listen(
+    hub: &Rc<Hub>, addr: SocketAddr, most: usize, reserve: usize,
+) -> io::Result<(Rc<Sockets>, SocketAddr)> {
     let listener = Async::<TcpListener>::bind(addr)?;
+    let addr = listener.get_ref().local_addr()?;
     let sockets = Rc::new(Sockets::default());
     let (hub, all) = (hub.clone(), sockets.clone());
     hub.clone().spawn(async move {
@@ -104,8 +108,8 @@
             match listener.accept().await {
                 Ok((stream, _)) => {
                     all.open.set(all.open.get() + 1);
-                    if all.open.get() > most {
-                        all.make_room();
+                    while all.open.get() > most && !all.make_room() && all.open.get() > most + reserve {
+                        Timer::after(Duration::from_millis(5)).await; // all are busy: the rest queue up outside
                     }
                     let socket = FrontSocket { sockets: all.clone(), worker: false };
                     let served = hub.clone();
@@ -123,7 +127,7 @@
             }
         }
     });
-    Ok(sockets)
+    Ok((sockets, addr))
 }
 
 async fn serve(hub: Rc<Hub>, stream: Async<TcpStream>, mut socket: FrontSocket) {
@@ -132,11 +136,12 @@
     while sockets.next_request(&mut conn, socket.worker).await {
         let read = async {
             let head = conn.request().await?;
-            let body = if is_operation(&head) { check_early(&hub, &head) } else { Ok(()) };
-            let body = match body {
-                Ok(()) => conn.body(&head).await?,
-                Err(reply) => return Ok((head, Err(reply))),
-            };
+            if is_operation(&head) {
+                if let Err(reply) = request::check(&hub.classes, &head.method, &head.target) {
+                    return Ok((head, Err(reply)));
+                }
+            }
+            let body = conn.body(&head).await?;
             Ok((head, Ok(body)))
         };
         let late = async {
@@ -157,13 +162,16 @@
             hub.with(|core, _| core.counters.bad_requests += 1);
         }
         let close = close || hub.stopping.get() && !socket.worker;
-        if conn.write(&reply.bytes(close)).await.is_err() {
+        if conn.write(&bytes(&reply, close)).await.is_err() {
             return;
         }
         if close {
-            break;
+            return linger(conn).await;
         }
     }
+}
+
+async fn linger(mut conn: Conn) {
     // The end is told first and the rest read: closing with bytes unread would reset the connection, and the
     // answer just written could be lost.
     let _ = conn.stream().get_ref().shutdown(std::net::Shutdown::Write);
@@ -173,75 +181,58 @@
     .await;
 }
 
-struct Reply {
-    status: u16,
-    body: Vec<u8>,
-    headers: String,
-}
-
-impl Reply {
-    fn plain(status: u16, text: &str) -> Reply {
-        let body = if text.is_empty() { Vec::new() } else { format!("{text}\n").into_bytes() };
-        Reply { status, body, headers: String::new() }
+fn bytes(reply: &Reply, close: bool) -> Vec<u8> {
+    let reason = match reply.status {
+        200 => "OK",
+        204 => "No Content",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "",
+    };
+    let mut text = format!("HTTP/1.1 {} {reason}\r\n", reply.status);
+    if let Some((name, value)) = &reply.header {
+        text += &format!("{name}: {value}\r\n");
     }
-
-    fn with(mut self, header: &str) -> Reply {
-        self.headers = format!("{header}\r\n");
-        self
+    if close {
+        text += "Connection: close\r\n";
     }
-
-    fn bytes(&self, close: bool) -> Vec<u8> {
-        let reason = match self.status {
-            200 => "OK",
-            204 => "No Content",
-            400 => "Bad Request",
-            404 => "Not Found",
-            405 => "Method Not Allowed",
-            409 => "Conflict",
-            413 => "Content Too Large",
-            429 => "Too Many Requests",
-            502 => "Bad Gateway",
-            503 => "Service Unavailable",
-            504 => "Gateway Timeout",
-            _ => "",
-        };
-        let close = if close { "Connection: close\r\n" } else { "" };
-        let mut bytes = format!("HTTP/1.1 {} {reason}\r\n{}{close}", self.status, self.headers).into_bytes();
-        if self.status != 204 {
-            bytes.extend_from_slice(format!("Content-Length: {}\r\n", self.body.len()).as_bytes());
-        }
-        bytes.extend_from_slice(b"\r\n");
-        bytes.extend_from_slice(&self.body);
-        bytes
+    if reply.status != 204 {
+        text += &format!("Content-Length: {}\r\n", reply.body.len());
     }
+    text += "\r\n";
+    let mut bytes = text.into_bytes();
+    bytes.extend_from_slice(&reply.body);
+    bytes
 }
 
 const CALL_BACKS: &str = "/v1/job-events";
 
-fn path(head: &Head) -> &str {
-    head.target.split('?').next().unwrap_or("")
-}
-
 fn is_operation(head: &Head) -> bool {
-    !matches!(path(head), CALL_BACKS | "/up" | "/counters")
+    !matches!(path(&head.target), CALL_BACKS | "/up" | "/counters")
 }
 
 /// Answers one request; none if its client has gone away.
 async fn respond(
     hub: &Rc<Hub>, conn: &mut Conn, socket: &mut FrontSocket, head: &Head, body: Vec<u8>,
 ) -> Option<Reply> {
-    let only = |method: &str| Reply::plain(405, &format!("only {method}")).with(&format!("Allow: {method}"));
-    Some(match (path(head), head.method.as_str()) {
+    Some(match (path(&head.target), head.method.as_str()) {
         (CALL_BACKS, "POST") => {
             socket.is_worker();
             call_back(hub, &body)
         }
-        (CALL_BACKS, _) => only("POST"),
+        (CALL_BACKS, _) => Reply::only("POST"),
         ("/up", "GET") if hub.stopping.get() => Reply::plain(503, "stopping"),
         ("/up", "GET") => Reply::plain(200, "up"),
         ("/counters", "GET") => Reply::plain(200, &hub.with(|core, _| core.counters.line())),
-        ("/up" | "/counters", _) => only("GET"),
-        _ => match operation(hub, head, body) {
+        ("/up" | "/counters", _) => Reply::only("GET"),
+        _ => match request::operation(&hub.classes, &head.method, &head.target, |n| head.get(n), body) {
             Ok(operation) => return dispatch(hub, conn, operation).await,
             Err(reply) => reply,
         },
@@ -252,81 +243,15 @@
     let pending = match hub.submit(operation) {
         Ok(pending) => pending,
         Err(NotTaken::SameId) => return Some(Reply::plain(409, "an operation of this id is in hand")),
-        Err(NotTaken::Full) => return Some(Reply::plain(503, "too many operations").with("Retry-After: 1")),
+        Err(NotTaken::Full) => {
+            return Some(Reply::plain(503, "too many operations").with("Retry-After", "1".into()))
+        }
     };
     let answer = future::or(async { Some(pending.answer().await) }, async {
         conn.ended().await;
         None
     });
-    Some(match answer.await? {
-        Answer::Served(result) => Reply { status: 200, body: result.to_vec(), headers: String::new() },
-        Answer::Busy { hold_off_us: 0 } => Reply::plain(429, "busy"),
-        Answer::Busy { hold_off_us } => {
-            Reply::plain(429, "busy").with(&format!("Retry-After: {:.3}", hold_off_us as f64 / 1e6))
-        }
-        Answer::Failed { late: false } => Reply::plain(502, "failed"),
-        Answer::Failed { late: true } => Reply::plain(504, "out of time"),
-    })
-}
-
-fn class(hub: &Hub, head: &Head) -> Result<ClassId, Reply> {
-    let name = path(head).split('/').nth(1).unwrap_or("");
-    hub.with(|core, _| core.class(name)).ok_or_else(|| Reply::plain(404, "no such class"))
-}
-
-/// What the head alone shows to be wrong, before a body is read for nothing.
-fn check_early(hub: &Hub, head: &Head) -> Result<(), Reply> {
-    class(hub, head)?;
-    if head.method != "POST" {
-        return Err(Reply::plain(405, "only POST").with("Allow: POST"));
-    }
-    Ok(())
-}
-
-fn operation(hub: &Hub, head: &Head, body: Vec<u8>) -> Result<Operation, Reply> {
-    let class = class(hub, head)?;
-    let bad = |why: &str| Reply::plain(400, why);
-    let id = head.get("x-correlation-id").ok_or_else(|| bad("no X-Correlation-Id"))?;
-    if !is_id(id) {
-        return Err(bad("X-Correlation-Id: not an id"));
-    }
-    let (keyed, deadline_us) =
-        hub.with(|core, _| (core.is_keyed(class), core.class_settings(class).deadline_us));
-    let left_us = match head.get("x-time-left-ms") {
-        Some(ms) => ms.parse::<Micros>().map_err(|_| bad("X-Time-Left-Ms: not whole milliseconds"))?,
-        None => deadline_us / 1_000,
-    };
-    let idempotency_key = head.get("idempotency-key").map(str::to_string);
-    if keyed && idempotency_key.as_ref().is_none_or(|k| k.is_empty()) {
-        return Err(bad("no Idempotency-Key"));
-    }
-    let mut slots = 1.0;
-    for fact in head.get("x-facts").unwrap_or("").split(',').filter(|f| !f.trim().is_empty()) {
-        let (name, value) = fact.split_once('=').ok_or_else(|| bad("X-Facts: not name=value"))?;
-        let value = value.trim().parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0);
-        let value = value.ok_or_else(|| bad("X-Facts: not a number"))?;
-        if name.trim() == "slots" {
-            slots = value;
-        }
-    }
-    let parts: Vec<&str> = path(head).split('/').skip(2).filter(|p| !p.is_empty()).collect();
-    Ok(Operation {
-        id: id.to_string(),
-        class,
-        target: head.target.clone(),
-        subject: parts.last().map(|p| p.to_string()),
-        idempotency_key,
-        slots,
-        left_us: left_us.min(86_400_000).saturating_mul(1_000),
-        body,
-    })
-}
-
-/// Ids stand in paths of cancels and in call-backs: guards against one that would mean something else there.
-pub(crate) fn is_id(id: &str) -> bool {
-    !id.is_empty()
-        && id.len() <= 128
-        && id.bytes().all(|b| b.is_ascii_alphanumeric() || b"-._~:".contains(&b))
+    answer.await.map(request::reply)
 }
 
 #[derive(Deserialize)]
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -112,6 +112,25 @@
         Ok(())
     }
 
+    /// Reads one line, without its end.
+    pub async fn line(&mut self, most: usize) -> Result<Vec<u8>, Bad> {
+        let mut seen = 0;
+        loop {
+            if let Some(end) = self.buf[seen..].iter().position(|&b| b == b'\n') {
+                let mut line: Vec<u8> = self.buf.drain(..=seen + end).collect();
+                line.pop();
+                return Ok(line);
+            }
+            seen = self.buf.len();
+            if seen > most {
+                return Err(Bad::TooLarge);
+            }
+            if self.fill().await? == 0 {
+                return Err(Bad::Ended);
+            }
+        }
+    }
+
     /// Writes all of it.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes).await
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod front;
 pub(crate) mod http;
 pub(crate) mod pool;
+pub(crate) mod request;
 pub(crate) mod route;
 
 use crate::config::Limits;
--- /dev/null
+++ b/src/net/request.rs
@@ -0,0 +1,119 @@
+//! What an HTTP request to a front means, and how an answer looks: for front sockets and the middleware.
+
+use crate::core::{Answer, Operation};
+use crate::interface::{ClassId, Micros};
+use std::sync::Arc;
+
+/// What a front needs to know of a class.
+#[derive(Clone, Debug)]
+pub(crate) struct ClassInfo {
+    pub(crate) name: String,
+    pub(crate) deadline_us: Micros,
+    pub(crate) keyed: bool,
+}
+
+/// The answer to one HTTP request.
+pub(crate) struct Reply {
+    pub(crate) status: u16,
+    /// At most one header beside those of the framing.
+    pub(crate) header: Option<(&'static str, String)>,
+    pub(crate) body: Arc<[u8]>,
+}
+
+impl Reply {
+    pub(crate) fn plain(status: u16, text: &str) -> Reply {
+        let body = if text.is_empty() { Vec::new() } else { format!("{text}\n").into_bytes() };
+        Reply { status, header: None, body: body.into() }
+    }
+
+    pub(crate) fn with(mut self, name: &'static str, value: String) -> Reply {
+        self.header = Some((name, value));
+        self
+    }
+
+    /// A method other than the one that a path bears.
+    pub(crate) fn only(method: &str) -> Reply {
+        Reply::plain(405, &format!("only {method}")).with("Allow", method.to_string())
+    }
+}
+
+/// The path of a request's target.
+pub(crate) fn path(target: &str) -> &str {
+    target.split('?').next().unwrap_or("")
+}
+
+/// The class that a target names by its first part.
+pub(crate) fn class(classes: &[ClassInfo], target: &str) -> Option<usize> {
+    let name = path(target).split('/').nth(1).unwrap_or("");
+    classes.iter().position(|c| c.name == name)
+}
+
+/// What method and target alone show to be wrong, before a body is read for nothing.
+pub(crate) fn check(classes: &[ClassInfo], method: &str, target: &str) -> Result<usize, Reply> {
+    let class = class(classes, target).ok_or_else(|| Reply::plain(404, "no such class"))?;
+    if method != "POST" {
+        return Err(Reply::only("POST"));
+    }
+    Ok(class)
+}
+
+/// The operation that a request asks for.
+pub(crate) fn operation<'a>(
+    classes: &[ClassInfo], method: &str, target: &str, get: impl Fn(&str) -> Option<&'a str>, body: Vec<u8>,
+) -> Result<Operation, Reply> {
+    let class = check(classes, method, target)?;
+    let info = &classes[class];
+    let bad = |why: &str| Reply::plain(400, why);
+    let id = get("x-correlation-id").ok_or_else(|| bad("no X-Correlation-Id"))?;
+    if !is_id(id) {
+        return Err(bad("X-Correlation-Id: not an id"));
+    }
+    let left_us = match get("x-time-left-ms") {
+        Some(ms) => ms.parse::<Micros>().map_err(|_| bad("X-Time-Left-Ms: not whole milliseconds"))?,
+        None => info.deadline_us / 1_000,
+    };
+    let idempotency_key = get("idempotency-key").map(str::to_string);
+    if info.keyed && idempotency_key.as_ref().is_none_or(|k| k.is_empty()) {
+        return Err(bad("no Idempotency-Key"));
+    }
+    let mut slots = 1.0;
+    for fact in get("x-facts").unwrap_or("").split(',').filter(|f| !f.trim().is_empty()) {
+        let (name, value) = fact.split_once('=').ok_or_else(|| bad("X-Facts: not name=value"))?;
+        let value = value.trim().parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0);
+        let value = value.ok_or_else(|| bad("X-Facts: not a number"))?;
+        if name.trim() == "slots" {
+            slots = value;
+        }
+    }
+    let parts: Vec<&str> = path(target).split('/').skip(2).filter(|p| !p.is_empty()).collect();
+    Ok(Operation {
+        id: id.to_string(),
+        class: ClassId(class as u32),
+        target: target.to_string(),
+        subject: parts.last().map(|p| p.to_string()),
+        idempotency_key,
+        slots,
+        left_us: left_us.min(86_400_000).saturating_mul(1_000),
+        body,
+    })
+}
+
+/// Ids stand in paths of cancels and in call-backs: guards against one that would mean something else there.
+fn is_id(id: &str) -> bool {
+    !id.is_empty()
+        && id.len() <= 128
+        && id.bytes().all(|b| b.is_ascii_alphanumeric() || b"-._~:".contains(&b))
+}
+
+/// How a final answer looks. Busy replies are the only 429s, and 503 stands for nothing that may have run.
+pub(crate) fn reply(answer: Answer) -> Reply {
+    match answer {
+        Answer::Served(body) => Reply { status: 200, header: None, body },
+        Answer::Busy { hold_off_us: 0 } => Reply::plain(429, "busy"),
+        Answer::Busy { hold_off_us } => {
+            Reply::plain(429, "busy").with("Retry-After", format!("{:.3}", hold_off_us as f64 / 1e6))
+        }
+        Answer::Failed { late: false } => Reply::plain(502, "failed"),
+        Answer::Failed { late: true } => Reply::plain(504, "out of time"),
+    }
+}
--- a/src/net/route.rs
+++ b/src/net/route.rs
@@ -2,7 +2,7 @@
 
 use super::http::{Bad, Head};
 use super::pool::{Lent, Pool};
-use super::{load_from_header, load_from_json, Figures};
+use super::{load_from_header, load_from_json};
 use crate::core::{Driver, Ending, Member, Operation, StepId, StepNews};
 use crate::interface::{Micros, Report, WorkerId};
 use crate::runtime::Hub;
@@ -20,6 +20,9 @@
 /// How long a cancel or a probe may take: long enough for a worker that stands still for a moment.
 const SHORT: Duration = Duration::from_secs(2);
 
+/// How long a 202 is waited for that may be on its way: a few times the way between buildings.
+const ON_ITS_WAY: Duration = Duration::from_millis(30);
+
 /// Carries route steps to workers that speak the platform's protocol.
 pub(crate) struct HttpDriver {
     me: Weak<HttpDriver>,
@@ -30,8 +33,7 @@
 }
 
 impl HttpDriver {
-    pub(crate) fn new(hub: Rc<Hub>, figures: Figures) -> Rc<HttpDriver> {
-        let pool = Pool::new(hub.clone(), figures);
+    pub(crate) fn new(hub: Rc<Hub>, pool: Rc<Pool>) -> Rc<HttpDriver> {
         Rc::new_cyclic(|me| HttpDriver { me: me.clone(), hub, pool, handing: RefCell::default() })
     }
 
@@ -39,28 +41,58 @@
         self.me.upgrade().expect("called through an Rc")
     }
 
-    /// Hands the job over. `Ok` when the worker has taken it.
-    async fn hand_over(&self, addr: SocketAddr, request: Vec<u8>) -> Result<(), (Ending, Option<Report>)> {
-        let mut lent = self.pool.take(addr).await.map_err(|e| (e, None))?;
+    /// Hands the job over. `Ok` when the worker has taken it. `lent` holds the connection once all is written.
+    async fn hand_over(
+        &self, addr: SocketAddr, request: &[u8], lent: &mut Option<Lent>,
+    ) -> Result<(), (Ending, Option<Report>)> {
+        let mut taken = self.pool.take(addr).await.map_err(|e| (e, None))?;
         // Nothing is sent again from here: whether there is another attempt is not decided here.
-        lent.conn.write(&request).await.map_err(|_| (Ending::BrokeUnsent, None))?;
-        let (head, _) = self.exchange(addr, lent).await.map_err(|_| (Ending::BrokeSent, None))?;
-        let report = || head.get("x-backend-load").map(|l| self.report(load_from_header(l)));
-        match head.status {
+        taken.conn.write(request).await.map_err(|_| (Ending::BrokeUnsent, None))?;
+        let (head, _) = self.exchange(lent.insert(taken)).await.map_err(|_| (Ending::BrokeSent, None))?;
+        let report = head.get("x-backend-load").map(|l| self.report(load_from_header(l)));
+        let taken = match head.status {
             202 => Ok(()),
-            503 | 504 if head.get("x-unprocessed") == Some("1") => Err((Ending::TurnedAway, report())),
-            _ => Err((Ending::WorkerFailed, report())),
-        }
+            503 | 504 if head.get("x-unprocessed") == Some("1") => Err((Ending::TurnedAway, report)),
+            _ => Err((Ending::WorkerFailed, report)),
+        };
+        self.keep(addr, lent, &head);
+        taken
+    }
+
+    /// Gives up a job that is handed over and whose 202 has not come. Closing the connection is a cancel only
+    /// as long as the worker has not answered: guards against closing while the 202 is on its way, which would
+    /// leave the job to run for nothing.
+    async fn take_back(&self, addr: SocketAddr, id: &str, mut lent: Lent) -> Option<()> {
+        let taken = async { self.exchange(&mut lent).await.ok() };
+        let head = future::or(taken, async {
+            Timer::after(ON_ITS_WAY).await;
+            None
+        });
+        let (head, _) = head.await.filter(|(head, _)| head.status == 202)?;
+        self.keep(addr, &mut Some(lent), &head);
+        self.cancel_taken(addr, id).await;
+        Some(())
+    }
+
+    async fn cancel_taken(&self, addr: SocketAddr, id: &str) {
+        self.hub.with(|core, _| core.counters.cancels += 1);
+        self.ask(addr, format!("DELETE /jobs/{id} HTTP/1.1\r\nHost: {addr}\r\n\r\n")).await;
     }
 
-    /// Reads one answer, and gives the connection back if it can carry another request.
-    async fn exchange(&self, addr: SocketAddr, mut lent: Lent) -> Result<(Head, Vec<u8>), Bad> {
+    /// Reads one answer whole.
+    async fn exchange(&self, lent: &mut Lent) -> Result<(Head, Vec<u8>), Bad> {
         let head = lent.conn.answer().await?;
         let body = lent.conn.body(&head).await?;
-        if !head.close && head.get("content-length").is_some() | (head.status == 204) {
+        Ok((head, body))
+    }
+
+    /// Gives a connection back if it can carry another request after this answer.
+    fn keep(&self, addr: SocketAddr, lent: &mut Option<Lent>, head: &Head) {
+        let framed =
+            head.status == 204 || head.get("content-length").or(head.get("transfer-encoding")).is_some();
+        if let Some(lent) = lent.take().filter(|_| framed && !head.close) {
             self.pool.give_back(addr, lent);
         }
-        Ok((head, body))
     }
 
     fn report(&self, load: HashMap<String, f64>) -> Report {
@@ -72,7 +104,9 @@
         let asked = async {
             let mut lent = self.pool.take(addr).await.ok()?;
             lent.conn.write(request.as_bytes()).await.ok()?;
-            self.exchange(addr, lent).await.ok()
+            let said = self.exchange(&mut lent).await.ok()?;
+            self.keep(addr, &mut Some(lent), &said.0);
+            Some(said)
         };
         future::or(asked, async {
             Timer::after(SHORT).await;
@@ -105,39 +139,41 @@
         self.handing.borrow_mut().insert(step, give_up);
         let (me, operation, addr) = (self.me(), operation.clone(), worker.addr.parse::<SocketAddr>());
         self.hub.spawn(async move {
-            let handed = async {
-                let Ok(addr) = addr else { return Err((Ending::ConnectRefused, None)) };
-                me.hand_over(addr, request(&operation, addr, left_us)).await
+            let Ok(addr) = addr else {
+                me.handing.borrow_mut().remove(&step);
+                return me.hub.with(|core, _| core.step(step, StepNews::Ended(Ending::ConnectRefused, None)));
             };
+            let (request, mut lent) = (request(&operation, addr, left_us), None);
+            let handed = async { Some(me.hand_over(addr, &request, &mut lent).await) };
             let cancelled = async {
                 let _ = given_up.recv().await;
-                Ok(())
+                None
             };
             // A call-back may have ended the step before any answer: the connection is not kept for ever.
             let never = async {
                 Timer::after(Duration::from_micros(left_us) + Duration::from_secs(1)).await;
-                Ok(())
+                None
             };
             let handed = future::or(handed, future::or(cancelled, never)).await;
             me.handing.borrow_mut().remove(&step);
-            if let Err((ending, report)) = handed {
-                me.hub.with(|core, _| core.step(step, StepNews::Ended(ending, report)));
+            match (handed, lent) {
+                (Some(Ok(())), _) => {}
+                (Some(Err((ending, report))), _) => {
+                    me.hub.with(|core, _| core.step(step, StepNews::Ended(ending, report)))
+                }
+                (None, Some(lent)) => drop(me.take_back(addr, &operation.id, lent).await),
+                (None, None) => {} // not written whole: the worker never began it
             }
         });
     }
 
     fn cancel(&self, step: StepId, operation: &Arc<Operation>, worker: &Member) {
-        // Before the 202, closing the connection cancels too, and cannot overtake the job.
         if self.handing.borrow_mut().remove(&step).is_some() {
-            return;
+            return; // its own task sees to it
         }
         let Ok(addr) = worker.addr.parse::<SocketAddr>() else { return };
-        let request = format!("DELETE /jobs/{} HTTP/1.1\r\nHost: {addr}\r\n\r\n", operation.id);
-        let me = self.me();
-        self.hub.spawn(async move {
-            me.hub.with(|core, _| core.counters.cancels += 1);
-            me.ask(addr, request).await;
-        });
+        let (me, operation) = (self.me(), operation.clone());
+        self.hub.spawn(async move { me.cancel_taken(addr, &operation.id).await });
     }
 
     fn probe(&self, worker: WorkerId, member: &Member) {
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -3,6 +3,7 @@
 use crate::config::Config;
 use crate::core::{Answer, Core, Front, Member, NotTaken, Operation};
 use crate::interface::{JobId, Micros};
+use crate::net::request::ClassInfo;
 use crate::settings::Site;
 use crate::{drmaa, net};
 use async_channel::{bounded, Receiver, Sender};
@@ -37,6 +38,7 @@
     /// Weak, as its tasks hold this: at the end they are dropped with it.
     executor: Weak<LocalExecutor<'static>>,
     pub(crate) log: Logger,
+    pub(crate) classes: Vec<ClassInfo>,
     /// SIGTERM has come.
     pub(crate) stopping: Cell<bool>,
 }
@@ -46,6 +48,11 @@
         self.clock.base + self.clock.start.elapsed().as_micros() as Micros
     }
 
+    /// When this process began, in microseconds of Unix time.
+    pub(crate) fn start(&self) -> Micros {
+        self.clock.base
+    }
+
     /// Hands something to the core; the batch loop then takes a turn. Not to be called from within one.
     pub(crate) fn with<R>(&self, f: impl FnOnce(&mut Core, Micros) -> R) -> R {
         let done = f(&mut self.core.borrow_mut(), self.now());
@@ -136,6 +143,7 @@
     let base = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1 << 40, |d| d.as_micros() as Micros);
     let clock = Clock { base, start: Instant::now() };
     let site = Site::new(config.setup);
+    let classes = site.class_infos();
     let net = net::Figures::new(&site, &config.limits);
     // Off the platform workers may not drop repeats of keyed jobs for each other, so the core does.
     let joins_repeats = config.drmaa.is_some();
@@ -147,12 +155,15 @@
         clock,
         executor: Rc::downgrade(&executor),
         log: log.clone(),
+        classes,
         stopping: Cell::new(false),
     });
     let main = async {
         let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1])
             .map_err(|e| format!("signals cannot be heard: {e}"))?;
-        let driver = hub.with(|core, _| core.attach_driver(net::route::HttpDriver::new(hub.clone(), net)));
+        let pool = net::pool::Pool::new(hub.clone(), net);
+        let driver =
+            hub.with(|core, _| core.attach_driver(net::route::HttpDriver::new(hub.clone(), pool.clone())));
         let known: Vec<Member> = config.known.servers.iter().map(|s| s.member()).collect();
         hub.with(|core, _| core.pool_config(driver, true, known));
         if let Some(addr) = config.discovery {
@@ -160,12 +171,17 @@
             hub.with(|core, _| core.attach_source(source));
         }
         let jobs = match config.drmaa {
-            Some(d) => drmaa::attach(&hub, d, net.connect_timeout)?,
+            Some(d) => drmaa::attach(&hub, d, pool, config.limits.sessions())?,
             None => None,
         };
-        let sockets = net::front::listen(&hub, config.listen, config.limits.front_sockets())
-            .map_err(|e| format!("listen: {}: {e}", config.listen))?;
-        info!(log, "serving"; "name" => &config.name, "listen" => %config.listen);
+        let (sockets, addr) = net::front::listen(
+            &hub,
+            config.listen,
+            config.limits.front_sockets(),
+            config.limits.front_reserve(),
+        )
+        .map_err(|e| format!("listen: {}: {e}", config.listen))?;
+        info!(log, "serving"; "name" => &config.name, "listen" => %addr);
         let batches = hub.clone();
         hub.spawn(async move { batches.batches().await });
         let stop = async {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,11 +3,12 @@
 //! Both are handed the same object: the adapter in its first message, the daemon in its configuration.
 
 use crate::interface::*;
+use crate::net::request::ClassInfo;
 use serde::Deserialize;
 use std::collections::HashMap;
 use std::sync::Arc;
 
-#[derive(Deserialize, Default)]
+#[derive(Clone, Deserialize, Default)]
 #[serde(default, rename_all = "camelCase")]
 pub(crate) struct Setup {
     pub(crate) balancers: u32,
@@ -28,7 +29,7 @@
     pub(crate) zones: Vec<String>,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Clone, Deserialize, Default)]
 #[serde(default, rename_all = "camelCase")]
 pub(crate) struct FamilyInfo {
     pub(crate) class_kind: Vec<i64>,
@@ -39,20 +40,20 @@
     pub(crate) tells_start: bool,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Clone, Deserialize, Default)]
 #[serde(default)]
 pub(crate) struct Costs {
     pub(crate) handshake: f64,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Clone, Deserialize, Default)]
 #[serde(default, rename_all = "camelCase")]
 pub(crate) struct Feedback {
     pub(crate) fields: Vec<String>,
     pub(crate) via: String,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Clone, Deserialize, Default)]
 #[serde(default, rename_all = "camelCase")]
 pub(crate) struct Limits {
     pub(crate) cancel: bool,
@@ -67,7 +68,7 @@
     pub(crate) retry_after: bool,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Clone, Deserialize, Default)]
 #[serde(default, rename_all = "camelCase")]
 pub(crate) struct Realm {
     pub(crate) name: String,
@@ -75,7 +76,7 @@
     pub(crate) share: f64,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Clone, Deserialize, Default)]
 #[serde(default, rename_all = "camelCase")]
 pub(crate) struct RequestClass {
     pub(crate) aim_stretch: f64,
@@ -91,7 +92,7 @@
     pub(crate) zones_allowed: Vec<String>,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Clone, Deserialize, Default)]
 #[serde(default, rename_all = "camelCase")]
 pub(crate) struct Rules {
     pub(crate) answer_slack_us: u64,
@@ -246,6 +247,16 @@
         }
     }
 
+    /// What fronts need to know of the classes.
+    pub(crate) fn class_infos(&self) -> Vec<ClassInfo> {
+        let info = |(i, c): (usize, &Class)| ClassInfo {
+            name: self.classes.name(i as u32).to_string(),
+            deadline_us: c.deadline_us,
+            keyed: self.keyed[i],
+        };
+        self.settings.classes.iter().enumerate().map(info).collect()
+    }
+
     /// A line of a list with its names turned into ids; a worker that is new gets the next one.
     pub(crate) fn entry(&mut self, worker: &str, zone: &str, kind: &str, entry: Entry) -> Entry {
         Entry {
--- /dev/null
+++ b/tests/middleware.rs
@@ -0,0 +1,64 @@
+//! The dispatcher as a layer before an axum service, with a stand-in worker behind it.
+
+mod support;
+
+use axum::{body::Body, routing::get, Router};
+use http::{Request, StatusCode};
+use http_body_util::BodyExt;
+use rstest::rstest;
+use streamusher::config::{Config, Drmaa};
+use streamusher::{handle::Handle, inventory, middleware::DispatchLayer};
+use support::{config, Files, Sent, Shed, LONG};
+use tower::ServiceExt;
+
+fn dispatcher(shed: &Shed) -> (Handle, std::thread::JoinHandle<Result<(), String>>) {
+    let files = Files::new();
+    let row = format!("name,address,port\nshed-a,127.0.0.1,{}\n", shed.addr.port());
+    let workers = inventory::load(&files.add("workers.csv", &row)).unwrap();
+    let mut config = Config::parse(config(&[]).to_string().as_bytes(), |_| None).unwrap();
+    config.drmaa = Some(Drmaa { listen: None, max_jobs: 10, keep_s: 1.0, workers });
+    Handle::start(config, slog::Logger::root(slog::Discard, slog::o!())).unwrap()
+}
+
+fn request(path: &str, id: &str, body: String) -> Request<Body> {
+    Request::post(path).header("X-Correlation-Id", id).body(Body::from(body)).unwrap()
+}
+
+#[rstest]
+#[case::dispatched("/depth-log/bh-7", "a1", 4, 200, "log of a1")]
+#[case::below("/help", "a1", 4, 200, "help")]
+#[case::nowhere("/render/x", "a1", 4, 404, "")]
+#[case::no_id("/depth-log/bh-7", "", 4, 400, "X-Correlation-Id: not an id\n")]
+#[case::large("/depth-log/bh-7", "a1", 65537, 413, "the body is over 64 KiB\n")]
+#[tokio::test]
+async fn requests_for_a_class_are_dispatched_and_others_go_on(
+    #[case] path: &str, #[case] id: &str, #[case] length: usize, #[case] status: u16, #[case] body: &str,
+) {
+    let shed = Shed::start("serves");
+    let (handle, thread) = dispatcher(&shed);
+    let help = get(|| async { "help" }).post(|| async { "help" });
+    let app = Router::new().route("/help", help).layer(DispatchLayer::new(handle));
+    let answer = app.oneshot(request(path, id, "x".repeat(length))).await.unwrap();
+    assert_eq!(answer.status(), StatusCode::from_u16(status).unwrap());
+    assert_eq!(answer.into_body().collect().await.unwrap().to_bytes(), body);
+    // With its last handle gone the dispatcher ends in order.
+    assert_eq!(thread.join().unwrap(), Ok(()));
+}
+
+#[tokio::test]
+async fn a_dropped_call_is_cancelled_at_its_worker() {
+    let shed = Shed::start("runs on");
+    let (handle, thread) = dispatcher(&shed);
+    let app = Router::new().route("/help", get(|| async { "help" })).layer(DispatchLayer::new(handle));
+    let call = tokio::spawn(app.oneshot(request("/depth-log/bh-7", "a1", "core".into())));
+    let sent = tokio::task::spawn_blocking(move || {
+        let first = shed.sent.recv_timeout(LONG).expect("a job");
+        (first, shed)
+    });
+    let (first, shed) = sent.await.unwrap();
+    assert!(matches!(first, Sent::Job { .. }));
+    call.abort();
+    let _ = call.await;
+    assert_eq!(shed.sent.recv_timeout(LONG), Ok(Sent::Cancel("a1".into())));
+    assert_eq!(thread.join().unwrap(), Ok(()));
+}
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,237 @@
+//! The platform's front: the real program between stand-in clients, workers and discovery.
+
+mod support;
+
+use rstest::rstest;
+use serde_json::json;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpListener;
+use support::*;
+
+#[test]
+fn a_result_is_served_whole_and_the_job_passed_on_unchanged() {
+    let worker = Worker::start("s-1", SERVES);
+    let program = Program::start(&[&worker]);
+    let answer = ask(program.addr, &operation("depth-log", "a1", 4000));
+    assert_eq!((answer.status(), answer.body.as_str()), (200, "log of a1"));
+    let (id, key) = ("a1".to_string(), Some("key-a1".to_string()));
+    assert_eq!(worker.next(), Sent::Job { id, key, body: "core".into() });
+    assert_eq!(program.counters()["served"], 1);
+}
+
+#[rstest]
+#[case::no_http("hello\r\n\r\n", 400)]
+#[case::no_id("POST /depth-log/x HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 400)]
+#[case::bad_id("POST /depth-log/x HTTP/1.1\r\nX-Correlation-Id: a/b\r\nContent-Length: 0\r\n\r\n", 400)]
+#[case::bad_time(
+    "POST /depth-log/x HTTP/1.1\r\nX-Correlation-Id: a\r\nX-Time-Left-Ms: soon\r\nContent-Length: 0\r\n\r\n",
+    400
+)]
+#[case::no_key("POST /sample-entry/x HTTP/1.1\r\nX-Correlation-Id: a\r\nContent-Length: 0\r\n\r\n", 400)]
+#[case::bad_length("POST /depth-log/x HTTP/1.1\r\nX-Correlation-Id: a\r\nContent-Length: -1\r\n\r\n", 400)]
+#[case::too_large("POST /depth-log/x HTTP/1.1\r\nX-Correlation-Id: a\r\nContent-Length: 65537\r\n\r\n", 413)]
+#[case::no_class("POST /render/x HTTP/1.1\r\nX-Correlation-Id: a\r\nContent-Length: 0\r\n\r\n", 404)]
+#[case::method("GET /depth-log/x HTTP/1.1\r\nX-Correlation-Id: a\r\n\r\n", 405)]
+#[case::call_back_method("GET /v1/job-events HTTP/1.1\r\n\r\n", 405)]
+#[case::call_back("POST /v1/job-events HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}", 400)]
+#[case::no_result(
+    "POST /v1/job-events HTTP/1.1\r\nContent-Length: 38\r\n\r\n{\"id\":\"a\",\"from\":\"s-1\",\"state\":\"done\"}",
+    400
+)]
+#[case::up("GET /up HTTP/1.1\r\n\r\n", 200)]
+fn input_is_checked(#[case] text: &str, #[case] status: u16) {
+    let program = Program::start(&[]);
+    assert_eq!(ask(program.addr, text).status(), status);
+    // Nothing was taken in by it, and the program goes on.
+    assert_eq!(program.counters()["operations"], 0);
+}
+
+/// A call-back may come before the 202, and each may come again or from a worker that has nothing to do with it.
+#[test]
+fn call_backs_count_once() {
+    let manner = Manner { answer: Some(TAKEN), early: &["started", "done", "done"], then: &["done", "lost"] };
+    let worker = Worker::start("s-1", manner);
+    let program = Program::start(&[&worker]);
+    assert_eq!(call_back(program.addr, "a1", "s-9", "done"), 204);
+    assert_eq!(ask(program.addr, &operation("depth-log", "a1", 4000)).status(), 200);
+    assert_eq!(call_back(program.addr, "a1", "s-1", "done"), 204);
+    let counters = program.counters();
+    assert_eq!((&counters["served"], &counters["endings"]["served"]), (&json!(1), &json!(1)));
+}
+
+#[rstest]
+#[case::turned_away(BUSY)]
+#[case::failed(Manner { answer: Some(TAKEN), early: &[], then: &["started", "failed"] })]
+#[case::returned(Manner { answer: Some(TAKEN), early: &[], then: &["returned"] })]
+#[case::lost(Manner { answer: Some(TAKEN), early: &[], then: &["started", "lost"] })]
+#[case::broke(Manner { answer: Some(""), early: &[], then: &[] })]
+fn what_one_worker_does_not_serve_another_may(#[case] manner: Manner) {
+    let (bad, good) = (Worker::start("s-1", manner), Worker::start("s-2", SERVES));
+    let program = Program::start(&[&bad, &good]);
+    for n in 0..12 {
+        let answer = ask(program.addr, &operation("layer-view", &format!("a{n}"), 4000));
+        assert_eq!((answer.status(), answer.body), (200, format!("log of a{n}")));
+    }
+    assert_eq!(program.counters()["served"], 12);
+}
+
+/// A refused connection proves that nothing ran; with no other worker the client is told to come back.
+#[test]
+fn nothing_listening_ends_in_a_busy_reply_with_a_hold_off() {
+    let mut gone = Worker::start("s-1", SERVES);
+    gone.addr = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let program = Program::start(&[&gone]);
+    let answer = ask(program.addr, &operation("sample-entry", "a1", 700));
+    assert_eq!(answer.status(), 429);
+    assert!(answer.get("retry-after").unwrap().parse::<f64>().unwrap() > 0.0);
+    assert_eq!(program.counters()["endings"]["not_connected"], 1);
+}
+
+#[rstest]
+#[case::silent(SILENT)]
+#[case::runs_on(RUNS_ON)]
+fn a_worker_that_does_not_end_is_cancelled_at_the_deadline(#[case] manner: Manner) {
+    let worker = Worker::start("s-1", manner);
+    let program = Program::start(&[&worker]);
+    let answer = ask(program.addr, &operation("depth-log", "a1", 300));
+    assert!([429, 504].contains(&answer.status()), "{}", answer.line);
+    assert!(matches!(worker.next(), Sent::Job { .. }));
+    assert_eq!(worker.next(), Sent::Cancel("a1".into()));
+}
+
+#[rstest]
+#[case::before_the_202(SILENT)]
+#[case::after_the_start(RUNS_ON)]
+fn a_client_that_goes_away_has_its_job_cancelled(#[case] manner: Manner) {
+    let worker = Worker::start("s-1", manner);
+    let program = Program::start(&[&worker]);
+    let mut client = connect(program.addr);
+    client.write_all(operation("depth-log", "a1", 4000).as_bytes()).unwrap();
+    assert!(matches!(worker.next(), Sent::Job { .. }));
+    if manner.answer.is_some() {
+        worker.told.recv_timeout(LONG).expect("it has started");
+    }
+    drop(client);
+    assert_eq!(worker.next(), Sent::Cancel("a1".into()));
+    assert_eq!(program.counters()["clients_gone"], 1);
+}
+
+#[rstest]
+#[case("TERM")]
+#[case("INT")]
+fn a_stop_answers_what_was_taken_and_what_still_comes(#[case] signal: &str) {
+    let worker = Worker::start("s-1", RUNS_ON);
+    let mut program = Program::start(&[&worker]);
+    let (mut first, mut kept) = (connect(program.addr), connect(program.addr));
+    assert_eq!(exchange(&mut kept, "GET /up HTTP/1.1\r\n\r\n").unwrap().status(), 200);
+    first.write_all(operation("depth-log", "a1", 4000).as_bytes()).unwrap();
+    assert!(matches!(worker.next(), Sent::Job { .. }));
+    program.signal(signal);
+    program.logged("stopping");
+    kept.write_all(operation("depth-log", "a2", 4000).as_bytes()).unwrap();
+    assert!(matches!(worker.next(), Sent::Job { .. }));
+    let mut new = connect(program.addr);
+    new.write_all(operation("depth-log", "a3", 4000).as_bytes()).unwrap();
+    assert!(matches!(worker.next(), Sent::Job { .. }));
+    for (stream, id) in [(first, "a1"), (kept, "a2"), (new, "a3")] {
+        assert_eq!(call_back(program.addr, id, "s-1", "done"), 204);
+        let answer = read_message(&mut BufReader::new(stream)).expect("an answer");
+        assert_eq!((answer.status(), answer.get("connection")), (200, Some("close")));
+    }
+    assert!(program.child.wait().unwrap().success());
+}
+
+/// Discovery as the dispatcher sees it: takes watches, one after the other.
+struct Discovery(TcpListener);
+
+impl Discovery {
+    fn watch(&self, after: u64, lines: &[serde_json::Value]) -> std::net::TcpStream {
+        let (mut stream, _) = self.0.accept().unwrap();
+        let mut asked = String::new();
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        while !asked.ends_with("\r\n\r\n") {
+            reader.read_line(&mut asked).unwrap();
+        }
+        let line = format!("GET /discovery/hosts?watch=1&after={after} HTTP/1.1\r\n");
+        assert!(asked.starts_with(&line), "{asked}");
+        let mut text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_string();
+        for line in lines {
+            // In two chunks, as a line need not come in one.
+            let line = format!("{line}\n");
+            let (a, b) = line.split_at(line.len() / 2);
+            [a, b].iter().for_each(|p| text += &format!("{:x}\r\n{p}\r\n", p.len()));
+        }
+        stream.write_all(text.as_bytes()).unwrap();
+        stream
+    }
+}
+
+#[test]
+fn the_watch_is_kept_up_and_a_draining_worker_gets_nothing_more() {
+    let (old, new) = (Worker::start("s-1", SERVES), Worker::start("s-2", SERVES));
+    let discovery = Discovery(TcpListener::bind("127.0.0.1:0").unwrap());
+    let mut config = config(&[&old]);
+    config["discovery"] = discovery.0.local_addr().unwrap().to_string().into();
+    let program = Program::with(Files::new(), &config, None, &[&old, &new]);
+    assert_eq!(ask(program.addr, &operation("depth-log", "a0", 4000)).status(), 200);
+    assert!(matches!(old.next(), Sent::Job { .. }));
+    let entries = [old.line("draining"), new.line("ready")];
+    let first = discovery.watch(1, &[json!({"version": 7, "full": false, "servers": entries})]);
+    program.logged("pool config");
+    for n in 1..9 {
+        assert_eq!(ask(program.addr, &operation("depth-log", &format!("a{n}"), 4000)).status(), 200);
+    }
+    assert!(old.sent.try_recv().is_err());
+    drop(first); // the watch breaks, and is made anew from the version read last
+    let silent = discovery.watch(7, &[]);
+    // It says nothing, not even that nothing changes: that too is a broken watch.
+    let _third = discovery.watch(7, &[]);
+    drop(silent);
+}
+
+#[rstest]
+#[case::attempts("/settings/limits/maxAttempts", json!("four"), "settings.limits.maxAttempts: ")]
+#[case::classes("/settings/requestClasses", json!([]), "settings.requestClasses: ")]
+#[case::listen("/listen", json!("everywhere"), "listen: ")]
+#[case::seed("/seed", json!("xyz"), "seed: ")]
+#[case::known("/known/servers", json!([{"id": "s-1", "addr": "127.0.0.1:1", "state": "asleep"}]), "known.servers[0].state: ")]
+fn a_bad_configuration_names_its_key(#[case] at: &str, #[case] value: serde_json::Value, #[case] want: &str) {
+    let mut config = config(&[]);
+    *config.pointer_mut(at).unwrap() = value;
+    let files = Files::new();
+    let done = command(&files, &config, None).output().unwrap();
+    let said = String::from_utf8(done.stderr).unwrap();
+    assert!(!done.status.success() && said.lines().count() == 1 && said.contains(want), "{said}");
+}
+
+/// Idle front sockets give way to new ones, so the limit on descriptors never shuts clients out.
+#[test]
+fn more_front_sockets_than_descriptors_are_borne() {
+    let worker = Worker::start("s-1", SERVES);
+    let mut config = config(&[&worker]);
+    config["limits"]["sockets"] = 64.into();
+    let program = Program::with(Files::new(), &config, None, &[&worker]);
+    let idle: Vec<_> = (0..200).map(|_| connect(program.addr)).collect();
+    assert_eq!(ask(program.addr, &operation("depth-log", "a1", 4000)).status(), 200);
+    let open = std::fs::read_dir(format!("/proc/{}/fd", program.child.id())).map_or(0, |d| d.count());
+    assert!(open <= 64, "{open} descriptors");
+    drop(idle);
+}
+
+/// An answer that only says so cannot end an operation, and a second one in hand of the same id is turned down.
+#[test]
+fn an_id_in_hand_is_not_taken_twice() {
+    let worker = Worker::start("s-1", RUNS_ON);
+    let program = Program::start(&[&worker]);
+    let mut first = connect(program.addr);
+    first.write_all(operation("depth-log", "a1", 4000).as_bytes()).unwrap();
+    assert!(matches!(worker.next(), Sent::Job { .. }));
+    assert_eq!(ask(program.addr, &operation("depth-log", "a1", 4000)).status(), 409);
+    assert_eq!(call_back(program.addr, "a1", "s-1", "done"), 204);
+    let mut answer = Vec::new();
+    let mut reader = BufReader::new(first);
+    assert_eq!(read_message(&mut reader).unwrap().status(), 200);
+    reader.get_mut().shutdown(std::net::Shutdown::Write).unwrap();
+    reader.read_to_end(&mut answer).unwrap();
+    assert!(answer.is_empty(), "one answer only");
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,373 @@
+//! Starts the real program and plays its clients, workers and discovery, each on a loopback port of its own.
+#![allow(dead_code)]
+
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex, OnceLock};
+use std::thread::spawn;
+use std::time::Duration;
+
+/// Longest wait for anything that should come: only a failure takes it.
+pub const LONG: Duration = Duration::from_secs(20);
+
+pub struct Message {
+    pub line: String,
+    pub headers: Vec<(String, String)>,
+    pub body: String,
+}
+
+impl Message {
+    pub fn status(&self) -> u16 {
+        self.line.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+
+    pub fn get(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+    }
+}
+
+/// Reads one message with its body by length.
+pub fn read_message(from: &mut impl BufRead) -> Option<Message> {
+    let mut next = || {
+        let mut line = String::new();
+        (from.read_line(&mut line).ok()? > 0).then(|| line.trim_end().to_string())
+    };
+    let line = next()?;
+    let mut headers = Vec::new();
+    loop {
+        let header = next()?;
+        let Some((name, value)) = header.split_once(':') else { break };
+        headers.push((name.to_string(), value.trim().to_string()));
+    }
+    let mut message = Message { line, headers, body: String::new() };
+    let length = message.get("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    from.read_exact(&mut body).ok()?;
+    message.body = String::from_utf8(body).ok()?;
+    Some(message)
+}
+
+pub fn connect(addr: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(addr).expect("a connection");
+    stream.set_read_timeout(Some(LONG)).unwrap();
+    stream
+}
+
+pub fn exchange(stream: &mut TcpStream, text: &str) -> Option<Message> {
+    stream.write_all(text.as_bytes()).ok()?;
+    read_message(&mut BufReader::new(stream))
+}
+
+/// A request for an operation of a class, with an id and a key of the same name.
+pub fn operation(class: &str, id: &str, left_ms: u64) -> String {
+    format!(
+        "POST /{class}/bh-7 HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: {id}\r\nX-Time-Left-Ms: {left_ms}\r\n\
+         Idempotency-Key: key-{id}\r\nX-Facts: slots=1\r\nContent-Length: 4\r\n\r\ncore"
+    )
+}
+
+pub fn ask(addr: SocketAddr, text: &str) -> Message {
+    exchange(&mut connect(addr), text).expect("an answer")
+}
+
+/// What a worker was sent.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Sent {
+    Job { id: String, key: Option<String>, body: String },
+    Cancel(String),
+}
+
+/// What a worker does with a job: an answer to the hand-over (none: silence; empty: the connection is closed),
+/// then call-backs with these states, `done` with the job's id as the result.
+#[derive(Clone, Copy)]
+pub struct Manner {
+    pub answer: Option<&'static str>,
+    pub early: &'static [&'static str],
+    pub then: &'static [&'static str],
+}
+
+pub const TAKEN: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+pub const SERVES: Manner = Manner { answer: Some(TAKEN), early: &[], then: &["started", "done"] };
+pub const BUSY: Manner = Manner {
+    answer: Some("HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"),
+    early: &[],
+    then: &[],
+};
+pub const SILENT: Manner = Manner { answer: None, early: &[], then: &[] };
+pub const RUNS_ON: Manner = Manner { answer: Some(TAKEN), early: &[], then: &["started"] };
+
+/// A stand-in worker of the platform's protocol.
+pub struct Worker {
+    pub name: String,
+    pub addr: SocketAddr,
+    pub sent: Receiver<Sent>,
+    /// States whose call-backs the dispatcher has answered.
+    pub told: Receiver<String>,
+    dispatcher: Arc<OnceLock<SocketAddr>>,
+}
+
+pub fn call_back(dispatcher: SocketAddr, id: &str, from: &str, state: &str) -> u16 {
+    let mut call =
+        json!({"id": id, "from": from, "state": state, "load": {"inflight": 1, "eps": 0, "x0": 4}});
+    if state == "done" {
+        call["result"] = format!("log of {id}").into();
+    }
+    let body = call.to_string();
+    let text =
+        format!("POST /v1/job-events HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    ask(dispatcher, &text).status()
+}
+
+impl Worker {
+    pub fn start(name: &str, manner: Manner) -> Worker {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (addr, (tell, sent)) = (listener.local_addr().unwrap(), channel());
+        let (tell_told, told) = channel();
+        let dispatcher = Arc::new(OnceLock::new());
+        let (known, me) = (dispatcher.clone(), name.to_string());
+        spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (known, me, tell) = (known.clone(), me.clone(), (tell.clone(), tell_told.clone()));
+                spawn(move || Worker::serve(stream, &me, manner, &known, &tell));
+            }
+        });
+        Worker { name: name.into(), addr, sent, told, dispatcher }
+    }
+
+    fn serve(
+        mut stream: TcpStream, me: &str, manner: Manner, known: &OnceLock<SocketAddr>,
+        (tell, told): &(Sender<Sent>, Sender<String>),
+    ) -> Option<()> {
+        let mut reader = BufReader::new(stream.try_clone().ok()?);
+        loop {
+            let request = read_message(&mut reader)?;
+            if let Some(id) = request.line.strip_prefix("DELETE /jobs/") {
+                tell.send(Sent::Cancel(id.split(' ').next()?.into())).ok()?;
+                stream.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").ok()?;
+                continue;
+            }
+            let id = request.get("x-correlation-id")?.to_string();
+            let key = request.get("idempotency-key").map(String::from);
+            tell.send(Sent::Job { id: id.clone(), key, body: request.body }).ok()?;
+            let report = |states: &[&str]| {
+                for state in states {
+                    assert_eq!(call_back(*known.wait(), &id, me, state), 204);
+                    let _ = told.send(state.to_string());
+                }
+            };
+            report(manner.early);
+            match manner.answer {
+                Some("") => return None,
+                Some(text) => stream.write_all(text.as_bytes()).ok()?,
+                None => {
+                    let mut rest = Vec::new();
+                    reader.read_to_end(&mut rest).ok()?;
+                    tell.send(Sent::Cancel(id)).ok()?; // the dispatcher closed the connection
+                    return None;
+                }
+            }
+            report(manner.then);
+        }
+    }
+
+    pub fn next(&self) -> Sent {
+        self.sent.recv_timeout(LONG).expect("something is sent")
+    }
+
+    pub fn line(&self, state: &str) -> Value {
+        json!({"id": self.name, "addr": self.addr.to_string(), "zone": "pump-house", "kind": "standard",
+            "cell": 0, "state": state, "weight": 1.0, "started_ms": 0})
+    }
+}
+
+/// The program, stopped when dropped.
+pub struct Program {
+    pub child: Child,
+    pub addr: SocketAddr,
+    pub drmaa: Option<SocketAddr>,
+    log: Receiver<String>,
+    _files: Files,
+}
+
+/// A folder for one test's files, removed when dropped.
+pub struct Files(pub std::path::PathBuf);
+
+impl Files {
+    pub fn new() -> Files {
+        static NEXT: Mutex<u32> = Mutex::new(0);
+        let mut next = NEXT.lock().unwrap();
+        *next += 1;
+        let path = std::env::temp_dir().join(format!("streamusher-test-{}-{next}", std::process::id()));
+        std::fs::create_dir_all(&path).unwrap();
+        Files(path)
+    }
+
+    pub fn add(&self, name: &str, text: &str) -> std::path::PathBuf {
+        let path = self.0.join(name);
+        std::fs::write(&path, text).unwrap();
+        path
+    }
+}
+
+impl Drop for Files {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+pub fn settings() -> Value {
+    let class = |name: &str, semantics: &str, window: u64| {
+        json!({"deadlineUs": 5000000, "keyScope": "all", "lateShare": 0.2, "name": name, "onTimeUs": 30000000,
+            "semantics": semantics, "streaming": false, "windowUs": window, "worth": 1.0})
+    };
+    json!({"balancers": 1, "discovery": "on_request", "kinds": ["standard"], "myZone": "pump-house",
+        "zones": ["pump-house"], "tickUs": 5000, "valueBy": "work", "weights": "rough",
+        "familyInfo": {"classKind": [-1, -1, -1], "classPriority": [0, 0, 1], "classStretch": [2, 2, 2],
+            "progressUs": 1000000, "reportX0": "free slots", "tellsStart": true},
+        "feedback": {"fields": ["active", "err_rps", "x0"], "via": "inline"},
+        "limits": {"cancel": true, "connectTimeoutUs": 250000, "idleCloseUs": 30000000, "maxAttempts": 4,
+            "maxOpen": 30000, "maxRetryAfterUs": 2000000, "mayDuplicate": true, "multiplex": 1, "probes": true,
+            "retryAfter": true},
+        "requestClasses": [class("depth-log", "free", 5000000), class("layer-view", "free", 5000000),
+            class("sample-entry", "guarded", 7500000)],
+        "rules": {"answerSlackUs": 20000, "askWithinUs": 2000000, "drainGraceUs": 1000000, "fallUs": 1500000,
+            "startCapacity": 0.34, "tipMultiple": 3.0, "warmAfterUs": 9000000}})
+}
+
+pub fn config(workers: &[&Worker]) -> Value {
+    let servers: Vec<Value> = workers.iter().map(|w| w.line("ready")).collect();
+    json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": "", "seed": "8c1f",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"version": 1, "full": true, "servers": servers}, "settings": settings()})
+}
+
+pub fn command(files: &Files, config: &Value, drmaa: Option<&str>) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_streamusher"));
+    command.env("NODE_CONFIG", files.add("config.json", &config.to_string()));
+    for variable in ["NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY"] {
+        command.env_remove(variable);
+    }
+    if let Some(text) = drmaa {
+        command.arg("--drmaa").arg(files.add("drmaa.toml", text));
+    }
+    command.stderr(Stdio::piped());
+    command
+}
+
+impl Program {
+    /// Starts it with these workers known.
+    pub fn start(workers: &[&Worker]) -> Program {
+        Program::with(Files::new(), &config(workers), None, workers)
+    }
+
+    pub fn with(files: Files, config: &Value, drmaa: Option<&str>, workers: &[&Worker]) -> Program {
+        let mut child = command(&files, config, drmaa).spawn().expect("the program starts");
+        let (tell, log) = channel();
+        let errors = BufReader::new(child.stderr.take().unwrap());
+        spawn(move || errors.lines().map_while(Result::ok).try_for_each(|l| tell.send(l)));
+        let mut program =
+            Program { child, addr: ([127, 0, 0, 1], 0).into(), drmaa: None, log, _files: files };
+        let at = |line: String| line.rsplit("listen: ").next().unwrap().trim().parse().expect("an address");
+        if drmaa.is_some_and(|d| d.contains("listen")) {
+            program.drmaa = Some(at(program.logged("serving DRMAA")));
+        }
+        let serving = program.logged("serving,");
+        program.addr = serving.split(", ").find_map(|p| p.strip_prefix("listen: ")).unwrap().parse().unwrap();
+        workers.iter().for_each(|w| w.dispatcher.set(program.addr).unwrap());
+        program
+    }
+
+    /// Waits for a line of the log.
+    pub fn logged(&self, what: &str) -> String {
+        loop {
+            let line = self.log.recv_timeout(LONG).unwrap_or_else(|e| panic!("not logged: {what}: {e}"));
+            if line.contains(what) {
+                return line;
+            }
+        }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let done = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
+        assert!(done.expect("kill").success());
+    }
+
+    pub fn counters(&self) -> Value {
+        serde_json::from_str(&ask(self.addr, "GET /counters HTTP/1.1\r\nHost: x\r\n\r\n").body).unwrap()
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A stand-in worker that speaks DRMAA. `manner`: serves, runs on, turns away, breaks, fails or is lost.
+pub struct Shed {
+    pub addr: SocketAddr,
+    pub sent: Receiver<Sent>,
+}
+
+impl Shed {
+    pub fn start(manner: &'static str) -> Shed {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (addr, (tell, sent)) = (listener.local_addr().unwrap(), channel());
+        spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let tell = tell.clone();
+                spawn(move || Shed::serve(stream, manner, &tell));
+            }
+        });
+        Shed { addr, sent }
+    }
+
+    fn serve(mut stream: TcpStream, manner: &str, tell: &Sender<Sent>) -> Option<()> {
+        let reader = BufReader::new(stream.try_clone().ok()?);
+        let mut named = String::new();
+        for line in reader.lines().map_while(Result::ok) {
+            let call: Value = serde_json::from_str(&line).expect("a call");
+            let seq = &call["seq"];
+            let info = |state: &str| json!({"jobId": "j", "jobState": state});
+            let said = match (call["call"].as_str()?, manner) {
+                ("runJob", _) => {
+                    let t = &call["jobTemplate"];
+                    named = t["jobName"].as_str()?.to_string();
+                    let key = t["streamusher_idempotencyKey"].as_str().map(String::from);
+                    let body = t["streamusher_input"].as_str()?.to_string();
+                    tell.send(Sent::Job { id: named.clone(), key, body }).ok()?;
+                    match manner {
+                        "breaks" => return None,
+                        "turns away" => vec![json!({"seq": seq, "error": "TRY_LATER"})],
+                        _ => vec![
+                            json!({"seq": seq, "jobId": "j"}),
+                            json!({"event": "NEW_STATE", "jobId": "j", "jobState": "RUNNING"}),
+                        ],
+                    }
+                }
+                ("terminate", _) => {
+                    tell.send(Sent::Cancel(named.clone())).ok()?;
+                    vec![json!({"seq": seq})]
+                }
+                ("waitTerminated", "serves") => {
+                    let mut info = info("DONE");
+                    info["streamusher_output"] = format!("log of {named}").into();
+                    vec![json!({"seq": seq, "jobInfo": info})]
+                }
+                ("waitTerminated", "fails") => vec![json!({"seq": seq, "jobInfo": info("FAILED")})],
+                ("waitTerminated", "is lost") => {
+                    let mut info = info("FAILED");
+                    info["terminatingSignal"] = "SIGKILL".into();
+                    vec![json!({"seq": seq, "jobInfo": info})]
+                }
+                _ => continue,
+            };
+            said.iter().for_each(|s| stream.write_all(format!("{s}\n").as_bytes()).unwrap());
+        }
+        Some(())
+    }
+}
