--- a/src/config.rs
+++ b/src/config.rs
@@ -34,15 +34,13 @@
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(default)]
 pub struct Limits {
-    /// File descriptors.
+    /// File descriptors. They bound memory too, as each connection holds two bodies at most.
     pub sockets: usize,
-    /// Memory, in MB.
-    pub memory_mb: u64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1_024, memory_mb: 192 }
+        Limits { sockets: 1_024 }
     }
 }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -56,6 +56,7 @@
     steps: Vec<RouteStep>,
     deadline: Micros,
     answered: bool,
+    started: bool,
 }
 
 /// A keyed operation that may have run, or runs: a repeat of it must not run again inside the window.
@@ -171,7 +172,12 @@
             self.counters.operations += 1;
             self.counters.repeats_joined += 1;
             match (answer, self.operations.get_mut(&job).filter(|o| !o.answered)) {
-                (None, Some(entered)) => entered.waiting.push((front, ticket)),
+                (None, Some(entered)) => {
+                    if entered.started {
+                        front.started(ticket);
+                    }
+                    entered.waiting.push((front, ticket));
+                }
                 (answer, _) => {
                     let answer = answer.unwrap_or(Answer::Failed { late: false });
                     self.counters.answer(&answer);
@@ -198,7 +204,8 @@
             self.kept.insert(key, Kept { job, until: Micros::MAX, answer: None });
         }
         let (operation, waiting) = (Arc::new(operation), vec![(front, ticket)]);
-        let entered = Entered { operation, waiting, steps: Vec::new(), deadline, answered: false };
+        let entered =
+            Entered { operation, waiting, steps: Vec::new(), deadline, answered: false, started: false };
         self.operations.insert(job, entered);
         self.inputs.push(Input::Arrived(job));
         Ok(job)
@@ -337,6 +344,7 @@
         let s = entered.steps.get_mut(attempt as usize).filter(|s| !s.ended)?;
         Some(match news {
             StepNews::Started => {
+                entered.started = true;
                 entered.waiting.iter().for_each(|(front, ticket)| front.started(*ticket));
                 Event::Started { job, attempt }
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,14 +1,19 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
-//! The decisions of a dispatcher that sits beside each submitter and pushes jobs to workers.
+//! A job dispatcher that sits beside each submitter and pushes jobs to workers.
 //!
 //! It forks each repeatable job into copies queued at the workers with the fewest own waiting jobs, more copies
 //! as queues build, and cancels the other copies as soon as one starts running: the (n, 1) fork-early-cancel
 //! system of Joshi, Soljanin and Wornell, "Queues with Redundancy: Latency-Cost Analysis". `docs/design.md`
 //! tells what was kept, what was changed and why. All decisions stand in `src/balance.rs`, 710 lines at most.
 //!
-//! The library has no clock, threads, sockets or global state: the embedder hands it events with the time
-//! and carries out the actions it gets back.
+//! There are three ways to embed it:
+//!
+//! - [`run`] is the whole daemon, on the calling thread, until SIGTERM;
+//! - [`handle::Handle`] runs it on a thread of its own and takes operations from inside the process, and
+//!   [`middleware::DispatchLayer`] puts that before a tower or axum service;
+//! - [`Balancer`] is the decisions alone. It has no clock, threads, sockets or global state: the embedder hands
+//!   it events with the time and carries out the actions it gets back, as here:
 //!
 //! ```
 //! use streamusher::{interface::*, Balancer};
--- a/src/net/route.rs
+++ b/src/net/route.rs
@@ -43,11 +43,12 @@
 
     /// Hands the job over. `Ok` when the worker has taken it. `lent` holds the connection once all is written.
     async fn hand_over(
-        &self, addr: SocketAddr, request: &[u8], lent: &mut Option<Lent>,
+        &self, addr: SocketAddr, request: Vec<u8>, lent: &mut Option<Lent>,
     ) -> Result<(), (Ending, Option<Report>)> {
         let mut taken = self.pool.take(addr).await.map_err(|e| (e, None))?;
         // Nothing is sent again from here: whether there is another attempt is not decided here.
-        taken.conn.write(request).await.map_err(|_| (Ending::BrokeUnsent, None))?;
+        taken.conn.write(&request).await.map_err(|_| (Ending::BrokeUnsent, None))?;
+        drop(request); // the wait may be long
         let (head, _) = self.exchange(lent.insert(taken)).await.map_err(|_| (Ending::BrokeSent, None))?;
         let report = head.get("x-backend-load").map(|l| self.report(load_from_header(l)));
         let taken = match head.status {
@@ -68,9 +69,13 @@
             Timer::after(ON_ITS_WAY).await;
             None
         });
-        let (head, _) = head.await.filter(|(head, _)| head.status == 202)?;
+        let (head, _) = head.await?;
+        // Any whole answer leaves the connection fit for use: guards against a new one for each job that a
+        // crowded worker turns away just after its cancel.
         self.keep(addr, &mut Some(lent), &head);
-        self.cancel_taken(addr, id).await;
+        if head.status == 202 {
+            self.cancel_taken(addr, id).await;
+        }
         Some(())
     }
 
@@ -144,7 +149,7 @@
                 return me.hub.with(|core, _| core.step(step, StepNews::Ended(Ending::ConnectRefused, None)));
             };
             let (request, mut lent) = (request(&operation, addr, left_us), None);
-            let handed = async { Some(me.hand_over(addr, &request, &mut lent).await) };
+            let handed = async { Some(me.hand_over(addr, request, &mut lent).await) };
             let cancelled = async {
                 let _ = given_up.recv().await;
                 None
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -215,11 +215,16 @@
     info!(hub.log, "stopping"; "owed" => hub.core.borrow().owed());
     hub.stopping.set(true);
     Timer::after(STILL_COMING).await;
+    // Guards against a client that never reads its answer, or never ends its request: once nothing is owed it
+    // is waited for no longer than the longest operation could take.
+    let longest = hub.classes.iter().map(|c| c.deadline_us).max().unwrap_or(0);
+    let patience = Instant::now() + Duration::from_micros(longest);
     loop {
         sockets.close_idle(false);
-        let open = hub.core.borrow().owed() > 0 || sockets.clients() > 0 || jobs.is_some_and(|j| j.busy());
+        let waited_for = sockets.clients() > 0 || jobs.is_some_and(|j| j.busy());
         Timer::after(Duration::from_millis(20)).await;
-        if !open && hub.core.borrow().owed() == 0 && sockets.clients() == 0 {
+        let late = Instant::now() > patience;
+        if hub.core.borrow().owed() == 0 && (late || !waited_for && sockets.clients() == 0) {
             break;
         }
     }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -87,6 +87,32 @@
     assert_eq!(program.counters()["endings"]["not_connected"], 1);
 }
 
+/// With no worker known and discovery away an operation is still answered, in time.
+#[test]
+fn an_empty_pool_config_ends_in_a_busy_reply() {
+    let mut config = config(&[]);
+    let nobody = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    config["discovery"] = nobody.to_string().into();
+    let program = Program::with(Files::new(), &config, None, &[]);
+    program.logged("the watch on discovery broke");
+    assert_eq!(ask(program.addr, &operation("depth-log", "a1", 300)).status(), 429);
+}
+
+/// Guards against a stop that waits without end for a client that never ends its request.
+#[test]
+fn a_half_request_does_not_hold_up_a_stop() {
+    let mut config = config(&[]);
+    for class in config["settings"]["requestClasses"].as_array_mut().unwrap() {
+        class["deadlineUs"] = 500000.into();
+    }
+    let mut program = Program::with(Files::new(), &config, None, &[]);
+    let mut half = connect(program.addr);
+    half.write_all(b"POST /depth-log/x HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf").unwrap();
+    program.signal("TERM");
+    assert!(program.child.wait().unwrap().success());
+    drop(half);
+}
+
 #[rstest]
 #[case::silent(SILENT)]
 #[case::runs_on(RUNS_ON)]
@@ -141,6 +167,39 @@
     assert!(program.child.wait().unwrap().success());
 }
 
+/// A cancel that crosses the worker's busy reply costs no connection. The reply may come too late to be waited
+/// for on a busy machine, but not each time.
+#[test]
+fn a_busy_reply_that_crosses_a_cancel_keeps_the_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut worker = Worker::start("s-1", SERVES);
+    worker.addr = listener.local_addr().unwrap();
+    let (tell, jobs) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let tell = tell.clone();
+            std::thread::spawn(move || {
+                let mut reader = BufReader::new(stream.try_clone().unwrap());
+                while read_message(&mut reader).is_some() {
+                    tell.send(stream.try_clone().unwrap()).unwrap();
+                }
+            });
+        }
+    });
+    let program = Program::start(&[&worker]);
+    const TRIES: u64 = 20;
+    for n in 0..TRIES {
+        let mut client = connect(program.addr);
+        client.write_all(operation("depth-log", &format!("a{n}"), 4000).as_bytes()).unwrap();
+        let mut handed = jobs.recv_timeout(LONG).expect("a job");
+        drop(client);
+        while program.counters()["clients_gone"] != n + 1 {}
+        let _ = handed.write_all(BUSY.answer.unwrap().as_bytes());
+    }
+    let opened = program.counters()["worker_connections"].as_u64().unwrap();
+    assert!(opened < TRIES, "{opened} connections");
+}
+
 /// Discovery as the dispatcher sees it: takes watches, one after the other.
 struct Discovery(TcpListener);
 
