Leave signals to the host program when embedded; guard against stale DRMAA notices

Saw, on reading: Signals::new in src/runtime.rs ran also under a Handle, and would have taken SIGTERM from the host program; a notice on the job before could count as the start of the next one on a kept connection (run in src/drmaa/worker.rs); a CSV inventory with a host named 10 failed, as flattened fields guess their types (src/inventory.rs). All three are changed; the mixed test now names its hosts by numbers. The stale notice has no test of its own: the pool drops nearly all such connections before use, so the stand-ins cannot force it.

--- a/src/drmaa/worker.rs
+++ b/src/drmaa/worker.rs
@@ -44,6 +44,7 @@
             return Ending::BrokeUnsent;
         }
         let conn = &mut lent.insert(taken).conn;
+        let mut early = None;
         loop {
             let said = match conn.line(LINE).await.map(|l| serde_json::from_slice::<Said>(&l)) {
                 Ok(Ok(said)) => said,
@@ -51,9 +52,11 @@
             };
             match (said.seq, said.error) {
                 (None, _) if said.event.as_deref() == Some("NEW_STATE") => {
-                    let ours = job.is_none() || said.job_id.as_ref() == job.as_ref();
-                    if ours && said.job_state == Some(JobState::Running) {
-                        self.hub.with(|core, _| core.step(step, StepNews::Started));
+                    // Guards against the last words on the job before, on a connection that is used again.
+                    match said.job_state == Some(JobState::Running) {
+                        true if job.is_some() && said.job_id == *job => self.started(step),
+                        true if job.is_none() => early = said.job_id,
+                        _ => {}
                     }
                 }
                 (None, _) => {}
@@ -61,6 +64,9 @@
                 (Some(1), None) => {
                     let Some(id) = said.job_id else { return Ending::WorkerFailed };
                     let wait = What::WaitTerminated { job_id: id.clone(), timeout: -1.0 };
+                    if early.as_ref() == Some(&id) {
+                        self.started(step);
+                    }
                     *job = Some(id);
                     if conn.write(&line(&Call { seq: 2, what: wait })).await.is_err() {
                         return Ending::BrokeSent;
@@ -73,6 +79,10 @@
         }
     }
 
+    fn started(&self, step: StepId) {
+        self.hub.with(|core, _| core.step(step, StepNews::Started));
+    }
+
     /// Terminates a job on its own connection; one that the worker has not named yet is waited for.
     async fn terminate(&self, lent: &mut Lent, mut job: Option<String>) -> Option<()> {
         while job.is_none() {
--- a/src/inventory.rs
+++ b/src/inventory.rs
@@ -32,6 +32,8 @@
 
 #[derive(Deserialize, Clone, Default)]
 struct Vars {
+    /// In CSV only: YAML names hosts by their keys.
+    name: Option<String>,
     #[serde(alias = "ansible_host", alias = "address")]
     host: Option<String>,
     #[serde(alias = "drmaa_port")]
@@ -46,6 +48,7 @@
     /// These, and the outer ones where these say nothing.
     fn over(self, outer: &Vars) -> Vars {
         Vars {
+            name: None,
             host: self.host.or_else(|| outer.host.clone()),
             port: self.port.or(outer.port),
             zone: self.zone.or_else(|| outer.zone.clone()),
@@ -75,13 +78,6 @@
     }
 }
 
-#[derive(Deserialize)]
-struct Row {
-    name: String,
-    #[serde(flatten)]
-    vars: Vars,
-}
-
 fn from_csv(text: &str) -> Result<Vec<Host>, String> {
     let mut hosts: Vec<Host> = Vec::new();
     let mut rows =
@@ -93,9 +89,11 @@
     for record in rows.records() {
         let record = record.map_err(|e| e.to_string())?;
         let row = record.position().map_or(0, |p| p.line());
-        let host = record.deserialize::<Row>(Some(&heading)).map_err(|e| e.to_string());
-        let host =
-            host.and_then(|r| if r.name.is_empty() { Err("no name".into()) } else { r.vars.host(&r.name) });
+        let vars = record.deserialize::<Vars>(Some(&heading)).map_err(|e| e.to_string());
+        let host = vars.and_then(|v| {
+            let name = v.name.clone().ok_or("no name")?;
+            v.host(&name)
+        });
         let host = host.map_err(|e| format!("row {row}: {e}"))?;
         if hosts.iter().any(|h| h.name == host.name) {
             return Err(format!("row {row}: host {} is named twice", host.name));
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -159,8 +159,12 @@
         stopping: Cell::new(false),
     });
     let main = async {
-        let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1])
-            .map_err(|e| format!("signals cannot be heard: {e}"))?;
+        // Inside another program signals are that program's own.
+        let signals = match calls {
+            Some(_) => None,
+            None => Some(Signals::new([Signal::Term, Signal::Int, Signal::Usr1])),
+        };
+        let signals = signals.transpose().map_err(|e| format!("signals cannot be heard: {e}"))?;
         let pool = net::pool::Pool::new(hub.clone(), net);
         let driver =
             hub.with(|core, _| core.attach_driver(net::route::HttpDriver::new(hub.clone(), pool.clone())));
@@ -184,13 +188,11 @@
         info!(log, "serving"; "name" => &config.name, "listen" => %addr);
         let batches = hub.clone();
         hub.spawn(async move { batches.batches().await });
-        let stop = async {
-            match calls {
-                Some(calls) => crate::handle::serve(&hub, calls).await,
-                None => wait_for_stop(&hub, signals).await,
-            }
-        };
-        stop.await;
+        match (calls, signals) {
+            (Some(calls), _) => crate::handle::serve(&hub, calls).await,
+            (None, Some(signals)) => wait_for_stop(&hub, signals).await,
+            (None, None) => {}
+        }
         drain(&hub, &sockets, jobs.as_deref()).await;
         info!(log, "counters"; "counters" => hub.core.borrow().counters.line());
         Ok(())
--- a/tests/drmaa.rs
+++ b/tests/drmaa.rs
@@ -65,8 +65,8 @@
 /// Starts the program with the DRMAA front, workers of the platform's wire, and others from an inventory.
 fn program(workers: &[&Worker], sheds: &[&Shed]) -> Program {
     let files = Files::new();
-    let rows = sheds.iter().enumerate().map(|(i, s)| format!("shed-{i},127.0.0.1,{}\n", s.addr.port()));
-    files.add("workers.csv", &("name,address,port\n".to_string() + &rows.collect::<String>()));
+    let rows = sheds.iter().enumerate().map(|(i, s)| format!("{i},127.0.0.1,{},\n", s.addr.port()));
+    files.add("workers.csv", &("name,address,port,kind\n".to_string() + &rows.collect::<String>()));
     let text = format!("{LISTEN}inventory = \"workers.csv\"\n");
     Program::with(files, &config(workers), Some(&text), workers)
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -17,6 +17,8 @@
     let (id, key) = ("a1".to_string(), Some("key-a1".to_string()));
     assert_eq!(worker.next(), Sent::Job { id, key, body: "core".into() });
     assert_eq!(program.counters()["served"], 1);
+    program.signal("USR1");
+    assert!(program.logged("counters").contains("\"operations\":1"));
 }
 
 #[rstest]
