Bound names, paths and keys that are kept with DRMAA jobs; survive EMFILE in a test

Saw, on reading: a session could hold 2,048 job names of up to 448 KiB each in the table (operation and run_job in src/drmaa/front.rs), far over 192 MB; a result over 64 KiB from a DRMAA worker would have been served (ended in src/drmaa/worker.rs). Names, paths and keys are now 1 KiB at most, such a result counts as failed, and ended jobs leave the table after keep_s as its file says.

--- a/src/drmaa/front.rs
+++ b/src/drmaa/front.rs
@@ -20,6 +20,8 @@
 const QUEUE: usize = 256;
 /// Waits that one session may have running.
 const WAITS: usize = 256;
+/// The longest name, path or key: they are kept with each job.
+const NAME: usize = 1 << 10;
 /// Most bytes kept of inputs and outputs of all jobs.
 const KEPT_BYTES: usize = 32 << 20;
 
@@ -58,7 +60,6 @@
     hub: Rc<Hub>,
     jobs: RefCell<BTreeMap<u64, Job>>,
     next: Cell<u64>,
-    bytes: Cell<usize>,
     /// Answers that sessions still wait for.
     waits: Cell<usize>,
     sessions: Cell<usize>,
@@ -77,7 +78,6 @@
                 job.info.exit_status = Some(0);
                 job.info.output = Some(String::from_utf8_lossy(result).into_owned());
                 job.bytes += result.len();
-                self.bytes.set(self.bytes.get() + result.len());
                 JobState::Done
             }
             Answer::Busy { hold_off_us } => {
@@ -128,7 +128,6 @@
         jobs.retain(|_, j| over(j).is_none_or(|at| at > long_ago));
         loop {
             let held: usize = jobs.values().map(|j| j.bytes).sum();
-            self.bytes.set(held);
             if jobs.len() < self.max_jobs && held + bytes <= KEPT_BYTES {
                 return true;
             }
@@ -144,9 +143,7 @@
         let name = template.job_name.clone();
         let number = self.next.get();
         let operation = self.operation(template, number)?;
-        // Looked at when the table is full or a keyed one comes: most calls find room at once.
-        let full = self.jobs.borrow().len() >= self.max_jobs || self.bytes.get() + BODY > KEPT_BYTES;
-        if full && !self.make_room(BODY) {
+        if !self.make_room(BODY) {
             return refuse(Error::TryLater, "too many jobs");
         }
         self.next.set(number + 1);
@@ -166,7 +163,6 @@
             retry_after: None,
         };
         let bytes = operation.body.len();
-        self.bytes.set(self.bytes.get() + bytes);
         let job = Job { info, operation: None, changed: bounded(1), session: session.clone(), bytes };
         self.jobs.borrow_mut().insert(number, job);
         let front = self.front();
@@ -190,7 +186,10 @@
     }
 
     fn operation(&self, t: JobTemplate, number: u64) -> Result<Operation, (Error, String)> {
-        let visible = |s: &str| s.bytes().all(|b| b.is_ascii_graphic());
+        if t.job_name.as_ref().is_some_and(|n| n.len() > NAME) {
+            return refuse(Error::InvalidArgument, "jobName: too long");
+        }
+        let visible = |s: &str| s.len() <= NAME && s.bytes().all(|b| b.is_ascii_graphic());
         if !t.remote_command.starts_with('/') || !visible(&t.remote_command) {
             return refuse(Error::InvalidArgument, "remoteCommand: not a path");
         }
@@ -479,7 +478,6 @@
         hub: hub.clone(),
         jobs: RefCell::default(),
         next: Cell::new(1),
-        bytes: Cell::new(0),
         waits: Cell::new(0),
         sessions: Cell::new(0),
         max_jobs: drmaa.max_jobs,
--- a/src/drmaa/worker.rs
+++ b/src/drmaa/worker.rs
@@ -3,6 +3,7 @@
 use super::{line, to_hex, Call, Error, JobInfo, JobState, JobTemplate, Said, What, LINE};
 use crate::core::{Driver, Ending, Member, Operation, StepId, StepNews};
 use crate::interface::{Micros, WorkerId};
+use crate::net::http::BODY;
 use crate::net::pool::{Lent, Pool};
 use crate::runtime::Hub;
 use async_channel::{bounded, Receiver, Sender};
@@ -144,7 +145,9 @@
 /// What the end of a job means.
 fn ended(info: JobInfo) -> Ending {
     match (info.job_state, info.output, info.error) {
-        (JobState::Done, Some(output), _) => Ending::Served(output.into_bytes().into()),
+        (JobState::Done, Some(output), _) if output.len() <= BODY => {
+            Ending::Served(output.into_bytes().into())
+        }
         (JobState::Failed, _, Some(error)) => turned_down(error),
         (JobState::Failed, ..) if info.terminating_signal.is_some() => Ending::Lost,
         _ => Ending::WorkerFailed,
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -12,6 +12,9 @@
     pub(crate) keyed: bool,
 }
 
+/// The longest idempotency key: keys are remembered for a while.
+const KEY: usize = 1 << 10;
+
 /// The answer to one HTTP request.
 pub(crate) struct Reply {
     pub(crate) status: u16,
@@ -73,6 +76,9 @@
         None => info.deadline_us / 1_000,
     };
     let idempotency_key = get("idempotency-key").map(str::to_string);
+    if idempotency_key.as_ref().is_some_and(|k| k.len() > KEY) {
+        return Err(bad("Idempotency-Key: too long"));
+    }
     if info.keyed && idempotency_key.as_ref().is_none_or(|k| k.is_empty()) {
         return Err(bad("no Idempotency-Key"));
     }
--- a/tests/drmaa.rs
+++ b/tests/drmaa.rs
@@ -96,6 +96,7 @@
 #[case::no_path(json!({"remoteCommand": "depth log"}), "INVALID_ARGUMENT")]
 #[case::no_key(json!({"remoteCommand": "/sample-entry/x"}), "INVALID_ARGUMENT")]
 #[case::over(json!({"remoteCommand": "/depth-log/x", "deadlineTime": 1}), "INVALID_ARGUMENT")]
+#[case::long_name(json!({"remoteCommand": "/depth-log/x", "jobName": "x".repeat(2000)}), "INVALID_ARGUMENT")]
 #[case::unheard(json!({"remoteCommand": "/depth-log/x", "colour": "blue"}), "INVALID_ARGUMENT")]
 #[case::unsupported(json!({"remoteCommand": "/depth-log/x", "workingDirectory": "/"}), "UNSUPPORTED_ATTRIBUTE")]
 #[case::large(json!({"remoteCommand": "/depth-log/x", "streamusher_input": "x".repeat(65537)}), "OUT_OF_RESOURCE")]
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -279,6 +279,19 @@
     drop(idle);
 }
 
+/// Guards against a listener that ends, or spins, when the system has no descriptor left for a new connection.
+#[test]
+fn running_out_of_descriptors_on_accept_is_survived() {
+    let worker = Worker::start("s-1", SERVES);
+    let mut config = config(&[&worker]);
+    config["limits"]["ulimit"] = 40.into();
+    let program = Program::with(Files::new(), &config, None, &[&worker]);
+    let idle: Vec<_> = (0..80).map(|_| connect(program.addr)).collect();
+    program.logged("a front socket could not be accepted");
+    drop(idle);
+    assert_eq!(ask(program.addr, &operation("depth-log", "a1", 4000)).status(), 200);
+}
+
 /// An answer that only says so cannot end an operation, and a second one in hand of the same id is turned down.
 #[test]
 fn an_id_in_hand_is_not_taken_twice() {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -245,7 +245,13 @@
 }
 
 pub fn command(files: &Files, config: &Value, drmaa: Option<&str>) -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_streamusher"));
+    let program = env!("CARGO_BIN_EXE_streamusher");
+    let mut command = Command::new(program);
+    // A limit of the system's own, below the one that the program is told.
+    if let Some(most) = config["limits"]["ulimit"].as_u64() {
+        command = Command::new("sh");
+        command.args(["-c", &format!("ulimit -n {most}; exec \"$0\" \"$@\""), program]);
+    }
     command.env("NODE_CONFIG", files.add("config.json", &config.to_string()));
     for variable in ["NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY"] {
         command.env_remove(variable);
