Count a client's leaving when it leaves, not when the decisions hear of it

Saw: with four copies of the tests running at once, two of twelve runs failed in both_fronts_give_every_job_one_ final_answer: 80 operations, 79 accounted for. Endings showed one more result than answers served. Blamed: gone() and feed() in src/core/mod.rs: a job was terminated, and in the same batch, before Input::Gone, its result came; nobody waited for it any more, and the leaving was then taken for one after the end. Ruled out: a second or a missing answer, as each job ended once in both runs. Also a leaver among several that wait for one keyed job was not counted. After: 48 runs, four copies at a time, none failed. Conclusion: only the counters were wrong; operations now always equal answers and leavings.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -214,7 +214,12 @@
     /// The client behind one ticket has gone away; others may still wait for the same operation.
     pub fn gone(&mut self, job: JobId, front: &Rc<dyn Front>, ticket: u64) {
         let Some(entered) = self.operations.get_mut(&job).filter(|o| !o.answered) else { return };
-        entered.waiting.retain(|(f, t)| !(*t == ticket && Rc::ptr_eq(f, front)));
+        let Some(at) = entered.waiting.iter().position(|(f, t)| *t == ticket && Rc::ptr_eq(f, front)) else {
+            return;
+        };
+        entered.waiting.remove(at);
+        // Counted here: a result may come in the same batch, before the decisions hear of the leaving.
+        self.counters.clients_gone += 1;
         if entered.waiting.is_empty() {
             self.inputs.push(Input::Gone(job));
         }
@@ -312,7 +317,6 @@
                 if entered.answered || !entered.waiting.is_empty() {
                     return; // answered meanwhile, or a repeat has joined
                 }
-                self.counters.clients_gone += 1;
                 self.close(now, job, Answer::Failed { late: false });
                 Event::ClientGone { job }
             }
