Let embedders build a core with fronts and drivers of their own

What: Core::from_settings, with an example in its rustdoc that runs as a test; before, only the daemon could make a core, so the Front and Driver traits were of no use outside. Conclusion: the library can be embedded at four levels.

--- a/src/config.rs
+++ b/src/config.rs
@@ -180,6 +180,13 @@
     }
 }
 
+/// The settings alone, from their text.
+pub(crate) fn settings(text: &[u8]) -> Result<Setup, String> {
+    let setup = keyed(&mut serde_json::Deserializer::from_slice(text))?;
+    check(&setup)?;
+    Ok(setup)
+}
+
 /// Decodes with the path of the key that does not fit.
 fn keyed<'de, T: DeserializeOwned, D>(d: D) -> Result<T, String>
 where
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,6 +3,56 @@
 //! Fronts hand in operations, drivers carry route steps, sources tell pool configs. The core has no clock:
 //! time is passed in. Nothing here decides; it keeps the books and sees to it that each operation gets one
 //! final answer.
+//!
+//! A front and a driver of one's own, on the core alone:
+//!
+//! ```
+//! use std::{cell::RefCell, rc::Rc, sync::Arc};
+//! use streamusher::core::*;
+//! use streamusher::interface::{Micros, WorkerId};
+//!
+//! /// Keeps the answer that it is given.
+//! #[derive(Default)]
+//! struct Desk(RefCell<Option<Answer>>);
+//! impl Front for Desk {
+//!     fn answer(&self, _ticket: u64, answer: &Answer) {
+//!         *self.0.borrow_mut() = Some(answer.clone());
+//!     }
+//! }
+//!
+//! /// Notes which steps it was given; a real one would send them.
+//! #[derive(Default)]
+//! struct Runner(RefCell<Vec<StepId>>);
+//! impl Driver for Runner {
+//!     fn send(&self, step: StepId, _: &Arc<Operation>, _: &Member, _left_us: Micros) {
+//!         self.0.borrow_mut().push(step);
+//!     }
+//!     fn cancel(&self, _: StepId, _: &Arc<Operation>, _: &Member) {}
+//!     fn probe(&self, _: WorkerId, _: &Member) {}
+//! }
+//!
+//! # fn main() -> Result<(), String> {
+//! let settings = r#"{"myZone": "pump-house", "zones": ["pump-house"], "limits": {"maxAttempts": 2},
+//!     "requestClasses": [{"name": "depth-log", "semantics": "free", "onTimeUs": 300000, "deadlineUs": 5000000}]}"#;
+//! let mut core = Core::from_settings(settings.as_bytes(), 42, 0)?;
+//! let (desk, runner) = (Rc::new(Desk::default()), Rc::new(Runner::default()));
+//! let driver = core.attach_driver(runner.clone());
+//! let worker = Member { name: "s-1".into(), zone: "pump-house".into(), weight: 1.0, ..Member::default() };
+//! core.pool_config(driver, true, vec![worker]);
+//!
+//! let class = core.class("depth-log").ok_or("no such class")?;
+//! let operation = Operation { id: "a1".into(), class, slots: 1.0, left_us: 5_000_000, ..Operation::default() };
+//! core.submit(1_000, operation, desk.clone(), 0).map_err(|e| format!("{e:?}"))?;
+//! core.turn(1_000);
+//! let step = runner.0.borrow()[0];
+//!
+//! core.step(step, StepNews::Ended(Ending::Served(Arc::from(*b"log")), None));
+//! core.turn(90_000);
+//! assert_eq!(*desk.0.borrow(), Some(Answer::Served(Arc::from(*b"log"))));
+//! assert_eq!(core.owed(), 0);
+//! # Ok(())
+//! # }
+//! ```
 
 mod operation;
 
@@ -96,6 +146,14 @@
 }
 
 impl Core {
+    /// A core that knows no workers yet, from the text of the platform's settings. All time that it is told
+    /// counts from wherever `now` does. Messages name the faulty key.
+    pub fn from_settings(text: &[u8], seed: u64, now: Micros) -> Result<Core, String> {
+        let site = Site::new(crate::config::settings(text)?);
+        let max_open = site.max_open;
+        Ok(Core::new(site, max_open, false, seed, now))
+    }
+
     /// A core that knows no workers yet. `joins_repeats`: see [`crate::config`].
     pub(crate) fn new(mut site: Site, max_open: usize, joins_repeats: bool, seed: u64, now: Micros) -> Core {
         if joins_repeats {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,11 +7,12 @@
 //! system of Joshi, Soljanin and Wornell, "Queues with Redundancy: Latency-Cost Analysis". `docs/design.md`
 //! tells what was kept, what was changed and why. All decisions stand in `src/balance.rs`, 710 lines at most.
 //!
-//! There are three ways to embed it:
+//! There are four ways to embed it:
 //!
 //! - [`run`] is the whole daemon, on the calling thread, until SIGTERM;
 //! - [`handle::Handle`] runs it on a thread of its own and takes operations from inside the process, and
 //!   [`middleware::DispatchLayer`] puts that before a tower or axum service;
+//! - [`core::Core`] keeps the books for fronts and drivers of the embedder's own;
 //! - [`Balancer`] is the decisions alone. It has no clock, threads, sockets or global state: the embedder hands
 //!   it events with the time and carries out the actions it gets back, as here:
 //!
