--- a/src/config.rs
+++ b/src/config.rs
@@ -1,7 +1,8 @@
 //! The one place where configuration is read, checked and given its defaults. Messages name the faulty key.
 //!
 //! The platform's configuration is the JSON file that `NODE_CONFIG` names; `NODE_NAME`, `NODE_LISTEN` and
-//! `NODE_DISCOVERY` go before its `name`, `listen` and `discovery`. The DRMAA front has a TOML file of its own.
+//! `NODE_DISCOVERY` go before its `name`, `listen` and `discovery`. On SIGHUP the file is read again, and its
+//! `discovery` goes first. The DRMAA front has a TOML file of its own.
 
 use crate::inventory;
 use crate::net::discovery::List;
@@ -156,6 +157,29 @@
     }
 }
 
+/// What a new configuration changes in a program that runs.
+#[derive(Debug)]
+pub struct Reload {
+    /// Where discovery answers from now on.
+    pub discovery: SocketAddr,
+}
+
+impl Reload {
+    /// Reads the file that `NODE_CONFIG` names once more, and checks all of it. Its `discovery` goes before
+    /// `NODE_DISCOVERY`, which still says what was true at the start.
+    pub fn load(env: impl Fn(&str) -> Option<String>) -> Result<Reload, String> {
+        let told_at_start = env("NODE_DISCOVERY");
+        let config = Config::load(|key| env(key).filter(|_| key != "NODE_DISCOVERY"), None)?;
+        let told_at_start = told_at_start.filter(|a| !a.is_empty());
+        let discovery = match (config.discovery, told_at_start) {
+            (Some(addr), _) => addr,
+            (None, Some(addr)) => address("NODE_DISCOVERY", &addr)?,
+            (None, None) => return Err("discovery: missing".into()),
+        };
+        Ok(Reload { discovery })
+    }
+}
+
 impl Drmaa {
     /// Reads the file of the DRMAA front and the inventory that it names, beside it.
     pub fn load(path: &Path) -> Result<Drmaa, String> {
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -25,6 +25,10 @@
     pub worker_connections: u64,
     /// Cancels sent.
     pub cancels: u64,
+    /// New configurations taken on.
+    pub reloads: u64,
+    /// New configurations that could not be used.
+    pub reloads_refused: u64,
     /// Lines of pool config read.
     pub pool_configs: u64,
     /// Watches that failed or broke.
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,9 +1,11 @@
-//! The pool config: discovery's list, watched from the moment the decisions first ask for it.
+//! The pool config: discovery's list, watched from the moment the decisions first ask for it, and moved to
+//! another address when a new configuration says so.
 
 use super::http::{Bad, Conn};
 use crate::core::{Member, PoolSource};
 use crate::interface::Stage;
 use crate::runtime::Hub;
+use async_channel::{bounded, Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::future;
 use serde::Deserialize;
@@ -82,28 +84,53 @@
     }
 }
 
-/// The watch on discovery.
+/// The watch on discovery, wherever that is now.
 pub(crate) struct Watch {
     me: Weak<Watch>,
     hub: Rc<Hub>,
-    addr: SocketAddr,
+    /// None until a configuration names one.
+    addr: Cell<Option<SocketAddr>>,
+    /// Wakes a watch that runs, or waits to be made anew, when the address has changed.
+    moved: (Sender<()>, Receiver<()>),
     source: usize,
     version: Cell<u64>,
     running: Cell<bool>,
 }
 
 impl Watch {
-    pub(crate) fn new(hub: Rc<Hub>, addr: SocketAddr, source: usize, version: u64) -> Rc<Watch> {
-        let (version, running) = (Cell::new(version), Cell::new(false));
-        Rc::new_cyclic(|me| Watch { me: me.clone(), hub, addr, source, version, running })
+    pub(crate) fn new(hub: Rc<Hub>, addr: Option<SocketAddr>, source: usize, version: u64) -> Rc<Watch> {
+        let (version, running, addr) = (Cell::new(version), Cell::new(false), Cell::new(addr));
+        let moved = bounded(1);
+        Rc::new_cyclic(|me| Watch { me: me.clone(), hub, addr, moved, source, version, running })
+    }
+
+    /// Discovery is at another address from now on. Guards against a watch on the old one, which may look alive
+    /// for a while though nothing that is told there counts: its connection is given up at once.
+    pub(crate) fn move_to(&self, addr: SocketAddr) {
+        if self.addr.replace(Some(addr)) == Some(addr) {
+            return;
+        }
+        // Another address may count its versions anew: the whole list is asked for.
+        self.version.set(0);
+        let _ = self.moved.0.try_send(());
+        self.subscribe();
     }
 
     async fn keep(&self) {
         let mut wait = BACKOFF.0;
-        loop {
+        while let Some(addr) = self.addr.get() {
             let before = self.version.get();
             let mut lines = 0u64;
-            let Err(why) = self.watch(&mut lines).await;
+            let moved = async {
+                let _ = self.moved.1.recv().await;
+                None
+            };
+            let watch = async { self.watch(addr, &mut lines).await.err() };
+            let Some(why) = future::or(moved, watch).await else {
+                info!(self.hub.log, "the watch moves"; "from" => %addr, "to" => ?self.addr.get());
+                wait = BACKOFF.0;
+                continue;
+            };
             warn!(self.hub.log, "the watch on discovery broke"; "why" => why, "lines" => lines, "version" => before);
             self.hub.with(|core, _| {
                 core.counters.watches_broken += 1;
@@ -112,17 +139,28 @@
             wait = if lines > 0 { BACKOFF.0 } else { (wait * 2).min(BACKOFF.1) };
             // Spread by some chance, as all dispatchers lose their watches at one moment.
             let spread = self.hub.now() % 1_000;
-            Timer::after(wait / 2 + wait * spread as u32 / 1_000).await;
+            let pause = Timer::after(wait / 2 + wait * spread as u32 / 1_000);
+            let cut_short = async {
+                let _ = self.moved.1.recv().await;
+                true
+            };
+            let paused = async {
+                pause.await;
+                false
+            };
+            if future::or(cut_short, paused).await {
+                wait = BACKOFF.0;
+            }
         }
     }
 
-    async fn watch(&self, lines: &mut u64) -> Result<std::convert::Infallible, String> {
-        let dial = async { Async::<TcpStream>::connect(self.addr).await.map_err(|e| e.to_string()) };
+    async fn watch(&self, addr: SocketAddr, lines: &mut u64) -> Result<std::convert::Infallible, String> {
+        let dial = async { Async::<TcpStream>::connect(addr).await.map_err(|e| e.to_string()) };
         let mut conn = Conn::new(within(PATIENCE, dial).await?);
         let query = format!(
             "GET /discovery/hosts?watch=1&after={} HTTP/1.1\r\nHost: {}\r\n\r\n",
             self.version.get(),
-            self.addr
+            addr
         );
         conn.write(query.as_bytes()).await.map_err(|e| e.to_string())?;
         let head = within(PATIENCE * 2, async { conn.answer().await.map_err(say) }).await?;
@@ -177,7 +215,7 @@
 impl PoolSource for Watch {
     /// Once begun the watch keeps itself up; asked again it has nothing to do.
     fn subscribe(&self) {
-        if !self.running.replace(true) {
+        if self.addr.get().is_some() && !self.running.replace(true) {
             let me = self.me.upgrade().expect("called through an Rc");
             self.hub.spawn(async move { me.keep().await });
         }
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -1,6 +1,6 @@
 //! What runs the core: one thread, its clock, the batch loop, signals and the orderly end.
 
-use crate::config::Config;
+use crate::config::{Config, Reload};
 use crate::core::{Answer, Core, Front, Member, NotTaken, Operation};
 use crate::interface::{JobId, Micros};
 use crate::net::request::ClassInfo;
@@ -162,7 +162,7 @@
         // Inside another program signals are that program's own.
         let signals = match calls {
             Some(_) => None,
-            None => Some(Signals::new([Signal::Term, Signal::Int, Signal::Usr1])),
+            None => Some(Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup])),
         };
         let signals = signals.transpose().map_err(|e| format!("signals cannot be heard: {e}"))?;
         let pool = net::pool::Pool::new(hub.clone(), net);
@@ -170,10 +170,8 @@
             hub.with(|core, _| core.attach_driver(net::route::HttpDriver::new(hub.clone(), pool.clone())));
         let known: Vec<Member> = config.known.servers.iter().map(|s| s.member()).collect();
         hub.with(|core, _| core.pool_config(driver, true, known));
-        if let Some(addr) = config.discovery {
-            let source = net::discovery::Watch::new(hub.clone(), addr, driver, config.known.version);
-            hub.with(|core, _| core.attach_source(source));
-        }
+        let watch = net::discovery::Watch::new(hub.clone(), config.discovery, driver, config.known.version);
+        hub.with(|core, _| core.attach_source(watch.clone()));
         let jobs = match config.drmaa {
             Some(d) => drmaa::attach(&hub, d, pool, config.limits.sessions())?,
             None => None,
@@ -188,28 +186,55 @@
         info!(log, "serving"; "name" => &config.name, "listen" => %addr);
         let batches = hub.clone();
         hub.spawn(async move { batches.batches().await });
+        let drained = drain(&hub, &sockets, jobs.as_deref());
         match (calls, signals) {
-            (Some(calls), _) => crate::handle::serve(&hub, calls).await,
-            (None, Some(signals)) => wait_for_stop(&hub, signals).await,
+            (Some(calls), _) => {
+                crate::handle::serve(&hub, calls).await;
+                drained.await;
+            }
+            (None, Some(mut signals)) => {
+                heed(&hub, &mut signals, &watch, false).await;
+                // Guards against a signal that ends the program while it still owes answers.
+                future::or(drained, heed(&hub, &mut signals, &watch, true)).await;
+            }
             (None, None) => {}
         }
-        drain(&hub, &sockets, jobs.as_deref()).await;
         info!(log, "counters"; "counters" => hub.core.borrow().counters.line());
         Ok(())
     };
     async_io::block_on(executor.run(main))
 }
 
-async fn wait_for_stop(hub: &Rc<Hub>, mut signals: Signals) {
+/// Does what signals ask for, until one of them asks for the stop. Once that is under way it never comes back.
+async fn heed(hub: &Rc<Hub>, signals: &mut Signals, watch: &net::discovery::Watch, stopping: bool) {
     while let Some(signal) = signals.next().await {
         match signal {
             Ok(Signal::Usr1) => {
                 info!(hub.log, "counters"; "counters" => hub.core.borrow().counters.line())
             }
-            Ok(_) => return,
+            Ok(Signal::Hup) => reload(hub, watch),
+            Ok(_) if !stopping => return,
+            Ok(signal) => info!(hub.log, "stopping already"; "signal" => ?signal),
             Err(e) => warn!(hub.log, "a signal could not be read"; "error" => %e),
         }
     }
+    future::pending().await
+}
+
+/// A new configuration: the watch moves, operations and connections are untouched. A file that cannot be used
+/// changes nothing.
+fn reload(hub: &Rc<Hub>, watch: &net::discovery::Watch) {
+    match Reload::load(|name| std::env::var(name).ok()) {
+        Ok(new) => {
+            info!(hub.log, "new configuration"; "discovery" => %new.discovery);
+            hub.with(|core, _| core.counters.reloads += 1);
+            watch.move_to(new.discovery);
+        }
+        Err(why) => {
+            warn!(hub.log, "the new configuration cannot be used; the old one stays"; "why" => why);
+            hub.with(|core, _| core.counters.reloads_refused += 1);
+        }
+    }
 }
 
 /// Operations still come in for a while and on connections kept: all are taken and answered before the end.
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -309,3 +309,65 @@
     reader.read_to_end(&mut answer).unwrap();
     assert!(answer.is_empty(), "one answer only");
 }
+
+/// Guards against a program that ends on SIGHUP, stays with the old discovery, or lets `NODE_DISCOVERY`, which was
+/// set at the start, go before the new file.
+#[test]
+fn a_new_configuration_moves_the_watch_and_nothing_else() {
+    let (old, new) = (Worker::start("s-1", RUNS_ON), Worker::start("s-2", SERVES));
+    let [before, after] = [(); 2].map(|_| Discovery(TcpListener::bind("127.0.0.1:0").unwrap()));
+    let addr = |d: &Discovery| d.0.local_addr().unwrap().to_string();
+    let mut config = config(&[&old]);
+    config["environment"] = json!({"NODE_DISCOVERY": addr(&before)});
+    let mut program = Program::with(Files::new(), &config, None, &[&old, &new]);
+    let _still_alive = before.watch(1, &[json!({"version": 7, "full": false, "servers": []})]);
+    let mut client = connect(program.addr);
+    client.write_all(operation("depth-log", "a1", 5000).as_bytes()).unwrap();
+    assert!(matches!(old.next(), Sent::Job { .. }));
+
+    // Files that cannot be used change nothing, and the log names the key.
+    for (text, key) in [("{}".to_string(), "settings: missing"), ("{".into(), "EOF"), {
+        config["discovery"] = "nowhere".into();
+        (config.to_string(), "discovery: not an address")
+    }] {
+        program.reload(&text);
+        assert!(program.logged("cannot be used").contains(key));
+    }
+    config["discovery"] = addr(&after).into();
+    program.reload(&config.to_string());
+    let entries = [old.line("draining"), new.line("ready")];
+    let _watch = after.watch(0, &[json!({"version": 3, "full": true, "servers": entries})]);
+    program.logged("pool config");
+    for n in 2..6 {
+        assert_eq!(ask(program.addr, &operation("depth-log", &format!("a{n}"), 4000)).status(), 200);
+    }
+    // What was in hand is untouched.
+    assert_eq!(call_back(program.addr, "a1", "s-1", "done"), 204);
+    assert_eq!(read_message(&mut BufReader::new(&client)).unwrap().body, "log of a1");
+    let counters = program.counters();
+    assert_eq!((&counters["reloads"], &counters["reloads_refused"]), (&json!(1), &json!(3)));
+    drop(client);
+    program.signal("TERM");
+    assert!(program.child.wait().unwrap().success());
+}
+
+/// Guards against a signal that ends the program while it still owes answers.
+#[test]
+fn signals_during_a_stop_are_harmless() {
+    let worker = Worker::start("s-1", RUNS_ON);
+    let mut program = Program::start(&[&worker]);
+    let mut client = connect(program.addr);
+    client.write_all(operation("depth-log", "a1", 4000).as_bytes()).unwrap();
+    assert!(matches!(worker.next(), Sent::Job { .. }));
+    program.signal("TERM");
+    program.logged("stopping");
+    for (signal, logged) in
+        [("HUP", "the new configuration"), ("USR1", "counters"), ("TERM", "stopping already")]
+    {
+        program.signal(signal);
+        program.logged(logged);
+    }
+    assert_eq!(call_back(program.addr, "a1", "s-1", "done"), 204);
+    assert_eq!(read_message(&mut BufReader::new(client)).unwrap().status(), 200);
+    assert!(program.child.wait().unwrap().success());
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -189,7 +189,7 @@
     pub addr: SocketAddr,
     pub drmaa: Option<SocketAddr>,
     log: Receiver<String>,
-    _files: Files,
+    files: Files,
 }
 
 /// A folder for one test's files, removed when dropped.
@@ -256,6 +256,9 @@
     for variable in ["NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY"] {
         command.env_remove(variable);
     }
+    for (variable, value) in config["environment"].as_object().into_iter().flatten() {
+        command.env(variable, value.as_str().unwrap());
+    }
     if let Some(text) = drmaa {
         command.arg("--drmaa").arg(files.add("drmaa.toml", text));
     }
@@ -274,8 +277,7 @@
         let (tell, log) = channel();
         let errors = BufReader::new(child.stderr.take().unwrap());
         spawn(move || errors.lines().map_while(Result::ok).try_for_each(|l| tell.send(l)));
-        let mut program =
-            Program { child, addr: ([127, 0, 0, 1], 0).into(), drmaa: None, log, _files: files };
+        let mut program = Program { child, addr: ([127, 0, 0, 1], 0).into(), drmaa: None, log, files };
         let at = |line: String| line.rsplit("listen: ").next().unwrap().trim().parse().expect("an address");
         if drmaa.is_some_and(|d| d.contains("listen")) {
             program.drmaa = Some(at(program.logged("serving DRMAA")));
@@ -301,6 +303,12 @@
         assert!(done.expect("kill").success());
     }
 
+    /// Replaces the configuration's text and has the program read it.
+    pub fn reload(&self, text: &str) {
+        self.files.add("config.json", text);
+        self.signal("HUP");
+    }
+
     pub fn counters(&self) -> Value {
         serde_json::from_str(&ask(self.addr, "GET /counters HTTP/1.1\r\nHost: x\r\n\r\n").body).unwrap()
     }
