--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -28,7 +28,7 @@
 pub(crate) struct Sockets {
     open: Cell<usize>,
     workers: Cell<usize>,
-    /// Those between requests, the longest idle first, and whether a worker's.
+    /// Those between requests, the longest idle first, and whether they stay open during a stop.
     idle: RefCell<BTreeMap<u64, (bool, Sender<()>)>>,
     next: Cell<u64>,
     closing: Cell<(bool, bool)>,
@@ -40,10 +40,12 @@
         self.open.get() - self.workers.get()
     }
 
-    /// Closes all clients' that are between requests, now and from now on; workers' too if told so.
+    /// Closes all clients' that are between requests, now and from now on; workers' too if told so. One that has
+    /// sent nothing yet is nobody's so far and stays: guards against turning away call-backs during a stop, as
+    /// workers open connections for them.
     pub(crate) fn close_idle(&self, workers: bool) {
         self.closing.set((true, workers));
-        self.idle.borrow_mut().retain(|_, (worker, _)| *worker && !workers);
+        self.idle.borrow_mut().retain(|_, (stays, _)| *stays && !workers);
     }
 
     /// Closes the one that is idle for longest, if there is one.
@@ -52,17 +54,17 @@
     }
 
     /// Waits for the next request; false if the connection is to be closed instead.
-    async fn next_request(&self, conn: &mut Conn, worker: bool) -> bool {
+    async fn next_request(&self, conn: &mut Conn, stays: bool) -> bool {
         if conn.has_input() {
             return true;
         }
         let closing = self.closing.get();
-        if closing.0 && (!worker || closing.1) {
+        if closing.0 && (!stays || closing.1) {
             return false;
         }
         let (keep, closed) = bounded::<()>(1);
         let number = self.next.replace(self.next.get() + 1);
-        self.idle.borrow_mut().insert(number, (worker, keep));
+        self.idle.borrow_mut().insert(number, (stays, keep));
         let input = async { conn.wait_input().await.is_ok() };
         let came = future::or(input, async {
             let _ = closed.recv().await;
@@ -133,7 +135,9 @@
 async fn serve(hub: Rc<Hub>, stream: Async<TcpStream>, mut socket: FrontSocket) {
     let mut conn = Conn::new(stream);
     let sockets = socket.sockets.clone();
-    while sockets.next_request(&mut conn, socket.worker).await {
+    let mut spoken = false;
+    while sockets.next_request(&mut conn, socket.worker || !spoken).await {
+        spoken = true;
         let read = async {
             let head = conn.request().await?;
             if is_operation(&head) {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -169,6 +169,24 @@
     assert!(program.child.wait().unwrap().success());
 }
 
+/// Guards against a stop that turns away connections opened late: workers open new ones for their call-backs, and
+/// what they tell ends what is owed.
+#[test]
+fn call_backs_on_new_connections_are_heard_until_the_end_of_a_stop() {
+    let worker = Worker::start("s-1", RUNS_ON);
+    let mut program = Program::start(&[&worker]);
+    let (mut client, mut kept) = (connect(program.addr), connect(program.addr));
+    assert_eq!(exchange(&mut kept, "GET /up HTTP/1.1\r\n\r\n").unwrap().status(), 200);
+    client.write_all(operation("depth-log", "a1", 5000).as_bytes()).unwrap();
+    assert!(matches!(worker.next(), Sent::Job { .. }));
+    program.signal("TERM");
+    // The end of a connection that stood idle tells that none is waited for on those any more.
+    assert_eq!(kept.read(&mut [0]).unwrap(), 0);
+    assert_eq!(call_back(program.addr, "a1", "s-1", "done"), 204);
+    assert_eq!(read_message(&mut BufReader::new(client)).unwrap().body, "log of a1");
+    assert!(program.child.wait().unwrap().success());
+}
+
 /// A cancel that crosses the worker's busy reply costs no connection. The reply may come too late to be waited
 /// for on a busy machine, but not each time.
 #[test]
