--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -141,6 +141,8 @@
     next_job: u64,
     inputs: Vec<Input>,
     owed: usize,
+    /// All is to be answered by then: the program ends.
+    last_call: Micros,
     /// What was taken in, sent and answered.
     pub counters: Counters,
 }
@@ -178,6 +180,7 @@
             next_job: 0,
             inputs: Vec::new(),
             owed: 0,
+            last_call: Micros::MAX,
             counters: Counters::default(),
         }
     }
@@ -254,7 +257,7 @@
         self.next_job += 1;
         self.counters.operations += 1;
         self.owed += 1;
-        let deadline = now.saturating_add(operation.left_us.saturating_sub(MARGIN_US));
+        let deadline = now.saturating_add(operation.left_us.saturating_sub(MARGIN_US)).min(self.last_call);
         self.at(deadline, Due::Deadline(job));
         self.by_id.insert(operation.id.clone(), job);
         if let Some(key) = key {
@@ -269,6 +272,18 @@
         Ok(job)
     }
 
+    /// Whatever is in hand, or still comes, is answered by then. Guards against operations that a stop would leave
+    /// without an answer, as their clients would wait for longer than the program may go on.
+    pub fn answer_all_by(&mut self, when: Micros) {
+        self.last_call = when;
+        let mut cut = Vec::new();
+        for (job, entered) in self.operations.iter_mut().filter(|(_, o)| !o.answered && o.deadline > when) {
+            entered.deadline = when;
+            cut.push(*job);
+        }
+        cut.into_iter().for_each(|job| self.at(when, Due::Deadline(job)));
+    }
+
     /// The client behind one ticket has gone away; others may still wait for the same operation.
     pub fn gone(&mut self, job: JobId, front: &Rc<dyn Front>, ticket: u64) {
         let Some(entered) = self.operations.get_mut(&job).filter(|o| !o.answered) else { return };
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -165,7 +165,7 @@
         if matches!(reply.status, 400 | 404 | 405 | 409 | 413) {
             hub.with(|core, _| core.counters.bad_requests += 1);
         }
-        let close = close || hub.stopping.get() && !socket.worker;
+        let close = close || sockets.closing.get().0 && !socket.worker;
         if conn.write(&bytes(&reply, close)).await.is_err() {
             return;
         }
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -17,8 +17,16 @@
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// After SIGTERM new connections keep coming for up to 0.4 s; idle ones stay open a little longer than that.
+/// After SIGTERM new connections keep coming for up to 0.4 s; idle ones stay open longer than that.
 const STILL_COMING: Duration = Duration::from_millis(600);
+/// SIGKILL comes no sooner after SIGTERM than the longest deadline, or this if that is longer, and the rest.
+const LONGEST: Duration = Duration::from_secs(3);
+const THE_REST: Duration = Duration::from_millis(700);
+/// Before that all is answered, with time for a slow moment of this machine.
+const SPARE: Duration = Duration::from_millis(350);
+/// Clients may use the connections that they have until so long before all is to be answered: about the time
+/// that most operations take.
+const LAST_ONES: Duration = Duration::from_millis(750);
 /// Time for the last cancels to reach their workers.
 const LAST_CANCELS: Duration = Duration::from_millis(300);
 
@@ -237,20 +245,30 @@
     }
 }
 
-/// Operations still come in for a while and on connections kept: all are taken and answered before the end.
+/// Operations still come in, on new connections for a while and on those that clients have for as long as these stay
+/// open: until shortly before the end, as a client that loses its connection finds nobody here until the restart.
+/// All that is taken is answered before the end.
 async fn drain(hub: &Rc<Hub>, sockets: &net::front::Sockets, jobs: Option<&drmaa::front::JobTable>) {
+    let longest = hub.classes.iter().map(|c| c.deadline_us).max().unwrap_or(0);
+    let kill = Duration::from_micros(longest).min(LONGEST) + THE_REST;
+    let begun = Instant::now();
+    let last_call = kill.saturating_sub(SPARE).max(STILL_COMING);
+    let close_at = last_call.saturating_sub(LAST_ONES).max(STILL_COMING);
     info!(hub.log, "stopping"; "owed" => hub.core.borrow().owed());
     hub.stopping.set(true);
-    Timer::after(STILL_COMING).await;
-    // Guards against a client that never reads its answer, or never ends its request: once nothing is owed it
-    // is waited for no longer than the longest operation could take.
-    let longest = hub.classes.iter().map(|c| c.deadline_us).max().unwrap_or(0);
-    let patience = Instant::now() + Duration::from_micros(longest);
+    hub.with(|core, now| core.answer_all_by(now.saturating_add(last_call.as_micros() as Micros)));
+    while begun.elapsed() < close_at {
+        if sockets.clients() == 0 && begun.elapsed() >= STILL_COMING && hub.core.borrow().owed() == 0 {
+            break; // nobody is left who could send anything
+        }
+        Timer::after(Duration::from_millis(20)).await;
+    }
     loop {
         sockets.close_idle(false);
         let waited_for = sockets.clients() > 0 || jobs.is_some_and(|j| j.busy());
         Timer::after(Duration::from_millis(20)).await;
-        let late = Instant::now() > patience;
+        // Guards against a client that never reads its answer, or never ends its request.
+        let late = begun.elapsed() > last_call;
         if hub.core.borrow().owed() == 0 && (late || !waited_for && sockets.clients() == 0) {
             break;
         }
