End bad clients' connections within 2.5 s and let them give way before usual clients'

Saw, on reading: a silent connection stayed for ever and half a request for 30 s (REQUEST in src/net/front.rs); make_room closed the connection idle longest, which in a flood of silent ones is a usual client's; one let go could live on, and open grew past its bound; a chunk of 4 MiB was taken into memory before its size was checked, on each of some 180 connections (chunk in src/net/http.rs); a second Transfer-Encoding went unread, a length followed by more bytes was passed on, a target or key that is not ASCII too, and "+50" was a time. memory_mb of the limits was never read.

--- a/src/config.rs
+++ b/src/config.rs
@@ -35,13 +35,15 @@
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(default)]
 pub struct Limits {
-    /// File descriptors. They bound memory too, as each connection holds two bodies at most.
+    /// File descriptors.
     pub sockets: usize,
+    /// Memory in MB.
+    pub memory_mb: usize,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1_024 }
+        Limits { sockets: 1_024, memory_mb: 192 }
     }
 }
 
@@ -56,6 +58,12 @@
         ((self.sockets - OWN) * sixteenths / 16).max(2)
     }
 
+    /// Bytes of clients' bodies that may be in hand at once. Each may be held a second time while it is written to
+    /// a worker; half of the memory stays for all else.
+    pub(crate) fn body_bytes(&self) -> usize {
+        (self.memory_mb << 20) / 4
+    }
+
     /// Front sockets that are accepted although all others are busy: workers' call-backs end what they wait for.
     pub fn front_reserve(&self) -> usize {
         self.share(1)
@@ -141,6 +149,9 @@
         if file.limits.sockets < 64 {
             return Err("limits.sockets: at least 64 are needed".into());
         }
+        if !(16..=1 << 20).contains(&file.limits.memory_mb) {
+            return Err("limits.memory_mb: at least 16 are needed, at most 1048576".into());
+        }
         Ok(Config {
             name: or("NODE_NAME", file.name),
             listen: address("listen", &or("NODE_LISTEN", file.listen))?,
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -9,6 +9,8 @@
 pub struct Counters {
     /// Front sockets accepted.
     pub front_sockets: u64,
+    /// Front sockets turned away, as all others were busy.
+    pub front_sockets_refused: u64,
     /// Operations taken in.
     pub operations: u64,
     /// Keyed operations joined to an earlier one.
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,37 +1,69 @@
 //! Front sockets: clients' operations, workers' call-backs, `GET /up` and `GET /counters` on one listener.
 
-use super::http::{Bad, Conn, Head};
+use super::http::{self, Bad, Conn, Head};
 use super::load_from_json;
 use super::pool::no_descriptors;
 use super::request::{self, path, Reply};
+use crate::config::Limits;
 use crate::core::{Ending, NotTaken, Operation, StepNews};
 use crate::runtime::Hub;
-use async_channel::{bounded, Sender};
+use async_channel::{bounded, Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::future;
 use serde::Deserialize;
 use slog::warn;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
-use std::io;
+use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-/// Longest time for one request to come in whole, once begun.
-const REQUEST: Duration = Duration::from_secs(30);
+/// Longest time for a request to come in whole, once begun; for the first one of a connection, from the moment the
+/// connection is there. Guards against silent connections, half requests and heads that come in drop by drop: each
+/// holds a descriptor. A bad client is owed an end within 3 s.
+const REQUEST: Duration = Duration::from_millis(2_500);
+/// Longest time for a client to read its answer.
+const ANSWER: Duration = Duration::from_secs(5);
 /// How long a closed connection is still read, so that what was last written to it is not lost with it.
 const LINGER: Duration = Duration::from_secs(1);
+/// Sent to a connection for which there is no room.
+const NO_ROOM: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
-/// All front sockets. Those between requests can be closed to make room, or at the end.
-#[derive(Default)]
+/// What a front socket is at, in the order in which they give way to new ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum At {
+    /// It was answered and is closed; what still comes is thrown away.
+    Leaving,
+    /// Nothing has come yet.
+    Silent,
+    /// A request is coming in.
+    Reading,
+    /// Between requests. These are usual clients', and go last.
+    Idle,
+    /// A request is in hand.
+    Busy,
+}
+
+struct Entry {
+    at: At,
+    since: Instant,
+    worker: bool,
+    /// Dropping it closes the front socket, unless a request is in hand.
+    _keep: Sender<()>,
+}
+
+/// All front sockets, and what each is at. Any without a request in hand can be closed to make room.
 pub(crate) struct Sockets {
     open: Cell<usize>,
     workers: Cell<usize>,
-    /// Those between requests, the longest idle first, and whether they stay open during a stop.
-    idle: RefCell<BTreeMap<u64, (bool, Sender<()>)>>,
+    entries: RefCell<BTreeMap<u64, Entry>>,
     next: Cell<u64>,
     closing: Cell<(bool, bool)>,
+    /// Bytes of bodies that are coming in or in hand, and their bound.
+    bodies: Rc<Cell<usize>>,
+    most_bodies: usize,
 }
 
 impl Sockets {
@@ -45,78 +77,159 @@
     /// workers open connections for them.
     pub(crate) fn close_idle(&self, workers: bool) {
         self.closing.set((true, workers));
-        self.idle.borrow_mut().retain(|_, (stays, _)| *stays && !workers);
+        self.entries.borrow_mut().retain(|_, e| match e.at {
+            At::Idle => e.worker && !workers,
+            At::Silent => !workers,
+            _ => true,
+        });
     }
 
-    /// Closes the one that is idle for longest, if there is one.
+    /// Closes the one that can best be done without, if there is any: of the first kind in the order of [`At`] the
+    /// oldest. Guards against floods of connections that never say anything, or never end it, in the place of
+    /// those that usual clients keep.
     fn make_room(&self) -> bool {
-        self.idle.borrow_mut().pop_first().is_some()
+        let mut entries = self.entries.borrow_mut();
+        let gives_way = |e: &Entry| match e.at {
+            At::Busy => false,
+            At::Reading => !e.worker, // the oldest: a usual client's comes in at once
+            _ => true,
+        };
+        let candidates = entries.iter().filter(|(_, e)| gives_way(e));
+        let Some(number) = candidates.min_by_key(|(_, e)| (e.at, e.since)).map(|(n, _)| *n) else {
+            return false;
+        };
+        entries.remove(&number).is_some()
     }
 
-    /// Waits for the next request; false if the connection is to be closed instead.
-    async fn next_request(&self, conn: &mut Conn, stays: bool) -> bool {
-        if conn.has_input() {
-            return true;
-        }
-        let closing = self.closing.get();
-        if closing.0 && (!stays || closing.1) {
-            return false;
-        }
-        let (keep, closed) = bounded::<()>(1);
-        let number = self.next.replace(self.next.get() + 1);
-        self.idle.borrow_mut().insert(number, (stays, keep));
-        let input = async { conn.wait_input().await.is_ok() };
-        let came = future::or(input, async {
-            let _ = closed.recv().await;
-            false
+    /// Sets memory aside for a body; none if there is no more.
+    fn body(&self, length: usize) -> Option<Held> {
+        let held = self.bodies.get() + length;
+        (held <= self.most_bodies).then(|| {
+            self.bodies.set(held);
+            Held(self.bodies.clone(), length)
         })
-        .await;
-        self.idle.borrow_mut().remove(&number);
-        came
+    }
+}
+
+/// Memory set aside, until it is dropped.
+struct Held(Rc<Cell<usize>>, usize);
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - self.1);
     }
 }
 
 /// One front socket, counted while it is open.
 struct FrontSocket {
     sockets: Rc<Sockets>,
+    number: u64,
+    closed: Receiver<()>,
     worker: bool,
+    /// It stands in the reserve, which is for workers' call-backs.
+    reserved: bool,
 }
 
 impl FrontSocket {
+    fn new(sockets: &Rc<Sockets>) -> FrontSocket {
+        let (keep, closed) = bounded::<()>(1);
+        let number = sockets.next.replace(sockets.next.get() + 1);
+        let entry = Entry { at: At::Silent, since: Instant::now(), worker: false, _keep: keep };
+        sockets.entries.borrow_mut().insert(number, entry);
+        sockets.open.set(sockets.open.get() + 1);
+        FrontSocket { sockets: sockets.clone(), number, closed, worker: false, reserved: false }
+    }
+
     fn is_worker(&mut self) {
         if !std::mem::replace(&mut self.worker, true) {
             self.sockets.workers.set(self.sockets.workers.get() + 1);
         }
     }
+
+    fn is_at(&self, at: At) {
+        if let Some(entry) = self.sockets.entries.borrow_mut().get_mut(&self.number) {
+            (entry.at, entry.since, entry.worker) = (at, Instant::now(), self.worker);
+        }
+    }
+
+    /// Comes back when the socket is to be closed to make room, or at the end.
+    async fn given_up(&self) {
+        let _ = self.closed.recv().await;
+    }
+
+    /// Waits for the next request; false if the connection is to be closed instead.
+    async fn next_request(&self, conn: &mut Conn, first: bool) -> bool {
+        if conn.has_input() {
+            return true;
+        }
+        if !first {
+            let (clients, workers) = self.sockets.closing.get();
+            if clients && (!self.worker || workers) {
+                return false;
+            }
+            self.is_at(At::Idle);
+        }
+        let input = async { conn.wait_input().await.is_ok() };
+        let closed = async {
+            // A usual client keeps its connection for as long as it likes; a silent one is not a client yet.
+            future::or(self.given_up(), after(if first { REQUEST } else { Duration::MAX })).await;
+            false
+        };
+        future::or(input, closed).await // in this order: what has come already is not given up
+    }
 }
 
 impl Drop for FrontSocket {
     fn drop(&mut self) {
+        self.sockets.entries.borrow_mut().remove(&self.number);
         self.sockets.open.set(self.sockets.open.get() - 1);
         self.sockets.workers.set(self.sockets.workers.get() - usize::from(self.worker));
     }
 }
 
+async fn after(time: Duration) {
+    match Instant::now().checked_add(time) {
+        Some(when) => drop(Timer::at(when).await),
+        None => future::pending().await,
+    }
+}
+
 /// Listens and serves from now on.
 pub(crate) fn listen(
-    hub: &Rc<Hub>, addr: SocketAddr, most: usize, reserve: usize,
+    hub: &Rc<Hub>, addr: SocketAddr, limits: &Limits,
 ) -> io::Result<(Rc<Sockets>, SocketAddr)> {
     let listener = Async::<TcpListener>::bind(addr)?;
     let addr = listener.get_ref().local_addr()?;
-    let sockets = Rc::new(Sockets::default());
+    let (most, reserve) = (limits.front_sockets(), limits.front_reserve());
+    let sockets = Rc::new(Sockets {
+        open: Cell::default(),
+        workers: Cell::default(),
+        entries: RefCell::default(),
+        next: Cell::default(),
+        closing: Cell::default(),
+        bodies: Rc::default(),
+        most_bodies: limits.body_bytes(),
+    });
     let (hub, all) = (hub.clone(), sockets.clone());
     hub.clone().spawn(async move {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    all.open.set(all.open.get() + 1);
-                    while all.open.get() > most && !all.make_room() && all.open.get() > most + reserve {
-                        Timer::after(Duration::from_millis(5)).await; // all are busy: the rest queue up outside
+                    let mut socket = FrontSocket::new(&all);
+                    while all.open.get() > most && all.make_room() {
+                        future::yield_now().await; // lets the one given up close
                     }
-                    let socket = FrontSocket { sockets: all.clone(), worker: false };
-                    let served = hub.clone();
                     hub.with(|core, _| core.counters.front_sockets += 1);
+                    socket.reserved = all.open.get() > most;
+                    if all.open.get() > most + reserve {
+                        // Guards against connections that queue up outside, where they would hear nothing.
+                        hub.with(|core, _| core.counters.front_sockets_refused += 1);
+                        let _ = (&mut stream.get_ref()).write(NO_ROOM);
+                        continue;
+                    }
+                    let served = hub.clone();
                     hub.spawn(async move { serve(served, stream, socket).await });
+                    future::yield_now().await; // guards against a flood that keeps all else waiting
                 }
                 // Out of descriptors: guards against a busy loop, and makes room for those that wait.
                 Err(e) => {
@@ -132,45 +245,87 @@
     Ok((sockets, addr))
 }
 
+/// A request that was read whole.
+struct Received {
+    head: Head,
+    body: Vec<u8>,
+    _held: Option<Held>,
+}
+
+/// Reads a request. An error that its head alone shows is told before its body is read.
+async fn receive(hub: &Hub, conn: &mut Conn, socket: &FrontSocket) -> Result<Result<Received, Reply>, Bad> {
+    let head = conn.request().await?;
+    let mut held = None;
+    if is_operation(&head) {
+        if let Err(reply) = request::check(&hub.classes, &head.method, &head.target) {
+            return Ok(Err(reply));
+        }
+        held = socket.sockets.body(http::body_length(&head)?);
+        if held.is_none() || socket.reserved {
+            return Ok(Err(busy("no room for another operation")));
+        }
+    }
+    let body = conn.body(&head).await?;
+    if is_operation(&head) && conn.has_input() {
+        // Guards against requests hidden behind a wrong length, and against hundreds in one go: a client sends
+        // one at a time.
+        return Err(Bad::Malformed("more than one request at a time"));
+    }
+    Ok(Ok(Received { head, body, _held: held }))
+}
+
+fn busy(why: &str) -> Reply {
+    Reply::plain(503, why).with("Retry-After", "1".into())
+}
+
 async fn serve(hub: Rc<Hub>, stream: Async<TcpStream>, mut socket: FrontSocket) {
     let mut conn = Conn::new(stream);
-    let sockets = socket.sockets.clone();
-    let mut spoken = false;
-    while sockets.next_request(&mut conn, socket.worker || !spoken).await {
-        spoken = true;
-        let read = async {
-            let head = conn.request().await?;
-            if is_operation(&head) {
-                if let Err(reply) = request::check(&hub.classes, &head.method, &head.target) {
-                    return Ok((head, Err(reply)));
-                }
-            }
-            let body = conn.body(&head).await?;
-            Ok((head, Ok(body)))
-        };
+    let mut by = Instant::now() + REQUEST;
+    let mut first = true;
+    while socket.next_request(&mut conn, first).await {
+        if !std::mem::take(&mut first) {
+            by = Instant::now() + REQUEST;
+        }
+        socket.is_at(At::Reading);
         let late = async {
-            Timer::after(REQUEST).await;
-            Err(Bad::Malformed("it did not come in time"))
+            Timer::at(by).await;
+            Err(Bad::Late)
         };
-        let (reply, close) = match future::or(read, late).await {
-            Ok((head, Ok(body))) => match respond(&hub, &mut conn, &mut socket, &head, body).await {
-                Some(reply) => (reply, head.close),
-                None => return, // the client has gone away
-            },
-            Ok((_, Err(reply))) => (reply, true),
+        let given_up = async {
+            socket.given_up().await;
+            Err(Bad::Ended)
+        };
+        let read = future::or(receive(&hub, &mut conn, &socket), future::or(late, given_up)).await;
+        socket.is_at(At::Busy);
+        let (reply, close) = match read {
+            Ok(Ok(Received { head, body, _held })) => {
+                match respond(&hub, &mut conn, &mut socket, &head, body).await {
+                    // More that has come before the answer would have to wait: it is not taken up.
+                    Some(reply) => (reply, head.close || conn.has_input() && !socket.worker),
+                    None => return, // the client has gone away
+                }
+            }
+            Ok(Err(reply)) => (reply, true),
             Err(Bad::Ended) => return,
+            Err(Bad::Late) => (Reply::plain(408, "it did not come in time"), true),
             Err(Bad::TooLarge) => (Reply::plain(413, "the body is over 64 KiB"), true),
             Err(Bad::Malformed(why)) => (Reply::plain(400, why), true),
         };
-        if matches!(reply.status, 400 | 404 | 405 | 409 | 413) {
+        if matches!(reply.status, 400 | 404 | 405 | 408 | 409 | 413) {
             hub.with(|core, _| core.counters.bad_requests += 1);
         }
-        let close = close || sockets.closing.get().0 && !socket.worker;
-        if conn.write(&bytes(&reply, close)).await.is_err() {
+        let close = close || socket.sockets.closing.get().0 && !socket.worker;
+        // Guards against a client that does not read: it would hold its socket for ever.
+        let written = future::or(async { conn.write(&bytes(&reply, close)).await.is_ok() }, async {
+            after(ANSWER).await;
+            false
+        });
+        if !written.await {
             return;
         }
         if close {
-            return linger(conn).await;
+            socket.is_at(At::Leaving);
+            return future::or(linger(conn), socket.given_up()).await;
         }
     }
 }
@@ -179,10 +334,7 @@
     // The end is told first and the rest read: closing with bytes unread would reset the connection, and the
     // answer just written could be lost.
     let _ = conn.stream().get_ref().shutdown(std::net::Shutdown::Write);
-    future::or(conn.ended(), async {
-        Timer::after(LINGER).await;
-    })
-    .await;
+    future::or(conn.discard(), after(LINGER)).await;
 }
 
 fn bytes(reply: &Reply, close: bool) -> Vec<u8> {
@@ -192,6 +344,7 @@
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        408 => "Request Timeout",
         409 => "Conflict",
         413 => "Content Too Large",
         429 => "Too Many Requests",
@@ -247,9 +400,7 @@
     let pending = match hub.submit(operation) {
         Ok(pending) => pending,
         Err(NotTaken::SameId) => return Some(Reply::plain(409, "an operation of this id is in hand")),
-        Err(NotTaken::Full) => {
-            return Some(Reply::plain(503, "too many operations").with("Retry-After", "1".into()))
-        }
+        Err(NotTaken::Full) => return Some(busy("too many operations")),
     };
     let answer = future::or(async { Some(pending.answer().await) }, async {
         conn.ended().await;
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -10,6 +10,19 @@
 /// The longest body.
 pub const BODY: usize = 64 << 10;
 const HEADERS: usize = 64;
+/// The most that is read of what nobody wants.
+const DISCARD: usize = 1 << 20;
+/// The longest chunk of an answer without end, such as a watch.
+const CHUNK: usize = 4 << 20;
+/// Headers that must not come twice, as the two could be read in two ways.
+const ONCE: [&str; 6] = [
+    "content-length",
+    "transfer-encoding",
+    "x-correlation-id",
+    "x-time-left-ms",
+    "idempotency-key",
+    "x-facts",
+];
 
 /// Why a message cannot be read.
 #[derive(Debug)]
@@ -20,6 +33,8 @@
     Malformed(&'static str),
     /// Its body is over the limit.
     TooLarge,
+    /// It did not come in whole in time.
+    Late,
 }
 
 impl From<io::Error> for Bad {
@@ -82,9 +97,9 @@
     }
 
     /// Comes back when the other side has ended the connection, never otherwise. What it sends meanwhile is
-    /// kept, up to one message.
+    /// kept, up to a little.
     pub async fn ended(&mut self) {
-        while self.buf.len() < HEAD + BODY {
+        while self.buf.len() < HEAD {
             if !matches!(self.fill().await, Ok(n) if n > 0) {
                 return;
             }
@@ -92,6 +107,19 @@
         futures_lite::future::pending().await
     }
 
+    /// Throws away what comes until the end, or until it is too much to be waited for.
+    pub async fn discard(&mut self) {
+        self.buf = Vec::new();
+        let mut part = [0u8; 8 << 10];
+        for _ in 0..DISCARD / part.len() {
+            if !matches!(self.stream.read(&mut part).await, Ok(n) if n > 0) {
+                return;
+            }
+            // Guards against a client that sends at full speed and keeps all others waiting.
+            futures_lite::future::yield_now().await;
+        }
+    }
+
     /// Whether the connection can carry another request: nothing has come unasked, the end neither.
     pub fn is_quiet(&self) -> bool {
         let mut one = [0u8; 1];
@@ -144,8 +172,20 @@
             match request.parse(&self.buf) {
                 Ok(httparse::Status::Complete(length)) => {
                     let (method, target) = (request.method.unwrap_or(""), request.path.unwrap_or(""));
+                    // Passed on as it is: guards against a target that a worker could not read.
+                    if !target.bytes().all(|b| b.is_ascii_graphic()) {
+                        return Err(Bad::Malformed("the target is not plain ASCII"));
+                    }
                     let (method, target) = (method.to_string(), target.to_string());
                     let head = Head { method, target, ..head(request.headers, request.version)? };
+                    let twice =
+                        |n: &&str| head.headers.iter().filter(|(h, _)| h.eq_ignore_ascii_case(n)).count() > 1;
+                    if ONCE.iter().any(twice) {
+                        return Err(Bad::Malformed("a header that must not come twice"));
+                    }
+                    if request.version == Some(0) && head.get("transfer-encoding").is_some() {
+                        return Err(Bad::Malformed("Transfer-Encoding in HTTP/1.0"));
+                    }
                     self.buf.drain(..length);
                     return Ok(head);
                 }
@@ -176,12 +216,11 @@
     }
 
     async fn more(&mut self) -> Result<(), Bad> {
-        if self.buf.len() > HEAD + BODY {
+        if self.buf.len() > HEAD {
             return Err(Bad::Malformed("the head is too long"));
         }
         match self.fill().await {
-            Ok(n) if n > 0 && self.buf.len() <= HEAD + BODY => Ok(()),
-            Ok(n) if n > 0 => Err(Bad::Malformed("the head is too long")),
+            Ok(n) if n > 0 => Ok(()),
             _ => Err(Bad::Ended),
         }
     }
@@ -205,11 +244,8 @@
             }
             Framing::Chunked => {
                 let mut body = Vec::new();
-                while let Some(part) = self.chunk().await? {
+                while let Some(part) = self.chunk_of(BODY - body.len()).await? {
                     body.extend_from_slice(&part);
-                    if body.len() > BODY {
-                        return Err(Bad::TooLarge);
-                    }
                 }
                 Ok(body)
             }
@@ -224,13 +260,17 @@
         }
     }
 
-    /// Reads one chunk of a chunked body; none at its end.
+    /// Reads one chunk of an answer without end; none at its end.
     pub async fn chunk(&mut self) -> Result<Option<Vec<u8>>, Bad> {
+        self.chunk_of(CHUNK).await
+    }
+
+    /// Reads one chunk; none at the last. Guards against one that says it is huge: nothing of it is kept.
+    async fn chunk_of(&mut self, most: usize) -> Result<Option<Vec<u8>>, Bad> {
         loop {
             match httparse::parse_chunk_size(&self.buf) {
                 Ok(httparse::Status::Complete((start, size))) => {
-                    // A list may be longer than a body, but not without end.
-                    let size = usize::try_from(size).ok().filter(|&s| s <= 64 * BODY).ok_or(Bad::TooLarge)?;
+                    let size = usize::try_from(size).ok().filter(|&s| s <= most).ok_or(Bad::TooLarge)?;
                     while self.buf.len() < start + size + 2 {
                         if self.fill().await? == 0 {
                             return Err(Bad::Ended);
@@ -265,6 +305,15 @@
     Ok(head)
 }
 
+/// How long the body of a request may be, by its head.
+pub(crate) fn body_length(head: &Head) -> Result<usize, Bad> {
+    match framing(head)? {
+        Framing::Length(n) if n > BODY => Err(Bad::TooLarge),
+        Framing::Length(n) => Ok(n),
+        Framing::Chunked | Framing::ToEnd => Ok(BODY),
+    }
+}
+
 fn framing(head: &Head) -> Result<Framing, Bad> {
     let lengths = head.headers.iter().filter(|(n, _)| n.eq_ignore_ascii_case("content-length"));
     let mut lengths = lengths.map(|(_, v)| v.as_str());
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -72,6 +72,9 @@
         return Err(bad("X-Correlation-Id: not an id"));
     }
     let left_us = match get("x-time-left-ms") {
+        Some(ms) if !ms.bytes().all(|b| b.is_ascii_digit()) => {
+            return Err(bad("X-Time-Left-Ms: not a number"))
+        }
         Some(ms) => ms.parse::<Micros>().map_err(|_| bad("X-Time-Left-Ms: not whole milliseconds"))?,
         None => info.deadline_us / 1_000,
     };
@@ -79,6 +82,10 @@
     if idempotency_key.as_ref().is_some_and(|k| k.len() > KEY) {
         return Err(bad("Idempotency-Key: too long"));
     }
+    // Passed on as it is: guards against a key that a worker could not read.
+    if idempotency_key.as_ref().is_some_and(|k| !k.bytes().all(|b| b.is_ascii_graphic())) {
+        return Err(bad("Idempotency-Key: not plain ASCII"));
+    }
     if info.keyed && idempotency_key.as_ref().is_none_or(|k| k.is_empty()) {
         return Err(bad("no Idempotency-Key"));
     }
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -184,13 +184,8 @@
             Some(d) => drmaa::attach(&hub, d, pool, config.limits.sessions())?,
             None => None,
         };
-        let (sockets, addr) = net::front::listen(
-            &hub,
-            config.listen,
-            config.limits.front_sockets(),
-            config.limits.front_reserve(),
-        )
-        .map_err(|e| format!("listen: {}: {e}", config.listen))?;
+        let (sockets, addr) = net::front::listen(&hub, config.listen, &config.limits)
+            .map_err(|e| format!("listen: {}: {e}", config.listen))?;
         info!(log, "serving"; "name" => &config.name, "listen" => %addr);
         let batches = hub.clone();
         hub.spawn(async move { batches.batches().await });
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -32,6 +32,44 @@
 #[case::no_key("POST /sample-entry/x HTTP/1.1\r\nX-Correlation-Id: a\r\nContent-Length: 0\r\n\r\n", 400)]
 #[case::bad_length("POST /depth-log/x HTTP/1.1\r\nX-Correlation-Id: a\r\nContent-Length: -1\r\n\r\n", 400)]
 #[case::too_large("POST /depth-log/x HTTP/1.1\r\nX-Correlation-Id: a\r\nContent-Length: 65537\r\n\r\n", 413)]
+#[case::two_framings(
+    "POST /depth-log/x HTTP/1.1\r\nX-Correlation-Id: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    400
+)]
+#[case::two_lengths(
+    "POST /depth-log/x HTTP/1.1\r\nX-Correlation-Id: a\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\nx",
+    400
+)]
+#[case::two_encodings(
+    "POST /depth-log/x HTTP/1.1\r\nX-Correlation-Id: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: x\r\n\r\n0\r\n\r\n",
+    400
+)]
+#[case::two_ids("POST /depth-log/x HTTP/1.1\r\nX-Correlation-Id: a\r\nX-Correlation-Id: b\r\n\r\n", 400)]
+#[case::signed_time(
+    "POST /depth-log/x HTTP/1.1\r\nX-Correlation-Id: a\r\nX-Time-Left-Ms: +50\r\nContent-Length: 0\r\n\r\n",
+    400
+)]
+#[case::odd_target(
+    "POST /depth-log/\u{fc} HTTP/1.1\r\nX-Correlation-Id: a\r\nContent-Length: 0\r\n\r\n",
+    400
+)]
+#[case::odd_key(
+    "POST /sample-entry/x HTTP/1.1\r\nX-Correlation-Id: a\r\nIdempotency-Key: \u{fc}\r\nContent-Length: 0\r\n\r\n",
+    400
+)]
+#[case::huge_chunk(
+    "POST /depth-log/x HTTP/1.1\r\nX-Correlation-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n200000\r\n",
+    413
+)]
+#[case::half_a_request(
+    "POST /depth-log/x HTTP/1.1\r\nX-Correlation-Id: a\r\nContent-Length: 9\r\n\r\nhalf",
+    408
+)]
+#[case::half_a_head("POST /depth-log/x HTTP/1.1\r\nX-Corr", 408)]
+#[case::two_at_once(
+    "POST /depth-log/x HTTP/1.1\r\nX-Correlation-Id: a\r\nContent-Length: 0\r\n\r\nPOST /depth-log/x HTTP/1.1\r\n",
+    400
+)]
 #[case::no_class("POST /render/x HTTP/1.1\r\nX-Correlation-Id: a\r\nContent-Length: 0\r\n\r\n", 404)]
 #[case::method("GET /depth-log/x HTTP/1.1\r\nX-Correlation-Id: a\r\n\r\n", 405)]
 #[case::call_back_method("GET /v1/job-events HTTP/1.1\r\n\r\n", 405)]
@@ -323,6 +361,54 @@
     drop(idle);
 }
 
+/// Guards against connections that hold a descriptor without a word. A client that has asked something is not one of
+/// them, however long it says nothing after that.
+#[test]
+fn silent_connections_are_closed_and_idle_ones_kept() {
+    let program = Program::start(&[]);
+    let mut kept = connect(program.addr);
+    assert_eq!(exchange(&mut kept, "GET /up HTTP/1.1\r\n\r\n").unwrap().status(), 200);
+    assert_eq!(connect(program.addr).read(&mut [0]).unwrap(), 0);
+    assert_eq!(exchange(&mut kept, "GET /up HTTP/1.1\r\n\r\n").unwrap().status(), 200);
+}
+
+/// Guards against a head without end, which must not be kept.
+#[test]
+fn an_endless_head_is_refused() {
+    let program = Program::start(&[]);
+    let mut client = connect(program.addr);
+    let head = format!("POST /depth-log/x HTTP/1.1\r\nX-Correlation-Id: a\r\nX-A: {}", "a".repeat(60_000));
+    assert_eq!(exchange(&mut client, &head).expect("an answer").status(), 400);
+}
+
+/// Guards against floods in the place of usual clients: a connection that a client keeps outlives hundreds that say
+/// nothing or end nothing.
+#[rstest]
+#[case::silent("")]
+#[case::half("POST /depth-log/x HTTP/1.1\r\nContent-Le")]
+fn a_flood_does_not_cost_a_client_its_connection(#[case] text: &str) {
+    let worker = Worker::start("s-1", SERVES);
+    let mut config = config(&[&worker]);
+    config["limits"]["sockets"] = 64.into();
+    let program = Program::with(Files::new(), &config, None, &[&worker]);
+    let mut kept = connect(program.addr);
+    assert_eq!(exchange(&mut kept, "GET /up HTTP/1.1\r\n\r\n").unwrap().status(), 200);
+    let flood = |_| {
+        let mut one = connect(program.addr);
+        let _ = one.write_all(text.as_bytes());
+        one
+    };
+    let flood: Vec<_> = (0..200).map(flood).collect();
+    assert_eq!(exchange(&mut kept, &operation("depth-log", "a1", 4000)).expect("an answer").status(), 200);
+    for mut one in flood {
+        // Each hears an error or the end.
+        let mut heard = [0; 12];
+        assert!(
+            !matches!(one.read(&mut heard), Ok(n) if n > 0 && !heard.starts_with(b"HTTP/1.1 4") && !heard.starts_with(b"HTTP/1.1 5"))
+        );
+    }
+}
+
 /// Guards against a listener that ends, or spins, when the system has no descriptor left for a new connection.
 #[test]
 fn running_out_of_descriptors_on_accept_is_survived() {
