--- a/src/config.rs
+++ b/src/config.rs
@@ -74,6 +74,12 @@
         self.share(7)
     }
 
+    /// Front sockets that clients may keep between requests. Clients hold a third of the descriptors at most, and
+    /// must be able to open more.
+    pub fn idle_front_sockets(&self) -> usize {
+        self.share(2)
+    }
+
     /// Job sessions of the DRMAA front at most.
     pub fn sessions(&self) -> usize {
         self.share(1)
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -23,6 +23,11 @@
 /// connection is there. Guards against silent connections, half requests and heads that come in drop by drop: each
 /// holds a descriptor. A bad client is owed an end within 3 s.
 const REQUEST: Duration = Duration::from_millis(2_500);
+/// Longest time for a connection to stay silent after it is there: a usual client opens one to ask at once.
+const SILENCE: Duration = Duration::from_secs(1);
+/// Longest time between requests for a connection that has asked, but for no operation that was taken: guards
+/// against hundreds that ask whether the program is up, and stay.
+const ASKED: Duration = Duration::from_millis(2_500);
 /// Longest time for a client to read its answer.
 const ANSWER: Duration = Duration::from_secs(5);
 /// How long a closed connection is still read, so that what was last written to it is not lost with it.
@@ -36,11 +41,13 @@
 enum At {
     /// It was answered and is closed; what still comes is thrown away.
     Leaving,
+    /// Between requests, none of which was an operation or a call-back so far.
+    Asked,
     /// Nothing has come yet.
     Silent,
     /// A request is coming in.
     Reading,
-    /// Between requests. These are usual clients', and go last.
+    /// Between requests, with an operation or a call-back among them. These are usual clients' and go last.
     Idle,
     /// A request is in hand.
     Busy,
@@ -64,6 +71,7 @@
     /// Bytes of bodies that are coming in or in hand, and their bound.
     bodies: Rc<Cell<usize>>,
     most_bodies: usize,
+    most_idle: usize,
 }
 
 impl Sockets {
@@ -78,7 +86,7 @@
     pub(crate) fn close_idle(&self, workers: bool) {
         self.closing.set((true, workers));
         self.entries.borrow_mut().retain(|_, e| match e.at {
-            At::Idle => e.worker && !workers,
+            At::Idle | At::Asked => e.worker && !workers,
             At::Silent => !workers,
             _ => true,
         });
@@ -101,6 +109,18 @@
         entries.remove(&number).is_some()
     }
 
+    /// Closes the clients' that are idle for longest, of more than may be kept. Guards against clients that open a
+    /// connection for each request and keep them all: they may hold so many in all, and could open no more.
+    fn trim_idle(&self) {
+        let mut entries = self.entries.borrow_mut();
+        let idle = entries.iter().filter(|(_, e)| e.at == At::Idle && !e.worker);
+        let mut idle: Vec<(Instant, u64)> = idle.map(|(number, e)| (e.since, *number)).collect();
+        idle.sort_unstable();
+        for (_, number) in &idle[..idle.len().saturating_sub(self.most_idle)] {
+            entries.remove(number);
+        }
+    }
+
     /// Sets memory aside for a body; none if there is no more.
     fn body(&self, length: usize) -> Option<Held> {
         let held = self.bodies.get() + length;
@@ -126,6 +146,8 @@
     number: u64,
     closed: Receiver<()>,
     worker: bool,
+    /// An operation or a call-back came on it and was taken.
+    proven: bool,
     /// It stands in the reserve, which is for workers' call-backs.
     reserved: bool,
 }
@@ -137,10 +159,18 @@
         let entry = Entry { at: At::Silent, since: Instant::now(), worker: false, _keep: keep };
         sockets.entries.borrow_mut().insert(number, entry);
         sockets.open.set(sockets.open.get() + 1);
-        FrontSocket { sockets: sockets.clone(), number, closed, worker: false, reserved: false }
+        FrontSocket {
+            sockets: sockets.clone(),
+            number,
+            closed,
+            worker: false,
+            proven: false,
+            reserved: false,
+        }
     }
 
     fn is_worker(&mut self) {
+        self.proven = true;
         if !std::mem::replace(&mut self.worker, true) {
             self.sockets.workers.set(self.sockets.workers.get() + 1);
         }
@@ -167,12 +197,18 @@
             if clients && (!self.worker || workers) {
                 return false;
             }
-            self.is_at(At::Idle);
+            self.is_at(if self.proven { At::Idle } else { At::Asked });
+            self.sockets.trim_idle();
         }
+        // A usual client keeps its connection for as long as it likes; one that never asked for work is not one.
+        let time = match (first, self.proven) {
+            (true, _) => SILENCE,
+            (false, true) => Duration::MAX,
+            (false, false) => ASKED,
+        };
         let input = async { conn.wait_input().await.is_ok() };
         let closed = async {
-            // A usual client keeps its connection for as long as it likes; a silent one is not a client yet.
-            future::or(self.given_up(), after(if first { REQUEST } else { Duration::MAX })).await;
+            future::or(self.given_up(), after(time)).await;
             false
         };
         future::or(input, closed).await // in this order: what has come already is not given up
@@ -209,6 +245,7 @@
         closing: Cell::default(),
         bodies: Rc::default(),
         most_bodies: limits.body_bytes(),
+        most_idle: limits.idle_front_sockets(),
     });
     let (hub, all) = (hub.clone(), sockets.clone());
     hub.clone().spawn(async move {
@@ -311,10 +348,12 @@
             Err(Bad::TooLarge) => (Reply::plain(413, "the body is over 64 KiB"), true),
             Err(Bad::Malformed(why)) => (Reply::plain(400, why), true),
         };
-        if matches!(reply.status, 400 | 404 | 405 | 408 | 409 | 413) {
+        // What was wrong once is not waited for again: guards against bad clients that stay.
+        let bad = matches!(reply.status, 400 | 404 | 405 | 408 | 409 | 413);
+        if bad {
             hub.with(|core, _| core.counters.bad_requests += 1);
         }
-        let close = close || socket.sockets.closing.get().0 && !socket.worker;
+        let close = close || bad || socket.sockets.closing.get().0 && !socket.worker;
         // Guards against a client that does not read: it would hold its socket for ever.
         let written = future::or(async { conn.write(&bytes(&reply, close)).await.is_ok() }, async {
             after(ANSWER).await;
@@ -390,18 +429,21 @@
         ("/counters", "GET") => Reply::plain(200, &hub.with(|core, _| core.counters.line())),
         ("/up" | "/counters", _) => Reply::only("GET"),
         _ => match request::operation(&hub.classes, &head.method, &head.target, |n| head.get(n), body) {
-            Ok(operation) => return dispatch(hub, conn, operation).await,
+            Ok(operation) => return dispatch(hub, conn, socket, operation).await,
             Err(reply) => reply,
         },
     })
 }
 
-async fn dispatch(hub: &Rc<Hub>, conn: &mut Conn, operation: Operation) -> Option<Reply> {
+async fn dispatch(
+    hub: &Rc<Hub>, conn: &mut Conn, socket: &mut FrontSocket, operation: Operation,
+) -> Option<Reply> {
     let pending = match hub.submit(operation) {
         Ok(pending) => pending,
         Err(NotTaken::SameId) => return Some(Reply::plain(409, "an operation of this id is in hand")),
         Err(NotTaken::Full) => return Some(busy("too many operations")),
     };
+    socket.proven = true;
     let answer = future::or(async { Some(pending.answer().await) }, async {
         conn.ended().await;
         None
