Let 1,024 connections wait to be accepted, as floods of hundreds overran the queue of 128

A dropped one is tried again a second later. Blamed: bind in src/net/front.rs, which asks for 128, while bad clients open connections by hundreds. Checked: with the program held up, 300 connections at once all find a place; the test fails without the change.

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -32,6 +32,9 @@
 const ANSWER: Duration = Duration::from_secs(5);
 /// How long a closed connection is still read, so that what was last written to it is not lost with it.
 const LINGER: Duration = Duration::from_secs(1);
+/// Connections that may wait to be accepted. Guards against floods of hundreds at once: what finds no place, usual
+/// clients and call-backs among them, would be tried again by its system a second later.
+const BACKLOG: i32 = 1_024;
 /// Sent to a connection for which there is no room.
 const NO_ROOM: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
@@ -235,6 +238,7 @@
     hub: &Rc<Hub>, addr: SocketAddr, limits: &Limits,
 ) -> io::Result<(Rc<Sockets>, SocketAddr)> {
     let listener = Async::<TcpListener>::bind(addr)?;
+    rustix::net::listen(&listener, BACKLOG)?;
     let addr = listener.get_ref().local_addr()?;
     let (most, reserve) = (limits.front_sockets(), limits.front_reserve());
     let sockets = Rc::new(Sockets {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -5,7 +5,7 @@
 use rstest::rstest;
 use serde_json::json;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::TcpListener;
+use std::net::{TcpListener, TcpStream};
 use support::*;
 
 #[test]
@@ -387,6 +387,19 @@
     assert_eq!(client.read(&mut [0]).unwrap(), 0);
 }
 
+/// Guards against a flood that fills the queue of connections not accepted yet, so that a client's must be tried again:
+/// while the program is held up none is accepted, and all must find a place.
+#[test]
+fn hundreds_of_connections_at_once_find_a_place() {
+    let program = Program::start(&[]);
+    program.signal("STOP");
+    let one = |_| TcpStream::connect_timeout(&program.addr, LONG / 4).expect("a connection");
+    let flood: Vec<_> = (0..300).map(one).collect();
+    program.signal("CONT");
+    drop(flood);
+    assert_eq!(ask(program.addr, "GET /up HTTP/1.1\r\n\r\n").status(), 200);
+}
+
 /// Guards against a head without end, which must not be kept.
 #[test]
 fn an_endless_head_is_refused() {
