--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -400,6 +400,46 @@
     assert_eq!(ask(program.addr, "GET /up HTTP/1.1\r\n\r\n").status(), 200);
 }
 
+/// Guards against bodies that together take more memory than the limits leave for them: 64 of 64 KiB here.
+#[test]
+fn bodies_are_held_up_to_a_bound_on_memory() {
+    let mut config = config(&[]);
+    config["limits"]["memory_mb"] = 16.into();
+    let program = Program::with(Files::new(), &config, None, &[]);
+    let begin = |n| {
+        let mut client = connect(program.addr);
+        let head =
+            format!("POST /depth-log/x HTTP/1.1\r\nX-Correlation-Id: a{n}\r\nContent-Length: 65536\r\n\r\n");
+        client.write_all(head.as_bytes()).unwrap();
+        client
+    };
+    let clients: Vec<_> = (0..72).map(begin).collect();
+    let status = |c| read_message(&mut BufReader::new(c)).expect("an answer").status();
+    let refused = clients.into_iter().map(status).filter(|&s| s == 503).count();
+    assert_eq!(refused, 8);
+}
+
+/// Guards against operations that take the last front sockets from the call-backs that would end them.
+#[test]
+fn the_reserve_is_for_call_backs() {
+    let worker = Worker::start("s-1", RUNS_ON);
+    let mut config = config(&[&worker]);
+    config["limits"]["sockets"] = 64.into();
+    let program = Program::with(Files::new(), &config, None, &[&worker]);
+    let mut clients = Vec::new();
+    for n in 0..17 {
+        let mut client = connect(program.addr);
+        client.write_all(operation("depth-log", &format!("a{n}"), 60_000).as_bytes()).unwrap();
+        assert!(matches!(worker.next(), Sent::Job { .. }));
+        worker.told.recv_timeout(LONG).expect("it has started");
+        clients.push(client);
+    }
+    let answer = ask(program.addr, &operation("depth-log", "b", 60_000));
+    assert_eq!((answer.status(), answer.get("retry-after")), (503, Some("1")));
+    assert_eq!(call_back(program.addr, "a0", "s-1", "done"), 204);
+    assert_eq!(read_message(&mut BufReader::new(&clients[0])).unwrap().body, "log of a0");
+}
+
 /// Guards against a head without end, which must not be kept.
 #[test]
 fn an_endless_head_is_refused() {
