Add the ledger's package: store, gate, corrections, seals, exports and reconciliation

Nothing of a dispatcher survives its process, so departments cannot be billed by use. This is the part of the ledger that stands alone: entries and sums in whole numbers, periods, doubts, corrections under a MAC, a chain of seals, exports that give the same bytes again, and merging, none of which performs I/O; a SQLite store and a writer thread beside them. The repository becomes a workspace for it; the daemon does not use it yet.

Measured: 35 tests of the package pass (interrupted exports in each stage, changed bytes, cut-off, newer, full and shared stores).

--- /dev/null
+++ b/crates/ledger/src/correction.rs
@@ -0,0 +1,90 @@
+//! Corrections: signed amounts with author and reason, under a MAC. A closed period is never touched by one.
+
+use crate::entry::Micros;
+use crate::period::Period;
+use serde::{Deserialize, Serialize};
+
+/// What a correction is about.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum About {
+    /// A tenant's use as a whole.
+    Use,
+    /// An entry in doubt that was billed, as the client has its answer.
+    Billed {
+        /// The entry's epoch.
+        epoch: u64,
+        /// Its number.
+        seq: u64,
+    },
+    /// An entry in doubt that was waived.
+    Waived {
+        /// The entry's epoch.
+        epoch: u64,
+        /// Its number.
+        seq: u64,
+    },
+}
+
+/// A correction.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Correction {
+    /// When it was made.
+    pub time_us: Micros,
+    /// The period that it is about, which may be closed.
+    pub of: Period,
+    /// What it is about.
+    pub about: About,
+    /// Whose use.
+    pub tenant: String,
+    /// Of which class.
+    pub class: String,
+    /// Operations added, or taken away.
+    pub operations: i64,
+    /// Slot-microseconds added, or taken away.
+    pub slot_us: i128,
+    /// Who made it.
+    pub author: String,
+    /// Why.
+    pub reason: String,
+}
+
+/// The longest author, reason, tenant or class, in bytes.
+pub const TEXT: usize = 1 << 10;
+
+impl Correction {
+    /// Guards against texts that could not be told in a table, or not be found again.
+    pub fn check(&self) -> Result<(), String> {
+        let fields = [
+            ("tenant", &self.tenant),
+            ("class", &self.class),
+            ("author", &self.author),
+            ("reason", &self.reason),
+        ];
+        for (name, text) in fields {
+            if text.trim().is_empty() {
+                return Err(format!("{name}: must not be empty"));
+            }
+            if text.len() > TEXT || text.chars().any(char::is_control) {
+                return Err(format!("{name}: at most {TEXT} bytes, without control characters"));
+            }
+        }
+        Ok(())
+    }
+
+    /// Its bytes, as they are stored and sealed.
+    pub fn bytes(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("plain data")
+    }
+
+    /// Its MAC under the ledger's key, for this instance and number.
+    pub fn mac(bytes: &[u8], key: &[u8; 32], instance: &str, no: u64) -> [u8; 32] {
+        let mut mac = blake3::Hasher::new_keyed(key);
+        mac.update(b"streamusher correction 1");
+        mac.update(&(instance.len() as u64).to_le_bytes());
+        mac.update(instance.as_bytes());
+        mac.update(&no.to_le_bytes());
+        mac.update(bytes);
+        *mac.finalize().as_bytes()
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/gate.rs
@@ -0,0 +1,112 @@
+//! Holds answers back until their entries are durable, and says what to do when the disk does not keep up.
+//!
+//! A state machine without I/O, told the time. Invariants: numbers are given out upwards and without gaps; an entry
+//! is let go once, as durable or as unbooked; new work is refused only while the ledger is not trusted.
+
+use crate::entry::Micros;
+
+/// What becomes of new work while nothing can be booked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OnFailure {
+    /// It gets a busy reply.
+    Refuse,
+    /// It is served, and not billed.
+    ServeUnbilled,
+}
+
+/// See the module's own page.
+#[derive(Debug)]
+pub struct Gate {
+    on_failure: OnFailure,
+    hold_us: Micros,
+    most: usize,
+    last: u64,
+    durable: u64,
+    waiting: usize,
+    trusted: bool,
+    /// Answers that went out although their entries were not known to be durable.
+    pub late: u64,
+    /// Answers that were not booked at all.
+    pub unbooked: u64,
+}
+
+/// What to do with an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Book it under this number and hold it until then at the latest.
+    Hold {
+        /// The entry's number.
+        seq: u64,
+        /// When the answer goes out, durable or not.
+        until: Micros,
+    },
+    /// Give it now, unbooked.
+    Unbooked,
+}
+
+impl Gate {
+    /// `hold_us`: how long an answer may wait for the disk; `most`: entries that may wait at once.
+    pub fn new(on_failure: OnFailure, hold_us: Micros, most: usize) -> Gate {
+        Gate {
+            on_failure,
+            hold_us,
+            most,
+            last: 0,
+            durable: 0,
+            waiting: 0,
+            trusted: true,
+            late: 0,
+            unbooked: 0,
+        }
+    }
+
+    /// Whether new work is taken.
+    pub fn takes_work(&self) -> bool {
+        self.trusted || self.on_failure == OnFailure::ServeUnbilled
+    }
+
+    /// Whether entries are written as they come.
+    pub fn is_trusted(&self) -> bool {
+        self.trusted
+    }
+
+    /// An answer that must be out `by` then. While the disk fails entries still go to the writer, which books them
+    /// when it can, but answers no longer wait for it.
+    pub fn book(&mut self, now: Micros, by: Micros) -> Verdict {
+        // Counted first: what is not booked leaves a gap in the numbers, which a reconciliation shows.
+        self.last += 1;
+        if self.waiting >= self.most {
+            self.unbooked += 1;
+            return Verdict::Unbooked;
+        }
+        self.waiting += 1;
+        let until = if self.trusted { now.saturating_add(self.hold_us).min(by.max(now)) } else { now };
+        Verdict::Hold { seq: self.last, until }
+    }
+
+    /// So many more entries, up to this number, are durable.
+    pub fn durable(&mut self, upto: u64, entries: usize) {
+        assert!(upto <= self.last, "only what was booked can become durable");
+        assert!(upto >= self.durable, "what is durable stays so");
+        assert!(entries <= self.waiting, "an entry becomes durable once");
+        self.waiting -= entries;
+        self.durable = upto;
+        self.trusted = true;
+    }
+
+    /// The time of an answer is up: it goes out now. True if its entry was not known to be durable.
+    pub fn overdue(&mut self, seq: u64) -> bool {
+        let late = seq > self.durable;
+        if late {
+            self.late += 1;
+            self.trusted = false;
+        }
+        late
+    }
+
+    /// The writer could not write.
+    pub fn failed(&mut self) {
+        self.trusted = false;
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/store/write.rs
@@ -0,0 +1,237 @@
+//! What changes a store: epochs, commits, closings and corrections. Each is one transaction.
+
+use super::{Store, StoreError};
+use crate::correction::{About, Correction};
+use crate::entry::{pack, Entry, Micros, Row};
+use crate::marks::Marks;
+use crate::period::Period;
+use crate::seal;
+use rusqlite::{params, Transaction, TransactionBehavior};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+/// A period that was closed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Closed {
+    /// The period.
+    pub period: Period,
+    /// Its seal.
+    pub hash: [u8; 32],
+}
+
+impl Store {
+    /// Runs one transaction. Takes the write lock at once: guards against one that fails only at its end.
+    fn whole<T>(
+        &mut self, f: impl FnOnce(&Transaction, &mut HashMap<Arc<str>, u32>) -> rusqlite::Result<T>,
+    ) -> Result<T, StoreError> {
+        let (db, names, path) = (&mut self.db, &mut self.names, &self.path);
+        let run = || {
+            let t = db.transaction_with_behavior(TransactionBehavior::Immediate)?;
+            let done = f(&t, names)?;
+            t.commit()?;
+            Ok(done)
+        };
+        let done = run();
+        if done.is_err() {
+            names.clear(); // guards against numbers of names that were rolled back
+        }
+        done.map_err(|e| StoreError::of(path, e))
+    }
+
+    /// Begins an epoch of its own. Later than any before, and than Unix time in microseconds: a store that was lost
+    /// and made anew does not give out an epoch twice.
+    pub(super) fn begin_epoch(&mut self, now: Micros) -> Result<(), StoreError> {
+        let marks = Marks::default();
+        let epoch = self.whole(|t, _| {
+            let last: Option<i64> = t.query_row("SELECT max(epoch) FROM epochs", [], |r| r.get(0))?;
+            let epoch = (now as i64).max(last.unwrap_or(0) + 1);
+            t.execute("UPDATE epochs SET ended = ?1 WHERE ended = 0", [now as i64])?;
+            t.execute(
+                "INSERT INTO epochs VALUES(?1, ?2, 0, 0, ?3)",
+                params![epoch, now as i64, postcard::to_stdvec(&marks).expect("plain data")],
+            )?;
+            Ok(epoch)
+        })?;
+        self.epoch = Some((epoch as u64, 0, marks));
+        Ok(())
+    }
+
+    /// Writes entries and marks in one commit; they are on the disk when it returns. An entry whose period is closed
+    /// already is booked in the first that is open: a clock that steps back opens nothing again.
+    pub fn commit(&mut self, entries: &[Entry], written: &[u64], broke: &[u64]) -> Result<(), StoreError> {
+        let span = self.span;
+        let (epoch, last, old) = self.epoch.clone().ok_or_else(|| self.damaged("opened for commands"))?;
+        let mut marks = old;
+        written.iter().for_each(|n| marks.written.add(*n));
+        broke.iter().for_each(|n| marks.broke.add(*n));
+        let last = entries.last().map_or(last, |e| e.seq).max(last);
+        let bytes = postcard::to_stdvec(&marks).expect("plain data");
+        self.whole(|t, names| {
+            let sealed: Option<i64> = t.query_row("SELECT max(period) FROM seals", [], |r| r.get(0))?;
+            let first_open = sealed.and_then(|s| Period::starting(span, s)).map(Period::next);
+            let mut by_period: BTreeMap<Period, Vec<Row>> = BTreeMap::new();
+            for e in entries {
+                let own = Period::of(span, e.time_us);
+                let period = first_open.map_or(own, |open| own.max(open));
+                let row = Row::of(e, number(t, names, &e.tenant)?, number(t, names, &e.class)?);
+                by_period.entry(period).or_default().push(row);
+            }
+            let mut add = t.prepare_cached("INSERT INTO blocks VALUES(?1, ?2, ?3, ?4, ?5, ?6, ?7)")?;
+            for (period, rows) in by_period {
+                let mut body = Vec::with_capacity(rows.len() * 48);
+                let (first, end) = (rows[0].seq, rows[rows.len() - 1].seq);
+                let mut before = (first, period.start_s() as u64 * 1_000_000);
+                for row in &rows {
+                    pack(row, before, &mut body);
+                    before = (row.seq, row.time_us);
+                }
+                let hash = seal::block(epoch, first, &body);
+                add.execute(params![
+                    period.start_s(),
+                    epoch as i64,
+                    first as i64,
+                    end as i64,
+                    rows.len() as i64,
+                    &hash[..],
+                    body
+                ])?;
+            }
+            let mut mark = t.prepare_cached("UPDATE epochs SET last = ?1, marks = ?2 WHERE epoch = ?3")?;
+            mark.execute(params![last as i64, bytes, epoch as i64])?;
+            Ok(())
+        })?;
+        self.epoch = Some((epoch, last, marks));
+        Ok(())
+    }
+
+    /// Closes all periods with anything in them that ended `lateness_us` ago or earlier, the oldest first.
+    pub fn close_due(&mut self, now: Micros, lateness_us: Micros) -> Result<Vec<Closed>, StoreError> {
+        let mut closed = Vec::new();
+        for period in self.open_periods()? {
+            if period.end_us().saturating_add(lateness_us) > now {
+                break;
+            }
+            let hash = self.seal(period, now)?;
+            closed.push(Closed { period, hash });
+        }
+        Ok(closed)
+    }
+
+    /// Seals one period: what is in it, and what is known of its answers, is what it stays. Its seal chains to the
+    /// one before.
+    fn seal(&mut self, period: Period, now: Micros) -> Result<[u8; 32], StoreError> {
+        let instance = self.instance.clone();
+        self.whole(|t, _| {
+            let before = t.query_row("SELECT hash FROM seals ORDER BY period DESC LIMIT 1", [], |r| r.get(0));
+            let before: Vec<u8> = match before {
+                Err(rusqlite::Error::QueryReturnedNoRows) => vec![0; 32],
+                other => other?,
+            };
+            let mut chain = seal::Chain::new(&before, &instance, period);
+            let mut entries = 0i64;
+            let mut marks: BTreeMap<u64, Marks> = BTreeMap::new();
+            let mut blocks = t.prepare(
+                "SELECT epoch, first, entries, hash FROM blocks WHERE period = ?1 ORDER BY epoch, first",
+            )?;
+            let mut rows = blocks.query([period.start_s()])?;
+            while let Some(row) = rows.next()? {
+                let (epoch, first): (i64, i64) = (row.get(0)?, row.get(1)?);
+                chain.block(epoch as u64, first as u64, row.get_ref(3)?.as_blob().unwrap_or(&[]));
+                entries += row.get::<_, i64>(2)?;
+                if let std::collections::btree_map::Entry::Vacant(new) = marks.entry(epoch as u64) {
+                    new.insert(all_marks(t, epoch)?);
+                }
+            }
+            let marks = postcard::to_stdvec(&marks).expect("plain data");
+            chain.marks(&marks);
+            let mut corrections =
+                t.prepare("SELECT no, body, mac FROM corrections WHERE period = ?1 ORDER BY no")?;
+            let mut rows = corrections.query([period.start_s()])?;
+            while let Some(row) = rows.next()? {
+                let no: i64 = row.get(0)?;
+                chain.correction(no as u64, row.get_ref(1)?.as_blob().unwrap_or(&[]));
+            }
+            let hash = chain.end();
+            t.execute(
+                "INSERT INTO seals(period, closed, entries, marks, before, hash) VALUES(?1, ?2, ?3, ?4, ?5, ?6)",
+                params![period.start_s(), now as i64, entries, marks, before, &hash[..]],
+            )?;
+            Ok(hash)
+        })
+    }
+
+    /// Books a correction in the period of now, or the first open one if that is closed. Its number.
+    pub fn correct(&mut self, correction: &Correction) -> Result<u64, StoreError> {
+        Ok(self.correct_all(std::slice::from_ref(correction))?[0])
+    }
+
+    /// Several corrections in one commit: all of them or none. A doubt that is settled already is left out, so that
+    /// settling again changes nothing; its number is 0.
+    pub fn correct_all(&mut self, corrections: &[Correction]) -> Result<Vec<u64>, StoreError> {
+        let (span, key, instance) = (self.span, self.key, self.instance.clone());
+        self.whole(|t, _| {
+            let sealed: Option<i64> = t.query_row("SELECT max(period) FROM seals", [], |r| r.get(0))?;
+            let first_open = sealed.and_then(|s| Period::starting(span, s)).map(Period::next);
+            let mut numbers = Vec::new();
+            for c in corrections {
+                let no = 1 + t
+                    .query_row("SELECT coalesce(max(no), 0) FROM corrections", [], |r| r.get::<_, i64>(0))?;
+                if let About::Billed { epoch, seq } | About::Waived { epoch, seq } = c.about {
+                    let new = t.execute(
+                        "INSERT OR IGNORE INTO settled VALUES(?1, ?2, ?3)",
+                        params![epoch as i64, seq as i64, no],
+                    )?;
+                    if new == 0 {
+                        numbers.push(0);
+                        continue;
+                    }
+                }
+                let own = Period::of(span, c.time_us);
+                let period = first_open.map_or(own, |open| own.max(open));
+                let body = c.bytes();
+                let mac = Correction::mac(&body, &key, &instance, no as u64);
+                t.execute(
+                    "INSERT INTO corrections VALUES(?1, ?2, ?3, ?4)",
+                    params![no, period.start_s(), body, &mac[..]],
+                )?;
+                numbers.push(no as u64);
+            }
+            Ok(numbers)
+        })
+    }
+
+    /// Ends the epoch in order: after it nothing of this process is in hand.
+    pub fn end_epoch(&mut self, now: Micros) -> Result<(), StoreError> {
+        if let Some((epoch, ..)) = self.epoch.take() {
+            self.whole(|t, _| {
+                t.execute("UPDATE epochs SET ended = ?1 WHERE epoch = ?2", [now as i64, epoch as i64])
+            })?;
+        }
+        Ok(())
+    }
+
+    /// Writes the log of changes back into the file: after it, the file alone holds all.
+    pub fn checkpoint(&mut self) -> Result<(), StoreError> {
+        let done = self.db.query_row("PRAGMA wal_checkpoint(TRUNCATE)", [], |_| Ok(()));
+        done.map_err(self.failed())
+    }
+}
+
+fn all_marks(t: &Transaction, epoch: i64) -> rusqlite::Result<Marks> {
+    let bytes: Vec<u8> = t.query_row("SELECT marks FROM epochs WHERE epoch = ?1", [epoch], |r| r.get(0))?;
+    postcard::from_bytes(&bytes).map_err(|_| {
+        rusqlite::Error::FromSqlConversionFailure(0, rusqlite::types::Type::Blob, "marks of an epoch".into())
+    })
+}
+
+/// The number of a name, which is given one if it is new.
+fn number(t: &Transaction, names: &mut HashMap<Arc<str>, u32>, name: &Arc<str>) -> rusqlite::Result<u32> {
+    if let Some(n) = names.get(name) {
+        return Ok(*n);
+    }
+    t.prepare_cached("INSERT OR IGNORE INTO names(name) VALUES(?1)")?.execute([name.as_ref()])?;
+    let n =
+        t.prepare_cached("SELECT id FROM names WHERE name = ?1")?.query_row([name.as_ref()], |r| r.get(0))?;
+    names.insert(name.clone(), n);
+    Ok(n)
+}
--- /dev/null
+++ b/crates/ledger/tests/store.rs
@@ -0,0 +1,358 @@
+//! The store and its exports under failure: what is cut off, flipped, interrupted, late or full.
+
+mod common;
+
+use common::*;
+use rstest::rstest;
+use std::path::Path;
+use std::sync::mpsc::channel;
+use std::time::Duration;
+use streamusher_ledger::correction::{About, Correction};
+use streamusher_ledger::entry::{key_hash, Answer};
+use streamusher_ledger::export::{export, ExportError, Stage};
+use streamusher_ledger::period::Period;
+use streamusher_ledger::reconcile::Finding;
+use streamusher_ledger::scan::{scan, Scanned};
+use streamusher_ledger::store::{Settle, Store, StoreError, FILE, VERSION};
+use streamusher_ledger::sums::Use;
+use streamusher_ledger::writer::{Duties, Note, Told, Writer};
+use tempfile::tempdir;
+
+fn line(store: &Store, period: Period, tenant: &str, class: &str) -> Use {
+    store.sums(period).unwrap().remove(&(tenant.into(), class.into())).unwrap_or_default()
+}
+
+fn period(name: &str) -> Period {
+    name.parse().unwrap()
+}
+
+fn correction(of: Period, time_us: u64, operations: i64, slot_us: i128) -> Correction {
+    let (tenant, class) = ("hydrology".into(), "depth-log".into());
+    let (author, reason) = ("A. Weir".into(), "ticket 12".into());
+    Correction { time_us, of, about: About::Use, tenant, class, operations, slot_us, author, reason }
+}
+
+fn reconcile(dirs: &[&Path]) -> Scanned {
+    scan(&dirs.iter().map(|d| d.to_path_buf()).collect::<Vec<_>>(), 3, |_| {}).unwrap()
+}
+
+#[test]
+fn an_entry_outlives_its_process_and_is_in_doubt_until_it_is_known_to_be_written() {
+    let dir = tempdir().unwrap();
+    let mut store = open(dir.path());
+    let two =
+        [entry(1, DECEMBER, "hydrology", Answer::Served), entry(2, DECEMBER, "hydrology", Answer::Served)];
+    store.commit(&two, &[], &[]).unwrap();
+    store.commit(&[], &[1], &[]).unwrap();
+    assert_eq!(store.doubts().unwrap(), vec![], "a running dispatcher has it in hand");
+    drop(store);
+    let mut store = open(dir.path());
+    let doubts = store.doubts().unwrap();
+    assert_eq!(doubts.iter().map(|d| d.row.seq).collect::<Vec<_>>(), [2]);
+    let hour = period("2026-12-01T00");
+    let sums = line(&store, hour, "hydrology", "depth-log");
+    assert_eq!((sums.served, sums.doubts, sums.slot_us, sums.doubt_slot_us), (1, 1, 300_002, 300_003));
+    let bill = doubts[0].settle(Settle::Bill, DECEMBER + 1, "A. Weir", "the client has it");
+    assert_eq!(store.correct_all(&[bill.clone(), bill]).unwrap(), [1, 0], "settled once");
+    assert_eq!(store.doubts().unwrap(), vec![]);
+    let sums = line(&store, hour, "hydrology", "depth-log");
+    assert_eq!((sums.billed(), sums.billed_slot_us().unwrap()), (2, 600_005));
+}
+
+#[test]
+fn a_clock_that_steps_back_opens_no_closed_period() {
+    let dir = tempdir().unwrap();
+    let mut store = open(dir.path());
+    fill(&mut store, 1..=10, DECEMBER + HOUR - 5 * SECOND);
+    let closed = store.close_due(DECEMBER + HOUR + 9 * SECOND, 10 * SECOND).unwrap();
+    assert_eq!(closed, vec![], "the lateness allowance is not over");
+    let closed = store.close_due(DECEMBER + HOUR + 10 * SECOND, 10 * SECOND).unwrap();
+    assert_eq!(closed.iter().map(|c| c.period).collect::<Vec<_>>(), [period("2026-12-01T00")]);
+    let sealed = store.sums(period("2026-12-01T00")).unwrap();
+    fill(&mut store, 11..=15, DECEMBER + 10 * SECOND); // an hour back
+    assert_eq!(store.sums(period("2026-12-01T00")).unwrap(), sealed);
+    let next = store.sums(period("2026-12-01T01")).unwrap();
+    assert_eq!(next.values().map(|u| u.served).sum::<u64>(), 5);
+    assert_eq!(store.verify(|_| {}).unwrap().entries, 15);
+}
+
+#[test]
+fn a_late_correction_leaves_a_closed_and_exported_period_untouched() {
+    let (dir, out) = (tempdir().unwrap(), tempdir().unwrap());
+    let mut store = open(dir.path());
+    fill(&mut store, 1..=10, DECEMBER);
+    store.close_due(DECEMBER + 2 * HOUR, 0).unwrap();
+    let first = period("2026-12-01T00");
+    export(&store, first, out.path(), |_| true).unwrap();
+    let before = std::fs::read(out.path().join("n1_2026-12-01T00.ledger.zst")).unwrap();
+    let late = correction(first, DECEMBER + 30 * 24 * HOUR, -2, -600_000);
+    store.correct(&late).unwrap();
+    let sums = store.sums(first).unwrap();
+    assert!(sums.values().all(|u| u.corrected == 0), "{sums:?}");
+    assert_eq!(line(&store, period("2026-12-31T00"), "hydrology", "depth-log").corrected, -2);
+    export(&store, first, out.path(), |_| true).unwrap();
+    assert_eq!(std::fs::read(out.path().join("n1_2026-12-01T00.ledger.zst")).unwrap(), before);
+    store.close_due(DECEMBER + 32 * 24 * HOUR, 0).unwrap();
+    export(&store, period("2026-12-31T00"), out.path(), |_| true).unwrap();
+    let all = reconcile(&[out.path()]);
+    assert_eq!(all.findings, vec![]);
+    let billed: i128 = all.merged.bill(str::to_string).unwrap().values().map(Use::billed).sum();
+    assert_eq!(billed, 8);
+}
+
+#[rstest]
+#[case(Stage::Writing)]
+#[case(Stage::Written)]
+#[case(Stage::Placed)]
+#[case(Stage::ManifestWritten)]
+fn an_export_that_was_interrupted_gives_the_same_when_it_runs_again(#[case] stage: Stage) {
+    let (dir, cut, whole) = (tempdir().unwrap(), tempdir().unwrap(), tempdir().unwrap());
+    let mut store = open(dir.path());
+    fill(&mut store, 1..=500, DECEMBER);
+    let hour = period("2026-12-01T00");
+    assert!(matches!(export(&store, hour, cut.path(), |_| true), Err(ExportError::Open(_))));
+    store.close_due(DECEMBER + 2 * HOUR, 0).unwrap();
+    let first = export(&store, hour, whole.path(), |_| true).unwrap().unwrap();
+    assert_eq!(export(&store, hour, cut.path(), |at| at != stage).unwrap(), None);
+    assert!(!cut.path().join("n1_2026-12-01T00.json").exists(), "a manifest stands only where all is whole");
+    assert!(reconcile(&[cut.path()]).merged.is_empty());
+    assert_eq!(export(&store, hour, cut.path(), |_| true).unwrap(), Some(first.clone()));
+    assert_eq!(export(&store, hour, cut.path(), |_| true).unwrap(), Some(first));
+    for name in ["n1_2026-12-01T00.ledger.zst", "n1_2026-12-01T00.json"] {
+        let read = |d: &tempfile::TempDir| std::fs::read(d.path().join(name)).unwrap();
+        assert_eq!(read(&cut), read(&whole), "{name}");
+    }
+    // The same period twice is counted once.
+    let both = reconcile(&[cut.path(), whole.path(), whole.path()]);
+    assert_eq!((both.merged.entries(), both.findings), (500, vec![]));
+}
+
+#[test]
+fn a_changed_byte_is_found_and_its_entry_named() {
+    let dir = tempdir().unwrap();
+    let mut store = open(dir.path());
+    fill(&mut store, 1..=5, DECEMBER);
+    store.checkpoint().unwrap();
+    drop(store);
+    let path = dir.path().join(FILE);
+    let mut bytes = std::fs::read(&path).unwrap();
+    let id = 4u64.wrapping_mul(0x9e37_79b9_7f4a_7c15).to_be_bytes(); // hex digits take half their bytes
+    let at = bytes.windows(8).position(|w| w == id).expect("entry 4 lies there");
+    bytes[at] ^= 1;
+    std::fs::write(&path, bytes).unwrap();
+    let store = Store::command(dir.path(), KEY).unwrap();
+    let why = store.verify(|_| {}).unwrap_err().to_string();
+    assert!(why.contains("damaged: entry 4 of epoch"), "{why}");
+    assert!(store.sums(period("2026-12-01T00")).is_err(), "no sum over what was changed");
+}
+
+#[test]
+fn a_changed_correction_or_seal_is_found() {
+    let dir = tempdir().unwrap();
+    let mut store = open(dir.path());
+    fill(&mut store, 1..=5, DECEMBER);
+    store.correct(&correction(period("2026-12-01T00"), DECEMBER, 3, 3)).unwrap();
+    store.close_due(DECEMBER + 2 * HOUR, 0).unwrap();
+    let checked = store.verify(|_| {}).unwrap();
+    assert_eq!((checked.entries, checked.corrections, checked.seals), (5, 1, 1));
+    let other = Store::command(dir.path(), [8; 32]).unwrap();
+    assert!(!other.has_key().unwrap());
+    let why = other.verify(|_| {}).unwrap_err().to_string();
+    assert!(why.contains("correction 1 is not what was written"), "{why}");
+    drop(other);
+    drop(store);
+    let path = dir.path().join(FILE);
+    let mut bytes = std::fs::read(&path).unwrap();
+    let at = bytes.windows(9).position(|w| w == b"ticket 12").expect("the reason lies there");
+    bytes[at + 8] = b'3';
+    std::fs::write(&path, bytes).unwrap();
+    let why = Store::command(dir.path(), KEY).unwrap().verify(|_| {}).unwrap_err().to_string();
+    assert!(why.contains("correction 1"), "{why}");
+}
+
+#[test]
+fn what_cannot_be_used_is_told_in_one_clear_line() {
+    let dir = tempdir().unwrap();
+    let told = |e: Result<Store, StoreError>| e.err().expect("an error").to_string();
+    let missing = told(Store::command(dir.path(), KEY));
+    assert!(missing.ends_with("there is no ledger here"), "{missing}");
+    let mut store = open(dir.path());
+    let second = told(Store::open(&options(dir.path(), "n1"), DECEMBER));
+    assert!(second.ends_with("another process writes to this ledger"), "{second}");
+    fill(&mut store, 1..=2_000, DECEMBER);
+    store.checkpoint().unwrap();
+    drop(store);
+    let other = told(Store::open(&options(dir.path(), "n2"), DECEMBER));
+    assert!(other.contains("made for instance n1, not n2"), "{other}");
+    let path = dir.path().join(FILE);
+    let whole = std::fs::read(&path).unwrap();
+    for (bytes, what) in [
+        (whole[..whole.len() / 2].to_vec(), "damaged: it has"),
+        (whole[..50].to_vec(), "damaged: it has 50 bytes"),
+        (vec![b'x'; 5_000], "damaged: not a database"),
+    ] {
+        std::fs::write(&path, bytes).unwrap();
+        let why = told(Store::open(&options(dir.path(), "n1"), DECEMBER));
+        assert!(why.contains(what) && !why.contains('\n'), "{why}");
+    }
+    let mut newer = whole.clone();
+    newer[60..64].copy_from_slice(&(VERSION as u32 + 1).to_be_bytes());
+    std::fs::write(&path, newer).unwrap();
+    let why = told(Store::open(&options(dir.path(), "n1"), DECEMBER));
+    assert!(why.ends_with("it is of version 2, and this program knows versions up to 1"), "{why}");
+    std::fs::write(&path, whole).unwrap();
+    assert_eq!(open(dir.path()).verify(|_| {}).unwrap().entries, 2_000);
+    // A file where the folder should be: no folder can be made there.
+    let why = told(Store::open(&options(&path, "n1"), DECEMBER));
+    assert!(why.contains("ledger.db") && !why.contains('\n'), "{why}");
+}
+
+#[test]
+fn a_full_disk_is_told_once_and_nothing_is_lost_or_doubled_when_there_is_room_again() {
+    let dir = tempdir().unwrap();
+    let mut small = options(dir.path(), "n1");
+    small.most_bytes = Some(64 << 10);
+    let (tell, told) = channel();
+    let duties = Duties { lateness_us: HOUR, doubts: None };
+    let writer = Writer::start(small, duties.clone(), || DECEMBER, move |t| drop(tell.send(t))).unwrap();
+    let long = "x".repeat(100);
+    let wide = |n| entry(n, DECEMBER, &format!("{long}{n}"), Answer::Served);
+    let next = || told.recv_timeout(Duration::from_secs(20)).expect("it is told");
+    assert!(matches!(next(), Told::Opened { .. }));
+    let mut durable = 0;
+    let why = (1..).find_map(|n| {
+        writer.note(Note::Entry(wide(n)));
+        match next() {
+            Told::Durable { upto, .. } => {
+                durable = upto;
+                None
+            }
+            Told::Failed(why) => Some(why),
+            other => panic!("{other:?}"),
+        }
+    });
+    assert!(why.unwrap().ends_with("the disk is full"));
+    drop(writer); // it gives up on what does not fit
+    let mut store = open(dir.path());
+    let count = |s: &Store| s.sums(period("2026-12-01T00")).unwrap().values().map(Use::entries).sum::<u64>();
+    assert_eq!(count(&store), durable, "a commit is whole or not there");
+    // With room again the same entries go in once, in an epoch of their own.
+    store.commit(&[wide(1), wide(2)], &[1, 2], &[]).unwrap();
+    assert_eq!(count(&store), durable + 2);
+    store.verify(|_| {}).unwrap();
+}
+
+#[test]
+fn a_writer_that_ends_in_order_leaves_no_doubt() {
+    let dir = tempdir().unwrap();
+    let duties = Duties { lateness_us: HOUR, doubts: None };
+    let writer = Writer::start(options(dir.path(), "n1"), duties, || DECEMBER, |_| {}).unwrap();
+    for n in 1..=100 {
+        writer.note(Note::Entry(entry(n, DECEMBER, "hydrology", Answer::Served)));
+        writer.note(if n == 50 { Note::Broke(n) } else { Note::Written(n) });
+    }
+    drop(writer);
+    let store = Store::command(dir.path(), KEY).unwrap();
+    assert_eq!(store.doubts().unwrap(), vec![]);
+    let sums = store.sums(period("2026-12-01T00")).unwrap();
+    assert_eq!(
+        sums.values().map(|u| (u.served, u.gone)).fold((0, 0), |a, b| (a.0 + b.0, a.1 + b.1)),
+        (99, 1)
+    );
+}
+
+#[test]
+fn one_of_a_thousand_tenants_sends_nine_tenths_and_all_are_counted_to_the_unit() {
+    let dir = tempdir().unwrap();
+    let mut store = open(dir.path());
+    let tenant = |n: u64| if n % 10 == 0 { format!("t{}", n / 10 % 1_000) } else { "flood".into() };
+    let entries: Vec<_> = (1..=20_000).map(|n| entry(n, DECEMBER, &tenant(n), Answer::Served)).collect();
+    let numbers: Vec<u64> = (1..=20_000).collect();
+    for (entries, numbers) in entries.chunks(777).zip(numbers.chunks(777)) {
+        store.commit(entries, numbers, &[]).unwrap();
+    }
+    let sums = store.sums(period("2026-12-01T00")).unwrap();
+    let of = |t: &str| sums.iter().filter(|((n, _), _)| n == t).map(|(_, u)| u.served).sum::<u64>();
+    assert_eq!(of("flood"), 18_000);
+    assert!((0..1_000).all(|n| of(&format!("t{n}")) == 2));
+}
+
+/// Two instances that closed one period; the second was asked again for what the first had answered when it died.
+fn two_instances(out: &Path) {
+    for (name, numbers, key) in [("n1", 1..=30u64, "retried"), ("n2", 1..=20, "retried")] {
+        let dir = tempdir().unwrap();
+        let mut store = Store::open(&options(dir.path(), name), DECEMBER).unwrap();
+        let mut entries: Vec<_> = numbers.map(|n| entry(n, DECEMBER, "hydrology", Answer::Served)).collect();
+        entries.iter_mut().for_each(|e| e.key = Some(key_hash(&KEY, &format!("{name} {}", e.seq))));
+        let last = entries.last_mut().unwrap();
+        last.key = Some(key_hash(&KEY, key));
+        let last = last.seq;
+        entries.retain(|e| e.seq != 7); // it was never booked
+        let written: Vec<u64> = (1..=last).filter(|n| name == "n2" || *n < last).collect();
+        store.commit(&entries, &written, &[]).unwrap();
+        drop(store);
+        let mut store = Store::open(&options(dir.path(), name), DECEMBER).unwrap();
+        store.close_due(DECEMBER + 2 * HOUR, 0).unwrap();
+        export(&store, period("2026-12-01T00"), out, |_| true).unwrap();
+    }
+}
+
+#[test]
+fn reconciling_shows_gaps_doubts_and_what_two_instances_answered() {
+    let out = tempdir().unwrap();
+    two_instances(out.path());
+    let all = reconcile(&[out.path()]);
+    let gaps = all.findings.iter().filter(|f| matches!(f, Finding::Gap { first: 7, last: 7, .. })).count();
+    let repeated = all.findings.iter().filter_map(|f| match f {
+        Finding::Repeated { places, .. } => {
+            Some(places.iter().map(|p| (p.instance.as_str(), p.seq)).collect::<Vec<_>>())
+        }
+        _ => None,
+    });
+    assert_eq!(repeated.collect::<Vec<_>>(), [[("n1", 30), ("n2", 20)]]);
+    let doubts: Vec<_> =
+        all.findings.iter().filter(|f| matches!(f, Finding::Doubt(d) if d.place.seq == 30)).collect();
+    assert_eq!((gaps, doubts.len(), all.findings.len()), (2, 1, 4));
+    let served: u64 = all.merged.bill(str::to_string).unwrap().values().map(|u| u.served).sum();
+    assert_eq!(served, 28 + 19, "the doubt is in no sum");
+}
+
+#[rstest]
+#[case::flipped("n1_2026-12-01T00.ledger.zst", "")]
+#[case::no_manifest("", "n1_2026-12-01T00.json")]
+#[case::manifest_junk("n1_2026-12-01T00.json", "")]
+fn what_was_changed_is_told_and_not_counted(#[case] flip: &str, #[case] remove: &str) {
+    let out = tempdir().unwrap();
+    two_instances(out.path());
+    if !flip.is_empty() {
+        let path = out.path().join(flip);
+        let mut bytes = std::fs::read(&path).unwrap();
+        let middle = bytes.len() / 2;
+        bytes[middle] ^= 4;
+        std::fs::write(&path, bytes).unwrap();
+    }
+    if !remove.is_empty() {
+        std::fs::remove_file(out.path().join(remove)).unwrap();
+    }
+    let all = reconcile(&[out.path()]);
+    let changed =
+        all.findings.iter().filter(|f| matches!(f, Finding::Changed { why } if why.contains("n1_2026")));
+    assert!(changed.count() >= 1, "{:?}", all.findings);
+    assert_eq!(all.merged.bill(str::to_string).unwrap().values().map(|u| u.served).sum::<u64>(), 19);
+}
+
+#[test]
+fn a_missing_period_shows_in_the_chain() {
+    let (dir, out) = (tempdir().unwrap(), tempdir().unwrap());
+    let mut store = open(dir.path());
+    for hour in 0..3 {
+        fill(&mut store, hour * 10 + 1..=hour * 10 + 10, DECEMBER + hour * HOUR);
+    }
+    store.close_due(DECEMBER + 4 * HOUR, 0).unwrap();
+    for hour in ["2026-12-01T00", "2026-12-01T02"] {
+        export(&store, period(hour), out.path(), |_| true).unwrap();
+    }
+    let findings = reconcile(&[out.path()]).findings;
+    assert!(findings.contains(&Finding::Missing { instance: "n1".into(), before: period("2026-12-01T02") }));
+    assert!(findings.iter().any(|f| matches!(f, Finding::Gap { first: 11, last: 20, .. })), "{findings:?}");
+}
