--- a/crates/ledger/src/gate.rs
+++ b/crates/ledger/src/gate.rs
@@ -105,6 +105,11 @@
         late
     }
 
+    /// The store is open.
+    pub fn works(&mut self) {
+        self.trusted = true;
+    }
+
     /// The writer could not write.
     pub fn failed(&mut self) {
         self.trusted = false;
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod entry;
 pub mod export;
 pub mod gate;
+pub mod key;
 pub mod marks;
 pub mod period;
 pub mod receipts;
--- a/crates/ledger/src/writer.rs
+++ b/crates/ledger/src/writer.rs
@@ -40,7 +40,7 @@
         /// The epoch.
         epoch: u64,
     },
-    /// More entries are durable.
+    /// More entries are durable; none more after a failure that is over.
     Durable {
         /// All that were noted up to this number.
         upto: u64,
@@ -77,7 +77,7 @@
         let (notes, noted) = channel();
         let thread = std::thread::Builder::new().name("ledger".into());
         let thread = thread.spawn(move || {
-            Work { options, duties, wall, tell, store: None, why: String::new() }.run(&noted)
+            Work { options, duties, wall, tell, store: None, upto: 0, why: String::new() }.run(&noted)
         })?;
         Ok(Writer { notes: Some(notes), thread: Some(thread) })
     }
@@ -126,6 +126,8 @@
     wall: W,
     tell: T,
     store: Option<Store>,
+    /// The last number that is durable.
+    upto: u64,
     /// Why it failed last; empty while it works.
     why: String,
 }
@@ -138,9 +140,12 @@
         self.store(); // before anything is noted, so that a store that cannot be opened is told at once
         loop {
             ends = ends.or_else(|| self.gather(noted, &mut batch));
-            let done = batch.is_empty() || self.commit(&mut batch);
+            let done = match batch.is_empty() {
+                true => self.store().is_some(), // guards against one that nobody would try again
+                false => self.commit(&mut batch),
+            };
             if let Some(since) = ends {
-                if done && batch.is_empty() || !done && since.elapsed() > AT_END {
+                if batch.is_empty() || !done && since.elapsed() > AT_END {
                     break;
                 }
             }
@@ -187,6 +192,7 @@
                 Ok(store) => {
                     (self.tell)(Told::Opened { epoch: store.epoch() });
                     self.store = Some(store);
+                    self.why.clear();
                 }
                 Err(e) => self.failed(&e),
             }
@@ -206,9 +212,10 @@
         let Some(store) = self.store() else { return false };
         match store.commit(&batch.entries, &batch.written, &batch.broke) {
             Ok(()) => {
-                self.why.clear();
-                if let Some(last) = batch.entries.last() {
-                    (self.tell)(Told::Durable { upto: last.seq, entries: batch.entries.len() });
+                let failed = !std::mem::take(&mut self.why).is_empty();
+                self.upto = batch.entries.last().map_or(self.upto, |e| e.seq);
+                if failed || !batch.entries.is_empty() {
+                    (self.tell)(Told::Durable { upto: self.upto, entries: batch.entries.len() });
                 }
                 *batch = Batch::default();
                 true
--- a/crates/ledger/tests/store.rs
+++ b/crates/ledger/tests/store.rs
@@ -265,7 +265,7 @@
 fn one_of_a_thousand_tenants_sends_nine_tenths_and_all_are_counted_to_the_unit() {
     let dir = tempdir().unwrap();
     let mut store = open(dir.path());
-    let tenant = |n: u64| if n % 10 == 0 { format!("t{}", n / 10 % 1_000) } else { "flood".into() };
+    let tenant = |n: u64| if n.is_multiple_of(10) { format!("t{}", n / 10 % 1_000) } else { "flood".into() };
     let entries: Vec<_> = (1..=20_000).map(|n| entry(n, DECEMBER, &tenant(n), Answer::Served)).collect();
     let numbers: Vec<u64> = (1..=20_000).collect();
     for (entries, numbers) in entries.chunks(777).zip(numbers.chunks(777)) {
--- /dev/null
+++ b/src/billing.rs
@@ -0,0 +1,152 @@
+//! The ledger beside the core: final answers become entries, and the writer's word lets them go.
+//!
+//! All that is decided stands in `streamusher_ledger::gate`; the disk is touched on the writer's thread alone.
+
+use crate::config::operators::LedgerConfig;
+use crate::core::{Account, Booking, Bookkeeper, Ended};
+use crate::interface::Micros;
+use crate::runtime::Hub;
+use slog::{info, warn, Logger};
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+use streamusher_ledger::entry::{key_hash, Answer, Entry};
+use streamusher_ledger::gate::{Gate, Verdict};
+use streamusher_ledger::store::Options;
+use streamusher_ledger::writer::{Duties, Note, Told, Writer};
+
+/// Entries that may wait to be written: some 6 MB.
+const MOST_WAITING: usize = 16_384;
+/// Under which name operations are booked where no tenants are listed.
+const NOBODY: &str = "unassigned";
+
+/// Books final answers in a ledger.
+pub(crate) struct Billing {
+    gate: RefCell<Gate>,
+    writer: RefCell<Option<Writer>>,
+    key: [u8; 32],
+    classes: Vec<Arc<str>>,
+    nobody: Arc<str>,
+    log: Logger,
+}
+
+/// Unix time by the system's clock, in microseconds. Entries are booked by it, and it may step.
+pub(crate) fn wall() -> Micros {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros)
+}
+
+/// Has all final answers booked from now on.
+pub(crate) fn attach(hub: &Rc<Hub>, config: LedgerConfig, name: &str) -> Result<Rc<Billing>, String> {
+    let instance = config.instance.clone().unwrap_or_else(|| name.to_string());
+    crate::config::operators::check_instance(&instance)?;
+    let key = config.key(true)?;
+    let options = Options {
+        dir: config.dir.clone(),
+        instance,
+        span: config.period,
+        key,
+        most_bytes: (config.max_mb > 0).then_some(config.max_mb << 20),
+    };
+    let duties = Duties { lateness_us: config.lateness_s * 1_000_000, doubts: config.doubts.rule() };
+    let (tell, told) = async_channel::unbounded();
+    let writer = Writer::start(options, duties, wall, move |t| drop(tell.try_send(t)));
+    let writer = writer.map_err(|e| format!("[ledger]: no thread for it: {e}"))?;
+    let billing = Rc::new(Billing {
+        gate: RefCell::new(Gate::new(config.on_failure, config.hold_ms * 1_000, MOST_WAITING)),
+        writer: RefCell::new(Some(writer)),
+        key,
+        classes: hub.classes.iter().map(|c| Arc::from(c.name.as_str())).collect(),
+        nobody: Arc::from(NOBODY),
+        log: hub.log.clone(),
+    });
+    hub.with(|core, _| core.attach_bookkeeper(billing.clone()));
+    let (heard, all) = (hub.clone(), billing.clone());
+    hub.spawn(async move {
+        while let Ok(told) = told.recv().await {
+            all.hear(&heard, told);
+        }
+    });
+    Ok(billing)
+}
+
+impl Billing {
+    fn hear(&self, hub: &Hub, told: Told) {
+        match told {
+            Told::Opened { epoch } => {
+                self.gate.borrow_mut().works();
+                info!(self.log, "the ledger is open"; "epoch" => epoch);
+            }
+            Told::Durable { upto, entries } => {
+                let was_trusted = self.gate.borrow().is_trusted();
+                self.gate.borrow_mut().durable(upto, entries);
+                if !was_trusted {
+                    info!(self.log, "the ledger is written again"; "upto" => upto);
+                }
+                hub.with(|core, _| core.durable(upto));
+            }
+            Told::Failed(why) => {
+                self.gate.borrow_mut().failed();
+                warn!(self.log, "the ledger cannot be written"; "why" => why);
+                hub.with(|core, _| core.hold_no_longer());
+            }
+            Told::Closed(closed) => {
+                for c in closed {
+                    info!(self.log, "a period was closed"; "period" => %c.period);
+                }
+            }
+        }
+    }
+
+    /// Has all that was noted written, as far as the disk allows. Nothing is booked after it.
+    pub(crate) fn end(&self) {
+        drop(self.writer.borrow_mut().take());
+    }
+
+    fn note(&self, note: Note) {
+        self.writer.borrow().iter().for_each(|w| w.note(note.clone()));
+    }
+}
+
+impl Bookkeeper for Billing {
+    fn takes_work(&self) -> bool {
+        self.gate.borrow().takes_work()
+    }
+
+    fn book(&self, now: Micros, by: Micros, a: &Account) -> Booking {
+        let (seq, until) = match self.gate.borrow_mut().book(now, by) {
+            Verdict::Hold { seq, until } => (seq, until),
+            Verdict::Unbooked => return Booking::Unbooked,
+        };
+        self.note(Note::Entry(Entry {
+            seq,
+            time_us: wall(),
+            operation: a.operation.to_string(),
+            tenant: a.tenant.unwrap_or(&self.nobody).clone(),
+            class: self.classes[a.class.0 as usize].clone(),
+            answer: match a.ended {
+                Ended::Served => Answer::Served,
+                Ended::Busy => Answer::Busy,
+                Ended::Failed => Answer::Failed,
+                Ended::Gone => Answer::Gone,
+            },
+            joined: a.joined,
+            slots_milli: (a.slots * 1_000.0).round() as u32, // saturates
+            run_us: a.run_us,
+            wasted_us: a.wasted_us,
+            attempts: a.attempts,
+            key: a.idempotency_key.map(|k| key_hash(&self.key, k)),
+        }));
+        Booking::Hold { number: seq, until }
+    }
+
+    fn overdue(&self, number: u64) {
+        if self.gate.borrow_mut().overdue(number) {
+            warn!(self.log, "an answer went out before it was known to be booked"; "number" => number);
+        }
+    }
+
+    fn written(&self, number: u64, whole: bool) {
+        self.note(if whole { Note::Written(number) } else { Note::Broke(number) });
+    }
+}
--- a/src/config.rs
+++ b/src/config/mod.rs
@@ -2,7 +2,10 @@
 //!
 //! The platform's configuration is the JSON file that `NODE_CONFIG` names; `NODE_NAME`, `NODE_LISTEN` and
 //! `NODE_DISCOVERY` go before its `name`, `listen` and `discovery`. On SIGHUP the file is read again, and its
-//! `discovery` goes first. The DRMAA front has a TOML file of its own.
+//! `discovery` goes first. What else there is stands in the operators' file, TOML: see [`operators`]. The DRMAA front
+//! may have a file of its own, which is that file's table.
+
+pub mod operators;
 
 use crate::inventory;
 use crate::net::discovery::List;
@@ -29,6 +32,10 @@
     pub(crate) setup: Setup,
     /// The DRMAA front and its workers, where they are wanted.
     pub drmaa: Option<Drmaa>,
+    /// Whose operations are taken, where that matters.
+    pub tenants: Option<operators::TenantsConfig>,
+    /// Where use is booked, if it is.
+    pub ledger: Option<operators::LedgerConfig>,
 }
 
 /// What the program may use.
@@ -116,25 +123,6 @@
     settings: Option<Setup>,
 }
 
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-struct DrmaaFile {
-    listen: Option<String>,
-    inventory: Option<String>,
-    #[serde(default = "max_jobs")]
-    max_jobs: usize,
-    #[serde(default = "keep_s")]
-    keep_s: f64,
-}
-
-fn max_jobs() -> usize {
-    2_048
-}
-
-fn keep_s() -> f64 {
-    60.0
-}
-
 impl Config {
     /// Reads all of it. `env` looks up a variable of the environment; `drmaa` names the file of that front.
     pub fn load(env: impl Fn(&str) -> Option<String>, drmaa: Option<&Path>) -> Result<Config, String> {
@@ -170,6 +158,8 @@
             known: file.known,
             setup,
             drmaa: None,
+            tenants: None,
+            ledger: None,
         })
     }
 }
@@ -200,24 +190,8 @@
 impl Drmaa {
     /// Reads the file of the DRMAA front and the inventory that it names, beside it.
     pub fn load(path: &Path) -> Result<Drmaa, String> {
-        let at = path.display();
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{at}: {e}"))?;
-        let file: DrmaaFile = toml::Deserializer::parse(&text)
-            .map_err(|e| e.to_string())
-            .and_then(keyed)
-            .map_err(|e| format!("{at}: {}", one_line(&e)))?;
-        let listen =
-            file.listen.map(|l| address("listen", &l)).transpose().map_err(|e| format!("{at}: {e}"))?;
-        if file.max_jobs == 0 {
-            return Err(format!("{at}: max_jobs: must be above 0"));
-        }
-        if !(0.0..=86_400.0).contains(&file.keep_s) {
-            return Err(format!("{at}: keep_s: must lie between 0 and 86400"));
-        }
-        let beside = |name: &String| path.parent().unwrap_or(Path::new(".")).join(name);
-        let workers = file.inventory.as_ref().map(|n| inventory::load(&beside(n))).transpose()?;
-        let workers = workers.unwrap_or_default();
-        Ok(Drmaa { listen, max_jobs: file.max_jobs, keep_s: file.keep_s, workers })
+        let file: operators::DrmaaFile = operators::decode(path)?;
+        file.check(path).map_err(|e| format!("{}: {e}", path.display()))
     }
 }
 
--- /dev/null
+++ b/src/config/operators.rs
@@ -0,0 +1,296 @@
+//! The operators' file: a table for each optional subsystem. What a table does not name is off.
+
+use super::{address, keyed, one_line, Config, Drmaa};
+use crate::core::tenants::Tenants;
+use crate::inventory;
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use streamusher_ledger::gate::OnFailure;
+use streamusher_ledger::period::Span;
+use streamusher_ledger::store::Settle;
+
+/// All that the file says.
+#[derive(Clone, Debug, Default)]
+pub struct Operators {
+    /// The DRMAA front and its workers.
+    pub drmaa: Option<Drmaa>,
+    /// Whose operations are taken.
+    pub tenants: Option<TenantsConfig>,
+    /// Where use is booked.
+    pub ledger: Option<LedgerConfig>,
+}
+
+/// The table `[tenants]`, checked.
+#[derive(Clone, Debug)]
+pub struct TenantsConfig {
+    /// The HTTP header that names an operation's tenant.
+    pub header: String,
+    /// The names.
+    pub tenants: Tenants,
+}
+
+/// The table `[ledger]`, checked.
+#[derive(Clone, Debug)]
+pub struct LedgerConfig {
+    /// Its folder.
+    pub dir: PathBuf,
+    /// The instance's name in exports; the program's own name, if none is given.
+    pub instance: Option<String>,
+    /// How long periods are.
+    pub period: Span,
+    /// A period is closed so many seconds after its end.
+    pub lateness_s: u64,
+    /// What becomes of new work while nothing can be booked.
+    pub on_failure: OnFailure,
+    /// How doubts are settled when their period is closed.
+    pub doubts: Doubts,
+    /// How long an answer waits for the disk, in milliseconds.
+    pub hold_ms: u64,
+    /// The most that the store's file may take, in MB; 0 for no bound.
+    pub max_mb: u64,
+    key_file: Option<PathBuf>,
+}
+
+/// How doubts are settled when their period is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Doubts {
+    /// They wait for the operators.
+    Hold,
+    /// As served.
+    Bill,
+    /// As not served.
+    Waive,
+}
+
+impl Doubts {
+    /// The rule, if there is one.
+    pub fn rule(self) -> Option<Settle> {
+        match self {
+            Doubts::Hold => None,
+            Doubts::Bill => Some(Settle::Bill),
+            Doubts::Waive => Some(Settle::Waive),
+        }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct OperatorsFile {
+    drmaa: Option<DrmaaFile>,
+    tenants: Option<TenantsFile>,
+    ledger: Option<LedgerFile>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct DrmaaFile {
+    listen: Option<String>,
+    inventory: Option<String>,
+    #[serde(default = "max_jobs")]
+    max_jobs: usize,
+    #[serde(default = "keep_s")]
+    keep_s: f64,
+}
+
+fn max_jobs() -> usize {
+    2_048
+}
+
+fn keep_s() -> f64 {
+    60.0
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Unlisted {
+    Refuse,
+    Book,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TenantsFile {
+    #[serde(default = "header")]
+    header: String,
+    #[serde(default = "refuse")]
+    unlisted: Unlisted,
+    #[serde(default = "unassigned")]
+    default: String,
+    #[serde(default)]
+    list: Vec<String>,
+    #[serde(default)]
+    renamed: BTreeMap<String, String>,
+}
+
+fn header() -> String {
+    "X-Tenant".into()
+}
+
+fn refuse() -> Unlisted {
+    Unlisted::Refuse
+}
+
+fn unassigned() -> String {
+    "unassigned".into()
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct LedgerFile {
+    dir: PathBuf,
+    instance: Option<String>,
+    #[serde(default = "month")]
+    period: Span,
+    #[serde(default = "lateness_s")]
+    lateness_s: u64,
+    #[serde(default = "refuse_work")]
+    on_failure: OnFailure,
+    #[serde(default = "hold")]
+    doubts: Doubts,
+    #[serde(default = "hold_ms")]
+    hold_ms: u64,
+    #[serde(default)]
+    max_mb: u64,
+    key_file: Option<PathBuf>,
+}
+
+fn month() -> Span {
+    Span::Month
+}
+
+fn lateness_s() -> u64 {
+    300
+}
+
+fn refuse_work() -> OnFailure {
+    OnFailure::Refuse
+}
+
+fn hold() -> Doubts {
+    Doubts::Hold
+}
+
+fn hold_ms() -> u64 {
+    250
+}
+
+/// A table of the file, decoded; messages name file and key.
+pub(super) fn decode<T: serde::de::DeserializeOwned>(path: &Path) -> Result<T, String> {
+    let at = path.display();
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{at}: {e}"))?;
+    let file = toml::Deserializer::parse(&text).map_err(|e| e.to_string()).and_then(keyed);
+    file.map_err(|e| format!("{at}: {}", one_line(&e)))
+}
+
+impl Operators {
+    /// Reads it, and the files that it names beside it.
+    pub fn load(path: &Path) -> Result<Operators, String> {
+        let file: OperatorsFile = decode(path)?;
+        let at = |table: &str, e: String| format!("{}: {table}.{e}", path.display());
+        Ok(Operators {
+            drmaa: file.drmaa.map(|d| d.check(path)).transpose().map_err(|e| at("drmaa", e))?,
+            tenants: file.tenants.map(TenantsFile::check).transpose().map_err(|e| at("tenants", e))?,
+            ledger: file.ledger.map(|l| l.check(path)).transpose().map_err(|e| at("ledger", e))?,
+        })
+    }
+
+    /// What it says, in a configuration.
+    pub fn into(self, config: &mut Config) {
+        config.drmaa = self.drmaa;
+        config.tenants = self.tenants;
+        config.ledger = self.ledger;
+    }
+}
+
+fn beside(path: &Path, name: &Path) -> PathBuf {
+    path.parent().unwrap_or(Path::new(".")).join(name)
+}
+
+impl DrmaaFile {
+    pub(super) fn check(self, path: &Path) -> Result<Drmaa, String> {
+        let listen = self.listen.map(|l| address("listen", &l)).transpose()?;
+        if self.max_jobs == 0 {
+            return Err("max_jobs: must be above 0".into());
+        }
+        if !(0.0..=86_400.0).contains(&self.keep_s) {
+            return Err("keep_s: must lie between 0 and 86400".into());
+        }
+        let workers = self.inventory.as_ref().map(|n| inventory::load(&beside(path, Path::new(n))));
+        let workers = workers.transpose().map_err(|e| format!("inventory: {e}"))?.unwrap_or_default();
+        Ok(Drmaa { listen, max_jobs: self.max_jobs, keep_s: self.keep_s, workers })
+    }
+}
+
+/// Headers that mean something else already.
+const TAKEN: [&str; 8] = [
+    "host",
+    "connection",
+    "content-length",
+    "transfer-encoding",
+    "x-correlation-id",
+    "x-time-left-ms",
+    "idempotency-key",
+    "x-facts",
+];
+
+impl TenantsFile {
+    fn check(self) -> Result<TenantsConfig, String> {
+        let token = |b: u8| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b);
+        let taken = TAKEN.iter().any(|t| t.eq_ignore_ascii_case(&self.header));
+        if self.header.is_empty() || !self.header.bytes().all(token) || taken {
+            return Err(format!("header: not the name of a free header: {:?}", self.header));
+        }
+        let rest = matches!(self.unlisted, Unlisted::Book).then_some(self.default.as_str());
+        let renamed: Vec<(String, String)> = self.renamed.into_iter().collect();
+        let tenants = Tenants::new(&self.list, &renamed, rest).map_err(|e| format!("list: {e}"))?;
+        Ok(TenantsConfig { header: self.header, tenants })
+    }
+}
+
+/// Instances' names stand in names of files.
+pub(crate) fn check_instance(name: &str) -> Result<(), String> {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b"-.".contains(&b);
+    match !name.is_empty() && name.len() <= 64 && !name.starts_with('.') && name.bytes().all(plain) {
+        true => Ok(()),
+        false => Err(format!("ledger.instance: letters, digits, '-' and '.' alone, 64 at most: {name:?}")),
+    }
+}
+
+impl LedgerFile {
+    fn check(self, path: &Path) -> Result<LedgerConfig, String> {
+        if let Some(name) = &self.instance {
+            check_instance(name).map_err(|e| e.trim_start_matches("ledger.").to_string())?;
+        }
+        if !(10..=31 * 86_400).contains(&self.lateness_s) {
+            return Err("lateness_s: must lie between 10 and 2678400".into());
+        }
+        if !(1..=10_000).contains(&self.hold_ms) {
+            return Err("hold_ms: must lie between 1 and 10000".into());
+        }
+        Ok(LedgerConfig {
+            dir: beside(path, &self.dir),
+            instance: self.instance,
+            period: self.period,
+            lateness_s: self.lateness_s,
+            on_failure: self.on_failure,
+            doubts: self.doubts,
+            hold_ms: self.hold_ms,
+            max_mb: self.max_mb,
+            key_file: self.key_file.map(|k| beside(path, &k)),
+        })
+    }
+}
+
+impl LedgerConfig {
+    /// The key of MACs and of idempotency keys' hashes. One that no file is named for lies in the ledger's folder,
+    /// and is made at the first start.
+    pub fn key(&self, make: bool) -> Result<[u8; 32], String> {
+        let path = self.key_file.clone().unwrap_or_else(|| self.dir.join("ledger.key"));
+        if make && self.key_file.is_none() && !path.exists() {
+            streamusher_ledger::key::make(&path)?;
+        }
+        streamusher_ledger::key::load(&path)
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -15,7 +15,8 @@
 //! #[derive(Default)]
 //! struct Desk(RefCell<Option<Answer>>);
 //! impl Front for Desk {
-//!     fn answer(&self, _ticket: u64, answer: &Answer) {
+//!     fn answer(&self, _ticket: u64, answer: &Answer, receipt: Receipt) {
+//!         receipt.written();
 //!         *self.0.borrow_mut() = Some(answer.clone());
 //!     }
 //! }
@@ -54,10 +55,16 @@
 //! # }
 //! ```
 
+mod booking;
 mod operation;
+pub mod tenants;
 
+pub use booking::{Account, Booking, Bookkeeper, Ended, Receipt};
 pub use operation::*;
 
+use booking::{Held, Used, Waiter};
+use tenants::{NoTenant, Tenants};
+
 use crate::counters::Counters;
 use crate::interface::*;
 use crate::settings::{mark, Site};
@@ -70,6 +77,10 @@
 /// Kept back of a client's time, so that the last byte of an answer lands before the client gives up: the way
 /// to the client and a slow moment of this machine.
 const MARGIN_US: Micros = 25_000;
+/// Kept back besides where answers are booked first, for the disk; an eighth of the client's time at most.
+const BOOKING_US: Micros = 50_000;
+/// Of what is kept back, the part that an answer still needs to its client once it is let go.
+const WAY_US: Micros = 15_000;
 /// Most results kept for repeats of keyed operations, in bytes.
 const KEPT_BYTES: usize = 8 << 20;
 /// Most keyed operations remembered.
@@ -91,20 +102,28 @@
 enum Due {
     Module(u64),
     Deadline(JobId),
+    /// A held answer goes out.
+    Held(u64),
 }
 
 struct RouteStep {
     worker: WorkerId,
     sent: Micros,
+    started: Option<Micros>,
+    ended_at: Option<Micros>,
     ended: bool,
     ran: bool,
 }
 
 struct Entered {
     operation: Arc<Operation>,
-    waiting: Vec<(Rc<dyn Front>, u64)>,
+    waiting: Vec<Waiter>,
     steps: Vec<RouteStep>,
+    /// The step whose result is the answer.
+    winner: Option<usize>,
     deadline: Micros,
+    /// The last moment for an answer that is held.
+    by: Micros,
     answered: bool,
     started: bool,
 }
@@ -141,6 +160,10 @@
     next_job: u64,
     inputs: Vec<Input>,
     owed: usize,
+    keeper: Option<Rc<dyn Bookkeeper>>,
+    /// Answers whose entries are not durable yet, by their numbers.
+    held: BTreeMap<u64, Held>,
+    tenants: Option<Tenants>,
     /// All is to be answered by then: the program ends.
     last_call: Micros,
     /// What was taken in, sent and answered.
@@ -180,6 +203,9 @@
             next_job: 0,
             inputs: Vec::new(),
             owed: 0,
+            keeper: None,
+            held: BTreeMap::new(),
+            tenants: None,
             last_call: Micros::MAX,
             counters: Counters::default(),
         }
@@ -196,6 +222,11 @@
         self.sources.push(source);
     }
 
+    /// Takes operations only for these tenants from now on.
+    pub fn set_tenants(&mut self, tenants: Tenants) {
+        self.tenants = Some(tenants);
+    }
+
     /// The class of this name.
     pub fn class(&self, name: &str) -> Option<ClassId> {
         self.site.classes.known(name).map(ClassId)
@@ -218,13 +249,34 @@
 
     /// Operations that still owe a final answer.
     pub fn owed(&self) -> usize {
-        self.owed
+        self.owed + self.held.len()
     }
 
     /// Takes an operation; `front` gets its one final answer under the number `ticket`.
     pub fn submit(
-        &mut self, now: Micros, operation: Operation, front: Rc<dyn Front>, ticket: u64,
+        &mut self, now: Micros, mut operation: Operation, front: Rc<dyn Front>, ticket: u64,
     ) -> Result<JobId, NotTaken> {
+        if let Some(tenants) = &self.tenants {
+            operation.tenant =
+                Some(tenants.resolve(operation.tenant.as_deref()).map_err(|why| match why {
+                    NoTenant::Malformed => NotTaken::BadTenant,
+                    NoTenant::Unlisted => NotTaken::Unlisted,
+                })?);
+        }
+        if self.keeper.as_ref().is_some_and(|k| !k.takes_work()) {
+            self.counters.refused_unbilled += 1;
+            return Err(NotTaken::Unbilled);
+        }
+        let waiter = |joined| Waiter {
+            front: front.clone(),
+            ticket,
+            id: operation.id.clone(),
+            tenant: operation.tenant.clone(),
+            joined,
+        };
+        let kept_back = self.kept_back(operation.left_us);
+        let deadline = now.saturating_add(operation.left_us.saturating_sub(kept_back)).min(self.last_call);
+        let by = deadline.saturating_add(kept_back.saturating_sub(WAY_US));
         let key = operation.idempotency_key.clone().filter(|_| self.joins_repeats);
         let key = key.filter(|_| self.is_keyed(operation.class)).map(|k| (operation.class.0, k));
         if let Some(kept) = key.as_ref().and_then(|k| self.kept.get(k)).filter(|k| now < k.until) {
@@ -237,12 +289,14 @@
                     if entered.started {
                         front.started(ticket);
                     }
-                    entered.waiting.push((front, ticket));
+                    entered.waiting.push(waiter(true));
                 }
                 (answer, _) => {
                     let answer = answer.unwrap_or(Answer::Failed { late: false });
-                    self.counters.answer(&answer);
-                    front.answer(ticket, &answer);
+                    let key = operation.idempotency_key.clone();
+                    let used = Used::nothing(operation.class, operation.slots, key, by);
+                    let waiter = waiter(true);
+                    self.give(now, &used, waiter, &answer);
                 }
             }
             return Ok(job);
@@ -257,21 +311,26 @@
         self.next_job += 1;
         self.counters.operations += 1;
         self.owed += 1;
-        let deadline = now.saturating_add(operation.left_us.saturating_sub(MARGIN_US)).min(self.last_call);
         self.at(deadline, Due::Deadline(job));
         self.by_id.insert(operation.id.clone(), job);
         if let Some(key) = key {
             self.forget_old_keys(now);
             self.kept.insert(key, Kept { job, until: Micros::MAX, answer: None });
         }
-        let (operation, waiting) = (Arc::new(operation), vec![(front, ticket)]);
+        let (waiting, operation) = (vec![waiter(false)], Arc::new(operation));
+        let (steps, winner) = (Vec::new(), None);
         let entered =
-            Entered { operation, waiting, steps: Vec::new(), deadline, answered: false, started: false };
+            Entered { operation, waiting, steps, winner, deadline, by, answered: false, started: false };
         self.operations.insert(job, entered);
         self.inputs.push(Input::Arrived(job));
         Ok(job)
     }
 
+    /// Kept back of a client's time.
+    fn kept_back(&self, left_us: Micros) -> Micros {
+        MARGIN_US + self.keeper.as_ref().map_or(0, |_| BOOKING_US.min(left_us / 8))
+    }
+
     /// Whatever is in hand, or still comes, is answered by then. Guards against operations that a stop would leave
     /// without an answer, as their clients would wait for longer than the program may go on.
     pub fn answer_all_by(&mut self, when: Micros) {
@@ -279,21 +338,25 @@
         let mut cut = Vec::new();
         for (job, entered) in self.operations.iter_mut().filter(|(_, o)| !o.answered && o.deadline > when) {
             entered.deadline = when;
+            entered.by = entered.by.min(when.saturating_add(BOOKING_US));
             cut.push(*job);
         }
         cut.into_iter().for_each(|job| self.at(when, Due::Deadline(job)));
     }
 
     /// The client behind one ticket has gone away; others may still wait for the same operation.
-    pub fn gone(&mut self, job: JobId, front: &Rc<dyn Front>, ticket: u64) {
+    pub fn gone(&mut self, now: Micros, job: JobId, front: &Rc<dyn Front>, ticket: u64) {
         let Some(entered) = self.operations.get_mut(&job).filter(|o| !o.answered) else { return };
-        let Some(at) = entered.waiting.iter().position(|(f, t)| *t == ticket && Rc::ptr_eq(f, front)) else {
+        let is_it = |w: &Waiter| w.ticket == ticket && Rc::ptr_eq(&w.front, front);
+        let Some(at) = entered.waiting.iter().position(is_it) else {
             return;
         };
-        entered.waiting.remove(at);
+        let waiter = entered.waiting.remove(at);
         // Counted here: a result may come in the same batch, before the decisions hear of the leaving.
         self.counters.clients_gone += 1;
-        if entered.waiting.is_empty() {
+        let (nobody, used) = (entered.waiting.is_empty(), entered.used(now));
+        self.book_gone(now, &used, &waiter);
+        if nobody {
             self.inputs.push(Input::Gone(job));
         }
     }
@@ -342,6 +405,10 @@
             self.inputs.push(match due {
                 Due::Module(token) => Input::Timer(token),
                 Due::Deadline(job) => Input::Deadline(job),
+                Due::Held(number) => {
+                    self.overdue(number);
+                    continue;
+                }
             });
         }
         let mut overdue = Vec::new();
@@ -378,7 +445,7 @@
                 Event::Arrived(Request {
                     job,
                     class: o.class,
-                    tenant: None,
+                    tenant: o.tenant.as_deref().and_then(|t| self.site.tenants.known(t)).map(TenantId),
                     expires_in_us: entered.deadline.saturating_sub(now),
                     hint_us: None,
                     slots: o.slots,
@@ -422,12 +489,16 @@
         Some(match news {
             StepNews::Started => {
                 entered.started = true;
-                entered.waiting.iter().for_each(|(front, ticket)| front.started(*ticket));
+                s.started = s.started.or(Some(now));
+                entered.waiting.iter().for_each(|w| w.front.started(w.ticket));
                 Event::Started { job, attempt }
             }
             StepNews::Progress(done) => Event::Progress { job, attempt, done },
             StepNews::Ended(ending, report) => {
-                (s.ended, s.ran) = (true, ending.may_have_run());
+                (s.ended, s.ran, s.ended_at) = (true, ending.may_have_run(), Some(now));
+                if matches!(ending, Ending::Served(_)) {
+                    entered.winner = Some(attempt as usize);
+                }
                 self.counters.ending(&ending);
                 let code = ending.code();
                 if let Ending::Served(result) = ending {
@@ -498,7 +569,14 @@
         // A worker gets one attempt of an operation at a time: one to its earlier life died with it.
         let earlier = entered.steps.iter().position(|s| s.worker == worker && !s.ended);
         let useless = entered.answered || now >= entered.deadline;
-        entered.steps.push(RouteStep { worker, sent: now, ended: false, ran: false });
+        entered.steps.push(RouteStep {
+            worker,
+            sent: now,
+            started: None,
+            ended_at: None,
+            ended: false,
+            ran: false,
+        });
         if let Some(attempt) = earlier.map(|a| a as u32) {
             let step = StepId { job, attempt };
             self.call_off(step);
@@ -523,10 +601,8 @@
     /// The one place that hands out final answers, once an operation.
     fn finish(&mut self, now: Micros, job: JobId, answer: Answer) {
         let Some(entered) = self.operations.get_mut(&job).filter(|o| !o.answered) else { return };
-        for (front, ticket) in std::mem::take(&mut entered.waiting) {
-            self.counters.answer(&answer);
-            front.answer(ticket, &answer);
-        }
+        let (waiting, used) = (std::mem::take(&mut entered.waiting), entered.used(now));
+        waiting.into_iter().for_each(|waiter| self.give(now, &used, waiter, &answer));
         self.close(now, job, answer);
     }
 
--- a/src/core/operation.rs
+++ b/src/core/operation.rs
@@ -12,6 +12,8 @@
     pub class: ClassId,
     /// What it is about, as workers get to see it: a path, with the query if there is one.
     pub target: String,
+    /// Whose it is, as the client says; booked under the name that this stands for.
+    pub tenant: Option<Arc<str>>,
     /// The subject, which places work for the same data set together.
     pub subject: Option<String>,
     /// What repeats of it have in common, where its class is keyed.
@@ -105,6 +107,12 @@
     SameId,
     /// As many operations as the settings allow are in hand.
     Full,
+    /// What its client calls its tenant is no name.
+    BadTenant,
+    /// Its tenant is not listed, or it names none.
+    Unlisted,
+    /// Answers cannot be booked, and the operators' file says to take no work then.
+    Unbilled,
 }
 
 /// News of a route step, as a driver tells it.
@@ -141,8 +149,9 @@
 
 /// Takes the answers for operations that came in by one front.
 pub trait Front {
-    /// The final answer for the operation that this front numbered `ticket`. Called once; must not block.
-    fn answer(&self, ticket: u64, answer: &Answer);
+    /// The final answer for the operation that this front numbered `ticket`. Called once; must not block. The
+    /// receipt is to be told when the answer is written to the last byte.
+    fn answer(&self, ticket: u64, answer: &Answer, receipt: super::Receipt);
 
     /// A worker has begun to run the operation. May come more than once, for several attempts.
     fn started(&self, _ticket: u64) {}
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -43,6 +43,12 @@
     pub failed: u64,
     /// Operations failed as their time was up.
     pub failed_late: u64,
+    /// Operations not taken as answers could not be booked.
+    pub refused_unbilled: u64,
+    /// Answers that went out before they were known to be booked.
+    pub answers_before_booked: u64,
+    /// Answers that were not booked.
+    pub answers_unbooked: u64,
     /// Operations whose clients went away.
     pub clients_gone: u64,
     /// Route steps by how they ended.
--- a/src/drmaa/front.rs
+++ b/src/drmaa/front.rs
@@ -2,7 +2,7 @@
 
 use super::{from_hex, line, Call, Error, JobInfo, JobState, JobTemplate, Said, What, LINE};
 use crate::config::Drmaa;
-use crate::core::{Answer, Front, Operation};
+use crate::core::{Answer, Front, NotTaken, Operation, Receipt};
 use crate::interface::{JobId, Micros};
 use crate::net::http::{Conn, BODY};
 use crate::runtime::Hub;
@@ -32,8 +32,10 @@
     /// Dropped and made anew at each change of state, which wakes all who wait.
     changed: (Sender<()>, Receiver<()>),
     /// The session that ran it, for notifications.
-    session: Sender<Vec<u8>>,
+    session: Sender<Said>,
     bytes: usize,
+    /// To be told once a session has been told how the job ended.
+    receipt: Receipt,
 }
 
 impl Job {
@@ -50,7 +52,7 @@
             job_state: Some(state),
             ..Said::default()
         };
-        let _ = self.session.try_send(line(&said)); // a session that does not read misses it
+        let _ = self.session.try_send(said); // a session that does not read misses it
     }
 }
 
@@ -68,10 +70,11 @@
 }
 
 impl Front for JobTable {
-    fn answer(&self, ticket: u64, answer: &Answer) {
+    fn answer(&self, ticket: u64, answer: &Answer, receipt: Receipt) {
         let now = self.seconds();
         let mut jobs = self.jobs.borrow_mut();
         let Some(job) = jobs.get_mut(&ticket).filter(|j| !j.is_over()) else { return };
+        job.receipt = receipt;
         job.info.finish_time = Some(now);
         let state = match answer {
             Answer::Served(result) => {
@@ -138,7 +141,7 @@
         }
     }
 
-    fn run_job(&self, template: serde_json::Value, session: &Sender<Vec<u8>>) -> Reply {
+    fn run_job(&self, template: serde_json::Value, session: &Sender<Said>) -> Reply {
         let template = read_template(template)?;
         let name = template.job_name.clone();
         let number = self.next.get();
@@ -163,7 +166,14 @@
             retry_after: None,
         };
         let bytes = operation.body.len();
-        let job = Job { info, operation: None, changed: bounded(1), session: session.clone(), bytes };
+        let job = Job {
+            info,
+            operation: None,
+            changed: bounded(1),
+            session: session.clone(),
+            bytes,
+            receipt: Receipt::default(),
+        };
         self.jobs.borrow_mut().insert(number, job);
         let front = self.front();
         match self.hub.with(|core, now| core.submit(now, operation, front, number)) {
@@ -174,9 +184,14 @@
                 }
                 Ok(Said { job_id: Some(job_id), ..Said::default() })
             }
-            Err(_) => {
+            Err(why) => {
                 self.jobs.borrow_mut().remove(&number);
-                refuse(Error::TryLater, "too many operations")
+                match why {
+                    NotTaken::SameId | NotTaken::Full => refuse(Error::TryLater, "too many operations"),
+                    NotTaken::Unbilled => refuse(Error::TryLater, "use cannot be booked now"),
+                    NotTaken::BadTenant => refuse(Error::InvalidArgument, "accountingId: no name"),
+                    NotTaken::Unlisted => refuse(Error::DeniedByDrms, "accountingId: no such tenant"),
+                }
             }
         }
     }
@@ -241,6 +256,7 @@
             // Apart from what clients of the other front choose.
             id: format!("drmaa-{:x}-{number}", self.hub.start()),
             class,
+            tenant: t.accounting_id.map(Into::into),
             subject: parts.filter(|p| !p.is_empty()).last().map(str::to_string),
             target: t.remote_command,
             idempotency_key: key,
@@ -273,7 +289,7 @@
             return refuse(Error::InvalidState, "the job is over");
         };
         let front = self.front();
-        self.hub.with(|core, _| core.gone(operation, &front, number));
+        self.hub.with(|core, now| core.gone(now, operation, &front, number));
         Ok(Said::default())
     }
 
@@ -305,9 +321,18 @@
         future::or(reached, late).await
     }
 
+    /// A session was told this. How a job ended is known to its client once a session was told all of it.
+    fn told(&self, said: &Said) {
+        let over = |i: &&JobInfo| matches!(i.job_state, JobState::Done | JobState::Failed);
+        let Some(info) = said.job_info.as_ref().filter(over) else { return };
+        if let Ok(receipt) = self.look(&info.job_id, |job| std::mem::take(&mut job.receipt)) {
+            receipt.written();
+        }
+    }
+
     /// One call; those that wait are answered from a task of their own.
     fn call(
-        &self, call: Call, session: &Sender<Vec<u8>>, ended: &Receiver<()>, waits: &Rc<Cell<usize>>,
+        &self, call: Call, session: &Sender<Said>, ended: &Receiver<()>, waits: &Rc<Cell<usize>>,
     ) -> Option<Reply> {
         Some(match call.what {
             What::RunJob { job_template } => self.run_job(job_template, session),
@@ -347,7 +372,7 @@
 
     #[allow(clippy::too_many_arguments)]
     fn answer_later(
-        &self, seq: u64, id: String, timeout: f64, until_started: bool, session: &Sender<Vec<u8>>,
+        &self, seq: u64, id: String, timeout: f64, until_started: bool, session: &Sender<Said>,
         ended: &Receiver<()>, waits: &Rc<Cell<usize>>,
     ) {
         let me = self.me.upgrade().expect("called through an Rc");
@@ -371,11 +396,11 @@
     async fn session(&self, stream: Async<TcpStream>) {
         enum Turn {
             Call(Vec<u8>),
-            Say(Vec<u8>),
+            Say(Box<Said>),
             End(Option<&'static str>),
         }
         let mut conn = Conn::new(stream);
-        let (say, to_say) = bounded::<Vec<u8>>(QUEUE);
+        let (say, to_say) = bounded::<Said>(QUEUE);
         let (_open, ended) = bounded::<()>(1);
         let waits = Rc::new(Cell::new(0));
         loop {
@@ -386,13 +411,16 @@
                     Err(_) => Turn::End(None),
                 }
             };
-            let turn =
-                future::or(async { to_say.recv().await.map_or(Turn::End(None), Turn::Say) }, call).await;
+            let turn = future::or(
+                async { to_say.recv().await.map_or(Turn::End(None), |s| Turn::Say(Box::new(s))) },
+                call,
+            )
+            .await;
             let text = match turn {
-                Turn::Say(text) => text,
+                Turn::Say(text) => *text,
                 Turn::End(None) => return,
                 Turn::End(Some(why)) => {
-                    let _ = conn.write(&said(0, refuse(Error::InvalidArgument, why))).await;
+                    let _ = conn.write(&line(&said(0, refuse(Error::InvalidArgument, why)))).await;
                     return;
                 }
                 Turn::Call(text) => match serde_json::from_slice::<Call>(&text) {
@@ -411,20 +439,21 @@
                     }
                 },
             };
-            if conn.write(&text).await.is_err() {
+            if conn.write(&line(&text)).await.is_err() {
                 return;
             }
+            self.told(&text);
         }
     }
 }
 
-fn said(seq: u64, reply: Reply) -> Vec<u8> {
+fn said(seq: u64, reply: Reply) -> Said {
     let said = reply.unwrap_or_else(|(error, why)| Said {
         error: Some(error),
         message: Some(why),
         ..Said::default()
     });
-    line(&Said { seq: Some(seq), ..said })
+    Said { seq: Some(seq), ..said }
 }
 
 /// Attributes that DRMAA v2 has and this front does not bear.
@@ -453,7 +482,7 @@
 ];
 
 fn read_template(template: serde_json::Value) -> Result<JobTemplate, (Error, String)> {
-    let known = ["remoteCommand", "jobCategory", "jobName", "minSlots", "deadlineTime"];
+    let known = ["remoteCommand", "jobCategory", "jobName", "minSlots", "deadlineTime", "accountingId"];
     for name in template.as_object().into_iter().flat_map(|t| t.keys()) {
         if UNSUPPORTED.contains(&name.as_str()) {
             return refuse(Error::UnsupportedAttribute, name.clone());
@@ -489,7 +518,7 @@
             match listener.accept().await {
                 // Over its share of descriptors the front turns sessions away, so that the rest is served.
                 Ok((stream, _)) if served.sessions.get() >= most => {
-                    let text = said(0, refuse(Error::TryLater, "too many sessions"));
+                    let text = line(&said(0, refuse(Error::TryLater, "too many sessions")));
                     let _ = futures_lite::AsyncWriteExt::write(&mut &stream, &text).await;
                 }
                 Ok((stream, _)) => {
--- a/src/drmaa/mod.rs
+++ b/src/drmaa/mod.rs
@@ -71,6 +71,9 @@
     pub(crate) job_category: Option<String>,
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(crate) job_name: Option<String>,
+    /// Whose it is.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) accounting_id: Option<String>,
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(crate) min_slots: Option<f64>,
     /// Unix time in seconds.
--- a/src/drmaa/worker.rs
+++ b/src/drmaa/worker.rs
@@ -160,6 +160,7 @@
         remote_command: operation.target.clone(),
         job_category: None,
         job_name: Some(operation.id.clone()),
+        accounting_id: operation.tenant.as_deref().map(str::to_string),
         min_slots: Some(operation.slots),
         deadline_time: Some(deadline_s),
         idempotency_key: operation.idempotency_key.clone(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -67,6 +67,8 @@
 //! ```
 
 mod balance;
+mod billing;
+mod command;
 pub mod config;
 pub mod core;
 pub mod counters;
--- a/src/middleware.rs
+++ b/src/middleware.rs
@@ -1,5 +1,6 @@
 //! The dispatcher as a tower layer, and so for axum: requests for a class of the settings are dispatched, all
-//! others go on to the service below.
+//! others go on to the service below. Whose a request is says a [`Tenant`] in its extensions, or the header that the
+//! operators' file names.
 //!
 //! ```no_run
 //! # use streamusher::{config::Config, handle::Handle, middleware::DispatchLayer, program};
@@ -16,6 +17,8 @@
 //! # }
 //! ```
 
+use crate::core::tenants::Tenant;
+use crate::core::Operation;
 use crate::handle::Handle;
 use crate::net::http::BODY;
 use crate::net::request::{self, Reply};
@@ -25,6 +28,7 @@
 use std::error::Error;
 use std::future::Future;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use tower_layer::Layer;
 use tower_service::Service;
@@ -102,11 +106,22 @@
         true => Reply::plain(413, "the body is over 64 KiB"),
         false => Reply::plain(400, "the body broke off"),
     })?;
+    let tenant = match head.extensions.get::<Tenant>() {
+        Some(Tenant(name)) => Some(name.clone()),
+        None => tenant(dispatcher, &head.headers)?,
+    };
     let get = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
     let body = body.to_bytes().to_vec();
     let operation = request::operation(&dispatcher.classes, method, target, get, body)?;
-    Ok(match dispatcher.call(operation).await {
-        Some(answer) => request::reply(answer),
-        None => Reply::plain(503, "not taken").with("Retry-After", "1".into()),
-    })
+    let answer = dispatcher.try_call(Operation { tenant, ..operation }).await;
+    Ok(answer.map_or_else(request::not_taken, request::reply))
+}
+
+/// Whose a request is, by the header that the operators' file names.
+fn tenant(dispatcher: &Handle, headers: &http::HeaderMap) -> Result<Option<Arc<str>>, Reply> {
+    let Some(name) = dispatcher.tenant_header.as_deref() else { return Ok(None) };
+    let values = headers.get_all(name).iter().map(|v| std::str::from_utf8(v.as_bytes()));
+    let values: Vec<&str> =
+        values.collect::<Result<_, _>>().map_err(|_| Reply::plain(400, "a header that is not text"))?;
+    request::tenant(values.into_iter())
 }
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -3,9 +3,9 @@
 use super::http::{self, Bad, Conn, Head};
 use super::load_from_json;
 use super::pool::no_descriptors;
-use super::request::{self, path, Reply};
+use super::request::{self, busy, path, Reply};
 use crate::config::Limits;
-use crate::core::{Ending, NotTaken, Operation, StepNews};
+use crate::core::{Ending, Operation, Receipt, StepNews};
 use crate::runtime::Hub;
 use async_channel::{bounded, Receiver, Sender};
 use async_io::{Async, Timer};
@@ -315,10 +315,6 @@
     Ok(Ok(Received { head, body, _held: held }))
 }
 
-fn busy(why: &str) -> Reply {
-    Reply::plain(503, why).with("Retry-After", "1".into())
-}
-
 async fn serve(hub: Rc<Hub>, stream: Async<TcpStream>, mut socket: FrontSocket) {
     let mut conn = Conn::new(stream);
     let mut by = Instant::now() + REQUEST;
@@ -338,11 +334,15 @@
         };
         let read = future::or(receive(&hub, &mut conn, &socket), future::or(late, given_up)).await;
         socket.is_at(At::Busy);
+        let mut receipt = Receipt::default();
         let (reply, close) = match read {
             Ok(Ok(Received { head, body, _held })) => {
                 match respond(&hub, &mut conn, &mut socket, &head, body).await {
                     // More that has come before the answer would have to wait: it is not taken up.
-                    Some(reply) => (reply, head.close || conn.has_input() && !socket.worker),
+                    Some((reply, booked)) => {
+                        receipt = booked;
+                        (reply, head.close || conn.has_input() && !socket.worker)
+                    }
                     None => return, // the client has gone away
                 }
             }
@@ -366,6 +366,7 @@
         if !written.await {
             return;
         }
+        receipt.written();
         if close {
             socket.is_at(At::Leaving);
             return future::or(linger(conn), socket.given_up()).await;
@@ -385,6 +386,7 @@
         200 => "OK",
         204 => "No Content",
         400 => "Bad Request",
+        403 => "Forbidden",
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
@@ -421,8 +423,8 @@
 /// Answers one request; none if its client has gone away.
 async fn respond(
     hub: &Rc<Hub>, conn: &mut Conn, socket: &mut FrontSocket, head: &Head, body: Vec<u8>,
-) -> Option<Reply> {
-    Some(match (path(&head.target), head.method.as_str()) {
+) -> Option<(Reply, Receipt)> {
+    let reply = match (path(&head.target), head.method.as_str()) {
         (CALL_BACKS, "POST") => {
             socket.is_worker();
             call_back(hub, &body)
@@ -432,27 +434,33 @@
         ("/up", "GET") => Reply::plain(200, "up"),
         ("/counters", "GET") => Reply::plain(200, &hub.with(|core, _| core.counters.line())),
         ("/up" | "/counters", _) => Reply::only("GET"),
-        _ => match request::operation(&hub.classes, &head.method, &head.target, |n| head.get(n), body) {
+        _ => match operation(hub, head, body) {
             Ok(operation) => return dispatch(hub, conn, socket, operation).await,
             Err(reply) => reply,
         },
-    })
+    };
+    Some((reply, Receipt::default()))
+}
+
+fn operation(hub: &Hub, head: &Head, body: Vec<u8>) -> Result<Operation, Reply> {
+    let tenant = hub.tenant_header.as_deref().map(|name| request::tenant(head.all(name)));
+    let operation = request::operation(&hub.classes, &head.method, &head.target, |n| head.get(n), body)?;
+    Ok(Operation { tenant: tenant.transpose()?.flatten(), ..operation })
 }
 
 async fn dispatch(
     hub: &Rc<Hub>, conn: &mut Conn, socket: &mut FrontSocket, operation: Operation,
-) -> Option<Reply> {
+) -> Option<(Reply, Receipt)> {
     let pending = match hub.submit(operation) {
         Ok(pending) => pending,
-        Err(NotTaken::SameId) => return Some(Reply::plain(409, "an operation of this id is in hand")),
-        Err(NotTaken::Full) => return Some(busy("too many operations")),
+        Err(why) => return Some((request::not_taken(why), Receipt::default())),
     };
     socket.proven = true;
     let answer = future::or(async { Some(pending.answer().await) }, async {
         conn.ended().await;
         None
     });
-    answer.await.map(request::reply)
+    answer.await.map(|(answer, receipt)| (request::reply(answer), receipt))
 }
 
 #[derive(Deserialize)]
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -60,7 +60,12 @@
 impl Head {
     /// The value of a header; the first, if there are several.
     pub fn get(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+        self.all(name).next()
+    }
+
+    /// The values of a header.
+    pub fn all<'a, 'n>(&'a self, name: &'n str) -> impl Iterator<Item = &'a str> + use<'a, 'n> {
+        self.headers.iter().filter(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
     }
 }
 
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -1,6 +1,6 @@
 //! What an HTTP request to a front means, and how an answer looks: for front sockets and the middleware.
 
-use crate::core::{Answer, Operation};
+use crate::core::{Answer, NotTaken, Operation};
 use crate::interface::{ClassId, Micros};
 use std::sync::Arc;
 
@@ -103,6 +103,7 @@
         id: id.to_string(),
         class: ClassId(class as u32),
         target: target.to_string(),
+        tenant: None,
         subject: parts.last().map(|p| p.to_string()),
         idempotency_key,
         slots,
@@ -111,6 +112,30 @@
     })
 }
 
+/// Whose an operation is, by the values of the header that names it.
+pub(crate) fn tenant<'a>(mut values: impl Iterator<Item = &'a str>) -> Result<Option<Arc<str>>, Reply> {
+    let tenant = values.next();
+    match values.next() {
+        Some(_) => Err(Reply::plain(400, "a header that must not come twice")),
+        None => Ok(tenant.map(Arc::from)),
+    }
+}
+
+/// How it looks that an operation was not taken.
+pub(crate) fn not_taken(why: NotTaken) -> Reply {
+    match why {
+        NotTaken::SameId => Reply::plain(409, "an operation of this id is in hand"),
+        NotTaken::Full => busy("too many operations"),
+        NotTaken::Unbilled => busy("use cannot be booked now"),
+        NotTaken::BadTenant => Reply::plain(400, "the tenant's name is none"),
+        NotTaken::Unlisted => Reply::plain(403, "no such tenant"),
+    }
+}
+
+pub(crate) fn busy(why: &str) -> Reply {
+    Reply::plain(503, why).with("Retry-After", "1".into())
+}
+
 /// Ids stand in paths of cancels and in call-backs: guards against one that would mean something else there.
 fn is_id(id: &str) -> bool {
     !id.is_empty()
--- a/src/program.rs
+++ b/src/program.rs
@@ -1,12 +1,9 @@
 //! The program around the library: arguments, configuration, log and exit code.
 
-use crate::config::Config;
+use crate::command::{self, Failure};
 use slog::{o, Drain, Logger};
-use std::path::PathBuf;
 use std::process::ExitCode;
 
-const USAGE: &str = "usage: streamusher [--drmaa FILE]";
-
 /// A log on standard error, a line a record.
 pub fn log() -> Logger {
     let plain = slog_term::PlainSyncDecorator::new(std::io::stderr());
@@ -15,23 +12,16 @@
 
 /// Runs the program. A mistake in arguments or configuration ends it with one line that names it.
 pub fn main(arguments: impl Iterator<Item = String>) -> ExitCode {
-    let done = options(arguments).and_then(|drmaa| {
-        let config = Config::load(|name| std::env::var(name).ok(), drmaa.as_deref())?;
-        crate::runtime::run(config, log())
-    });
-    match done {
+    match command::main(arguments) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(why) => {
+        Err(Failure::Usage(told)) => {
+            let _ = told.print(); // help goes to standard output, mistakes to standard error
+            ExitCode::from(told.exit_code() as u8)
+        }
+        Err(Failure::Error(why)) => {
             eprintln!("streamusher: {why}");
             ExitCode::FAILURE
         }
-    }
-}
-
-fn options(mut arguments: impl Iterator<Item = String>) -> Result<Option<PathBuf>, String> {
-    match (arguments.next().as_deref(), arguments.next(), arguments.next()) {
-        (None, ..) => Ok(None),
-        (Some("--drmaa"), Some(file), None) => Ok(Some(file.into())),
-        _ => Err(USAGE.into()),
+        Err(Failure::Findings) => ExitCode::from(3),
     }
 }
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -1,11 +1,11 @@
 //! What runs the core: one thread, its clock, the batch loop, signals and the orderly end.
 
 use crate::config::{Config, Reload};
-use crate::core::{Answer, Core, Front, Member, NotTaken, Operation};
+use crate::core::{Answer, Core, Front, Member, NotTaken, Operation, Receipt};
 use crate::interface::{JobId, Micros};
 use crate::net::request::ClassInfo;
 use crate::settings::Site;
-use crate::{drmaa, net};
+use crate::{billing, drmaa, net};
 use async_channel::{bounded, Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Timer;
@@ -47,6 +47,8 @@
     executor: Weak<LocalExecutor<'static>>,
     pub(crate) log: Logger,
     pub(crate) classes: Vec<ClassInfo>,
+    /// The header that names an operation's tenant, where that matters.
+    pub(crate) tenant_header: Option<String>,
     /// SIGTERM has come.
     pub(crate) stopping: Cell<bool>,
 }
@@ -110,11 +112,11 @@
     }
 }
 
-struct Waiting(Sender<Answer>);
+struct Waiting(Sender<(Answer, Receipt)>);
 
 impl Front for Waiting {
-    fn answer(&self, _ticket: u64, answer: &Answer) {
-        let _ = self.0.try_send(answer.clone());
+    fn answer(&self, _ticket: u64, answer: &Answer, receipt: Receipt) {
+        let _ = self.0.try_send((answer.clone(), receipt)); // the receipt of one who has left is dropped
     }
 }
 
@@ -123,18 +125,19 @@
     hub: Rc<Hub>,
     job: JobId,
     front: Rc<dyn Front>,
-    answer: Receiver<Answer>,
+    answer: Receiver<(Answer, Receipt)>,
 }
 
 impl Pending {
-    pub(crate) async fn answer(&self) -> Answer {
-        self.answer.recv().await.unwrap_or(Answer::Failed { late: false })
+    /// The answer, and the receipt that is to be told when it is written.
+    pub(crate) async fn answer(&self) -> (Answer, Receipt) {
+        self.answer.recv().await.unwrap_or((Answer::Failed { late: false }, Receipt::default()))
     }
 }
 
 impl Drop for Pending {
     fn drop(&mut self) {
-        self.hub.with(|core, _| core.gone(self.job, &self.front, 0));
+        self.hub.with(|core, now| core.gone(now, self.job, &self.front, 0));
     }
 }
 
@@ -164,8 +167,13 @@
         executor: Rc::downgrade(&executor),
         log: log.clone(),
         classes,
+        tenant_header: config.tenants.as_ref().map(|t| t.header.clone()),
         stopping: Cell::new(false),
     });
+    if let Some(t) = config.tenants {
+        hub.with(|core, _| core.set_tenants(t.tenants));
+    }
+    let billing = config.ledger.map(|l| billing::attach(&hub, l, &config.name)).transpose()?;
     let main = async {
         // Inside another program signals are that program's own.
         let signals = match calls {
@@ -205,7 +213,10 @@
         info!(log, "counters"; "counters" => hub.core.borrow().counters.line());
         Ok(())
     };
-    async_io::block_on(executor.run(main))
+    let done = async_io::block_on(executor.run(main));
+    drop(executor); // its tasks' answers that are not written yet are noted as such
+    billing.iter().for_each(|b| b.end());
+    done
 }
 
 /// Does what signals ask for, until one of them asks for the stop. Once that is under way it never comes back.
