Read inventories in every form with every mistake told; mend a ledger's log half written back

An inventory took a missing building for an empty one and told the first mistake only. The roster's package reads CSV in all its dialects and Ansible's YAML, INI and JSON with its precedence, tells every mistake with its place, compares and converts; the DRMAA front reads its workers through it. Its stack and its budget bound what nests or multiplies.

--- a/crates/ledger/src/store/mod.rs
+++ b/crates/ledger/src/store/mod.rs
@@ -97,6 +97,8 @@
         let mut store =
             Store::at(options, OpenFlags::SQLITE_OPEN_READ_WRITE | OpenFlags::SQLITE_OPEN_CREATE)?;
         store._lock = Some(lock);
+        store.checkpoint()?;
+        cut_off(&store.path)?;
         store.make(options)?;
         store.check_about(options)?;
         store.begin_epoch(now)?;
@@ -249,9 +251,21 @@
     }
 }
 
-/// Guards against a file that was cut off: the database itself notices only when it reads what is missing.
+/// The log of changes beside a store.
+fn log_of(path: &Path) -> PathBuf {
+    let mut log = path.as_os_str().to_owned();
+    log.push("-wal");
+    log.into()
+}
+
+/// Guards against a file that was cut off: the database itself notices only when it reads what is missing. While its
+/// log holds anything a file may be shorter than its head says: a crash in the middle of writing the log back leaves
+/// it so, and the log mends it.
 fn cut_off(path: &Path) -> Result<(), StoreError> {
     use std::io::Read;
+    if std::fs::metadata(log_of(path)).is_ok_and(|log| log.len() > 0) {
+        return Ok(());
+    }
     let Ok(mut file) = File::open(path) else { return Ok(()) };
     let length = file.metadata().map_err(|e| io(path, &e))?.len();
     if length == 0 {
@@ -274,9 +288,7 @@
 
 /// Guards against commits that were answered for and that the database would leave out without a word.
 fn no_commits_lost(path: &Path) -> Result<(), StoreError> {
-    let mut log = path.as_os_str().to_owned();
-    log.push("-wal");
-    match wal::commits_cut_off(Path::new(&log)) {
+    match wal::commits_cut_off(&log_of(path)) {
         Ok(0 | 1) => Ok(()),
         Ok(n) => {
             let what = format!("its log of changes is not what was written, {n} commits would be lost");
--- a/crates/ledger/tests/store.rs
+++ b/crates/ledger/tests/store.rs
@@ -219,6 +219,27 @@
     assert_eq!(opened(&bytes[..bytes.len() - 100]), Ok(40));
 }
 
+#[test]
+fn a_crash_in_the_middle_of_writing_the_log_back_is_mended() {
+    let dir = tempdir().unwrap();
+    let mut store = open(dir.path());
+    (0..20).for_each(|n| fill(&mut store, n * 100 + 1..=n * 100 + 100, DECEMBER));
+    let log = std::fs::read(dir.path().join("ledger.db-wal")).unwrap();
+    store.checkpoint().unwrap();
+    let whole = std::fs::read(dir.path().join(FILE)).unwrap();
+    // The head is written first: for a moment the file is shorter than it says.
+    let left = tempdir().unwrap();
+    std::fs::write(left.path().join(FILE), &whole[..whole.len() / 2 / 4_096 * 4_096]).unwrap();
+    std::fs::write(left.path().join("ledger.db-wal"), log).unwrap();
+    let sums = Store::command(left.path(), KEY).unwrap().sums(period("2026-12-01T00")).unwrap();
+    assert_eq!(sums.values().map(Use::entries).sum::<u64>(), 2_000);
+    assert_eq!(open(left.path()).verify(|_| {}).unwrap().entries, 2_000);
+    // Without its log the same file is cut off.
+    std::fs::write(left.path().join(FILE), &whole[..whole.len() / 2 / 4_096 * 4_096]).unwrap();
+    std::fs::remove_file(left.path().join("ledger.db-wal")).ok();
+    assert!(Store::command(left.path(), KEY).is_err());
+}
+
 #[test]
 fn a_changed_correction_or_seal_is_found() {
     let dir = tempdir().unwrap();
--- a/src/command/ledger.rs
+++ b/src/command/ledger.rs
@@ -16,6 +16,7 @@
 use streamusher_ledger::store::{Settle, Store};
 use streamusher_ledger::sums::Use;
 use streamusher_ledger::{key, receipts, scan};
+use streamusher_roster::host::Known;
 
 type Done = Result<(), Failure>;
 
@@ -146,7 +147,7 @@
 
 impl Place {
     fn operators(&self) -> Result<Option<Operators>, Failure> {
-        Ok(self.config.as_deref().map(Operators::load).transpose()?)
+        Ok(self.config.as_deref().map(|f| Operators::load(f, &Known::default())).transpose()?)
     }
 
     /// The store, and how long after its end a period may be closed.
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! The command line. `streamusher` alone is the platform's start, to the letter.
 
 mod ledger;
+mod servers;
 mod table;
 
 use crate::config::operators::Operators;
@@ -47,6 +48,8 @@
     Run(Run),
     /// Look at the ledger of use, correct it, close and export its periods, reconcile exports.
     Ledger(ledger::Ledger),
+    /// Check, show, compare and convert inventories of workers.
+    Servers(servers::Servers),
 }
 
 #[derive(Args)]
@@ -69,10 +72,11 @@
         Some(Command::Run(run)) => {
             let mut config = Config::load(env, None)?;
             if let Some(file) = run.config {
-                Operators::load(&file)?.into(&mut config);
+                Operators::load(&file, &config.known_names())?.into(&mut config);
             }
             Ok(crate::runtime::run(config, log())?)
         }
         Some(Command::Ledger(ledger)) => ledger.run(),
+        Some(Command::Servers(servers)) => servers.run(),
     }
 }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -7,13 +7,14 @@
 
 pub mod operators;
 
-use crate::inventory;
+use crate::core::Member;
 use crate::net::discovery::List;
 use crate::settings::Setup;
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
+use streamusher_roster::host::Known;
 
 /// Everything that the program is told at its start.
 pub struct Config {
@@ -108,7 +109,7 @@
     /// How long a job's information is kept after its end, in seconds.
     pub keep_s: f64,
     /// The workers to be driven.
-    pub workers: Vec<inventory::Host>,
+    pub workers: Vec<Member>,
 }
 
 #[derive(Deserialize, Default)]
@@ -129,10 +130,16 @@
         let path = env("NODE_CONFIG").ok_or("NODE_CONFIG: not set; it names the configuration file")?;
         let text = std::fs::read(&path).map_err(|e| format!("NODE_CONFIG: {path}: {e}"))?;
         let mut config = Config::parse(&text, env)?;
-        config.drmaa = drmaa.map(Drmaa::load).transpose()?;
+        let known = config.known_names();
+        config.drmaa = drmaa.map(|file| Drmaa::load(file, &known)).transpose()?;
         Ok(config)
     }
 
+    /// The zones and machine kinds that the settings list.
+    pub fn known_names(&self) -> Known {
+        Known { zones: self.setup.zones.clone(), kinds: self.setup.kinds.clone() }
+    }
+
     /// The platform's part, from the text of its file.
     pub fn parse(text: &[u8], env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
         let file: ConfigFile = keyed(&mut serde_json::Deserializer::from_slice(text))?;
@@ -189,9 +196,9 @@
 
 impl Drmaa {
     /// Reads the file of the DRMAA front and the inventory that it names, beside it.
-    pub fn load(path: &Path) -> Result<Drmaa, String> {
+    pub fn load(path: &Path, known: &Known) -> Result<Drmaa, String> {
         let file: operators::DrmaaFile = operators::decode(path)?;
-        file.check(path).map_err(|e| format!("{}: {e}", path.display()))
+        file.check(path, known).map_err(|e| format!("{}: {e}", path.display()))
     }
 }
 
--- a/src/config/operators.rs
+++ b/src/config/operators.rs
@@ -2,13 +2,14 @@
 
 use super::{address, keyed, one_line, Config, Drmaa};
 use crate::core::tenants::Tenants;
-use crate::inventory;
+use crate::servers;
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use streamusher_ledger::gate::OnFailure;
 use streamusher_ledger::period::Span;
 use streamusher_ledger::store::Settle;
+use streamusher_roster::host::Known;
 
 /// All that the file says.
 #[derive(Clone, Debug, Default)]
@@ -186,11 +187,11 @@
 
 impl Operators {
     /// Reads it, and the files that it names beside it.
-    pub fn load(path: &Path) -> Result<Operators, String> {
+    pub fn load(path: &Path, known: &Known) -> Result<Operators, String> {
         let file: OperatorsFile = decode(path)?;
         let at = |table: &str, e: String| format!("{}: {table}.{e}", path.display());
         Ok(Operators {
-            drmaa: file.drmaa.map(|d| d.check(path)).transpose().map_err(|e| at("drmaa", e))?,
+            drmaa: file.drmaa.map(|d| d.check(path, known)).transpose().map_err(|e| at("drmaa", e))?,
             tenants: file.tenants.map(TenantsFile::check).transpose().map_err(|e| at("tenants", e))?,
             ledger: file.ledger.map(|l| l.check(path)).transpose().map_err(|e| at("ledger", e))?,
         })
@@ -209,7 +210,7 @@
 }
 
 impl DrmaaFile {
-    pub(super) fn check(self, path: &Path) -> Result<Drmaa, String> {
+    pub(super) fn check(self, path: &Path, known: &Known) -> Result<Drmaa, String> {
         let listen = self.listen.map(|l| address("listen", &l)).transpose()?;
         if self.max_jobs == 0 {
             return Err("max_jobs: must be above 0".into());
@@ -217,7 +218,7 @@
         if !(0.0..=86_400.0).contains(&self.keep_s) {
             return Err("keep_s: must lie between 0 and 86400".into());
         }
-        let workers = self.inventory.as_ref().map(|n| inventory::load(&beside(path, Path::new(n))));
+        let workers = self.inventory.as_ref().map(|n| servers::load(&beside(path, Path::new(n)), known));
         let workers = workers.transpose().map_err(|e| format!("inventory: {e}"))?.unwrap_or_default();
         Ok(Drmaa { listen, max_jobs: self.max_jobs, keep_s: self.keep_s, workers })
     }
--- /dev/null
+++ b/src/servers.rs
@@ -0,0 +1,28 @@
+//! Workers from the operators' own files: rosters, as the core's members.
+
+use crate::core::Member;
+use crate::interface::Stage;
+use std::path::Path;
+use streamusher_roster::disk::Disk;
+use streamusher_roster::host::{Host, Known};
+use streamusher_roster::read::read;
+
+/// Reads an inventory, whole or not at all. The message names file, line, host and key of the first mistake, and how
+/// many more there are; `streamusher servers check` tells all.
+pub fn load(path: &Path, known: &Known) -> Result<Vec<Member>, String> {
+    let roster = read(&Disk, path, known).map_err(|p| p.to_string())?;
+    Ok(roster.hosts.into_iter().map(member).collect())
+}
+
+fn member(host: Host) -> Member {
+    Member {
+        name: host.name,
+        addr: host.addr.to_string(),
+        zone: host.zone,
+        kind: host.kind,
+        cell: host.cell,
+        stage: Stage::Ready,
+        weight: host.weight,
+        since: 0,
+    }
+}
