--- a/crates/ledger/src/entry.rs
+++ b/crates/ledger/src/entry.rs
@@ -55,19 +55,8 @@
     pub key: Option<KeyHash>,
 }
 
-impl Entry {
-    /// What is billed for it, in slot-microseconds, rounded to the nearest: nothing unless it was served.
-    pub fn slot_us(&self) -> u64 {
-        if self.answer == Answer::Served {
-            slot_us(self.slots_milli, self.run_us)
-        } else {
-            0
-        }
-    }
-}
-
 /// Thousandths of slots times microseconds, in slot-microseconds, rounded to the nearest.
-pub(crate) fn slot_us(slots_milli: u32, run_us: Micros) -> u64 {
+fn slot_us(slots_milli: u32, run_us: Micros) -> u64 {
     let exact = u128::from(slots_milli) * u128::from(run_us);
     u64::try_from((exact + 500) / 1_000).unwrap_or(u64::MAX)
 }
@@ -139,7 +128,7 @@
 }
 
 impl Row {
-    /// See [`Entry::slot_us`].
+    /// What is billed for it, in slot-microseconds, rounded to the nearest: nothing unless it was served.
     pub fn slot_us(&self) -> u64 {
         if self.answer == Answer::Served {
             slot_us(self.slots_milli, self.run_us)
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod diff;
 pub mod disk;
 pub mod host;
+pub mod membership;
 pub mod problem;
 pub mod read;
 pub mod write;
--- a/src/command/ledger.rs
+++ b/src/command/ledger.rs
@@ -1,5 +1,6 @@
 //! `streamusher ledger`: what operators do with the ledger. A dispatcher may write to it meanwhile.
 
+use super::report::{finding, use_cells, USE};
 use super::table::{plain, table};
 use super::Failure;
 use crate::billing::wall;
@@ -12,7 +13,6 @@
 use streamusher_ledger::correction::{About, Correction};
 use streamusher_ledger::export::{export, lines, Line};
 use streamusher_ledger::period::{moment, Period};
-use streamusher_ledger::reconcile::Finding;
 use streamusher_ledger::store::{Settle, Store};
 use streamusher_ledger::sums::Use;
 use streamusher_ledger::{key, receipts, scan};
@@ -241,35 +241,6 @@
     Ok(())
 }
 
-const USE: [&str; 10] = [
-    "served",
-    "slot-us",
-    "corrected",
-    "corrected slot-us",
-    "billed",
-    "billed slot-us",
-    "in doubt",
-    "busy",
-    "failed",
-    "gone",
-];
-
-fn use_cells(u: &Use) -> Vec<String> {
-    let billed = u.billed_slot_us().map_or_else(|e| e.to_string(), |b| b.to_string());
-    vec![
-        u.served.to_string(),
-        u.slot_us.to_string(),
-        u.corrected.to_string(),
-        u.corrected_slot_us.to_string(),
-        u.billed().to_string(),
-        billed,
-        u.doubts.to_string(),
-        u.busy.to_string(),
-        u.failed.to_string(),
-        u.gone.to_string(),
-    ]
-}
-
 fn correct(place: &Place, correction: Correction) -> Done {
     correction.check()?;
     let (mut store, _) = place.open()?;
@@ -433,27 +404,3 @@
         false => Err(Failure::Findings),
     }
 }
-
-fn finding(f: &Finding) -> String {
-    match f {
-        Finding::Changed { why } => format!("not counted: {why}"),
-        Finding::Conflict { instance, period, ids } => {
-            format!("not counted: {instance} has {} different exports of {period}", ids.len())
-        }
-        Finding::Missing { instance, before } => format!("{instance}: an export before {before} is missing"),
-        Finding::Gap { instance, epoch, first, last } => {
-            format!("{instance}: entries {first} to {last} of epoch {epoch} are in no export")
-        }
-        Finding::Repeated { key, places } => {
-            let places: Vec<String> = places
-                .iter()
-                .map(|p| format!("{} (entry {} of epoch {})", p.instance, p.seq, p.epoch))
-                .collect();
-            format!("key {key} was answered by {}", places.join(" and "))
-        }
-        Finding::Doubt(d) => format!(
-            "in doubt: {} of {} at {}, {} slot-microseconds, in {}",
-            d.operation, d.tenant, d.place.instance, d.slot_us, d.period
-        ),
-    }
-}
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! The command line. `streamusher` alone is the platform's start, to the letter.
 
 mod ledger;
+mod report;
 mod servers;
 mod table;
 
--- a/src/config/operators.rs
+++ b/src/config/operators.rs
@@ -2,6 +2,7 @@
 
 use super::{address, keyed, one_line, Config, Drmaa};
 use crate::core::tenants::Tenants;
+use crate::net::http::ONCE;
 use crate::servers;
 use serde::Deserialize;
 use std::collections::BTreeMap;
@@ -224,22 +225,11 @@
     }
 }
 
-/// Headers that mean something else already.
-const TAKEN: [&str; 8] = [
-    "host",
-    "connection",
-    "content-length",
-    "transfer-encoding",
-    "x-correlation-id",
-    "x-time-left-ms",
-    "idempotency-key",
-    "x-facts",
-];
-
 impl TenantsFile {
     fn check(self) -> Result<TenantsConfig, String> {
         let token = |b: u8| b.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&b);
-        let taken = TAKEN.iter().any(|t| t.eq_ignore_ascii_case(&self.header));
+        // Headers that mean something else already.
+        let taken = ONCE.iter().chain(&["host", "connection"]).any(|t| t.eq_ignore_ascii_case(&self.header));
         if self.header.is_empty() || !self.header.bytes().all(token) || taken {
             return Err(format!("header: not the name of a free header: {:?}", self.header));
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -56,6 +56,7 @@
 //! ```
 
 mod booking;
+mod intake;
 mod operation;
 mod pool;
 mod repeats;
@@ -78,14 +79,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-/// Kept back of a client's time, so that the last byte of an answer lands before the client gives up: the way
-/// to the client and a slow moment of this machine.
-const MARGIN_US: Micros = 25_000;
-/// Kept back besides where answers are booked first, for the disk; an eighth of the client's time at most.
-const BOOKING_US: Micros = 50_000;
-/// Of what is kept back, the part that an answer still needs to its client once it is let go.
-const WAY_US: Micros = 15_000;
-
 /// What has come in since the last turn.
 enum Input {
     Arrived(JobId),
@@ -245,115 +238,6 @@
         self.owed + self.held.len()
     }
 
-    /// Takes an operation; `front` gets its one final answer under the number `ticket`.
-    pub fn submit(
-        &mut self, now: Micros, mut operation: Operation, front: Rc<dyn Front>, ticket: u64,
-    ) -> Result<JobId, NotTaken> {
-        if let Some(tenants) = &self.tenants {
-            operation.tenant =
-                Some(tenants.resolve(operation.tenant.as_deref()).map_err(|why| match why {
-                    NoTenant::Malformed => NotTaken::BadTenant,
-                    NoTenant::Unlisted => NotTaken::Unlisted,
-                })?);
-        }
-        if self.keeper.as_ref().is_some_and(|k| !k.takes_work()) {
-            self.counters.refused_unbilled += 1;
-            return Err(NotTaken::Unbilled);
-        }
-        let waiter = |joined| Waiter {
-            front: front.clone(),
-            ticket,
-            id: operation.id.clone(),
-            tenant: operation.tenant.clone(),
-            joined,
-        };
-        let kept_back = self.kept_back(operation.left_us);
-        let deadline = now.saturating_add(operation.left_us.saturating_sub(kept_back)).min(self.last_call);
-        let by = deadline.saturating_add(kept_back.saturating_sub(WAY_US));
-        let key = operation.idempotency_key.clone().filter(|_| self.joins_repeats);
-        let key = key.filter(|_| self.is_keyed(operation.class)).map(|k| (operation.class.0, k));
-        if let Some(kept) = key.as_ref().and_then(|k| self.kept.get(k)).filter(|k| now < k.until) {
-            // Guards against a second run of a keyed job that was handed in twice, by whichever front.
-            let (job, answer) = (kept.job, kept.answer.clone());
-            self.counters.operations += 1;
-            self.counters.repeats_joined += 1;
-            match (answer, self.operations.get_mut(&job).filter(|o| !o.answered)) {
-                (None, Some(entered)) => {
-                    if entered.started {
-                        front.started(ticket);
-                    }
-                    entered.waiting.push(waiter(true));
-                }
-                (answer, _) => {
-                    let answer = answer.unwrap_or(Answer::Failed { late: false });
-                    let key = operation.idempotency_key.clone();
-                    let used = Used::nothing(operation.class, operation.slots, key, by);
-                    let waiter = waiter(true);
-                    self.give(now, &used, waiter, &answer);
-                }
-            }
-            return Ok(job);
-        }
-        if self.by_id.contains_key(&operation.id) {
-            return Err(NotTaken::SameId);
-        }
-        if self.operations.len() >= self.max_open {
-            return Err(NotTaken::Full);
-        }
-        let job = JobId(self.next_job);
-        self.next_job += 1;
-        self.counters.operations += 1;
-        self.owed += 1;
-        self.at(deadline, Due::Deadline(job));
-        self.by_id.insert(operation.id.clone(), job);
-        if let Some(key) = key {
-            self.forget_old_keys(now);
-            self.kept.insert(key, Kept { job, until: Micros::MAX, answer: None });
-        }
-        let (waiting, operation) = (vec![waiter(false)], Arc::new(operation));
-        let (steps, winner) = (Vec::new(), None);
-        let entered =
-            Entered { operation, waiting, steps, winner, deadline, by, answered: false, started: false };
-        self.operations.insert(job, entered);
-        self.inputs.push(Input::Arrived(job));
-        Ok(job)
-    }
-
-    /// Kept back of a client's time.
-    fn kept_back(&self, left_us: Micros) -> Micros {
-        MARGIN_US + self.keeper.as_ref().map_or(0, |_| BOOKING_US.min(left_us / 8))
-    }
-
-    /// Whatever is in hand, or still comes, is answered by then. Guards against operations that a stop would leave
-    /// without an answer, as their clients would wait for longer than the program may go on.
-    pub fn answer_all_by(&mut self, when: Micros) {
-        self.last_call = when;
-        let mut cut = Vec::new();
-        for (job, entered) in self.operations.iter_mut().filter(|(_, o)| !o.answered && o.deadline > when) {
-            entered.deadline = when;
-            entered.by = entered.by.min(when.saturating_add(BOOKING_US));
-            cut.push(*job);
-        }
-        cut.into_iter().for_each(|job| self.at(when, Due::Deadline(job)));
-    }
-
-    /// The client behind one ticket has gone away; others may still wait for the same operation.
-    pub fn gone(&mut self, now: Micros, job: JobId, front: &Rc<dyn Front>, ticket: u64) {
-        let Some(entered) = self.operations.get_mut(&job).filter(|o| !o.answered) else { return };
-        let is_it = |w: &Waiter| w.ticket == ticket && Rc::ptr_eq(&w.front, front);
-        let Some(at) = entered.waiting.iter().position(is_it) else {
-            return;
-        };
-        let waiter = entered.waiting.remove(at);
-        // Counted here: a result may come in the same batch, before the decisions hear of the leaving.
-        self.counters.clients_gone += 1;
-        let (nobody, used) = (entered.waiting.is_empty(), entered.used(now));
-        self.book_gone(now, &used, &waiter);
-        if nobody {
-            self.inputs.push(Input::Gone(job));
-        }
-    }
-
     /// News of a route step. What comes after its end is ignored.
     pub fn step(&mut self, step: StepId, news: StepNews) {
         self.inputs.push(Input::Step(step, news));
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -15,7 +15,7 @@
 /// The longest chunk of an answer without end, such as a watch.
 const CHUNK: usize = 4 << 20;
 /// Headers that must not come twice, as the two could be read in two ways.
-const ONCE: [&str; 6] = [
+pub(crate) const ONCE: [&str; 6] = [
     "content-length",
     "transfer-encoding",
     "x-correlation-id",
