Refuse a ledger with a damaged log to commands too

A dispatcher refused such a ledger, but show, doubts and the other commands opened it: closing it writes the log back, and the commits that could not be read of it would have been gone without a word. The log is now looked at before any opening, while no dispatcher writes.

Measured: the test that opens it with a command failed before and passes; the log keeps its bytes.

--- a/crates/ledger/src/store/mod.rs
+++ b/crates/ledger/src/store/mod.rs
@@ -112,6 +112,10 @@
         if !path.exists() {
             return Err(StoreError::Missing(path));
         }
+        // Before it is opened: closing it writes the log back, and what cannot be read of it would be gone for good.
+        if !lock_held(&path) {
+            no_commits_lost(&path)?;
+        }
         let options =
             Options { dir: dir.into(), instance: String::new(), span: Span::Month, key, most_bytes: None };
         let mut store = Store::at(&options, OpenFlags::SQLITE_OPEN_READ_WRITE)?;
@@ -208,15 +212,6 @@
         &self.instance
     }
 
-    /// Guards against taking for whole what a dispatcher would refuse to open. Only while none writes, as the log
-    /// grows meanwhile.
-    fn check_log(&self) -> Result<(), StoreError> {
-        match self.live_epoch()? {
-            Some(_) => Ok(()),
-            None => no_commits_lost(&self.path),
-        }
-    }
-
     /// How long its periods are.
     pub fn span(&self) -> Span {
         self.span
@@ -286,6 +281,12 @@
     Ok(())
 }
 
+/// Whether a dispatcher writes to this store now: its log grows meanwhile.
+fn lock_held(path: &Path) -> bool {
+    let lock = File::open(path.with_file_name(LOCK));
+    lock.is_ok_and(|lock| matches!(lock.try_lock_shared(), Err(TryLockError::WouldBlock)))
+}
+
 /// Guards against commits that were answered for and that the database would leave out without a word.
 fn no_commits_lost(path: &Path) -> Result<(), StoreError> {
     match wal::commits_cut_off(&log_of(path)) {
--- a/crates/ledger/src/store/read.rs
+++ b/crates/ledger/src/store/read.rs
@@ -1,6 +1,6 @@
 //! What is read from a store: periods, blocks, sums, doubts and corrections. Nothing here writes.
 
-use super::{marked, Store, StoreError, LOCK};
+use super::{lock_held, marked, Store, StoreError};
 use crate::correction::{About, Correction};
 use crate::entry::{Answer, Micros, Row, Unpack};
 use crate::marks::{Delivery, Marks};
@@ -9,7 +9,6 @@
 use crate::sums::Use;
 use rusqlite::OptionalExtension;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::fs::{File, TryLockError};
 
 /// A block as it lies in the store.
 pub struct Block<'a> {
@@ -160,11 +159,7 @@
 
     /// The epoch that a dispatcher writes now: what it has not marked yet is in hand, not in doubt.
     pub fn live_epoch(&self) -> Result<Option<u64>, StoreError> {
-        let at = self.path.with_file_name(LOCK);
-        let held = match File::open(&at) {
-            Ok(lock) => matches!(lock.try_lock_shared(), Err(TryLockError::WouldBlock)),
-            Err(_) => false,
-        };
+        let held = lock_held(&self.path);
         let last = self.db.query_row("SELECT max(epoch) FROM epochs WHERE ended = 0", [], |r| r.get(0));
         let last: Option<i64> = last.map_err(self.failed())?;
         Ok(last.filter(|_| held).map(|e| e as u64))
--- a/crates/ledger/src/store/verify.rs
+++ b/crates/ledger/src/store/verify.rs
@@ -19,7 +19,6 @@
     /// Checks all of it. `each` hears of every block, with its entries. The first thing that does not hold is the
     /// error, and names the entry if it is one.
     pub fn verify(&self, mut each: impl FnMut(u64)) -> Result<Verified, StoreError> {
-        self.check_log()?;
         let sound: String =
             self.db.query_row("PRAGMA integrity_check(1)", [], |r| r.get(0)).map_err(self.failed())?;
         let mut done = Verified::default();
--- a/crates/ledger/tests/store.rs
+++ b/crates/ledger/tests/store.rs
@@ -215,6 +215,9 @@
         why.contains("its log of changes is not what was written") && why.contains("would be lost"),
         "{why}"
     );
+    // A command does not open it either: closing it would write back what is left, and the rest would be gone.
+    let why = Store::command(left.path(), KEY).err().expect("an error").to_string();
+    assert!(why.contains("would be lost") && std::fs::read(&log).unwrap() == middle, "{why}");
     // What a crash cuts off in the middle of the last commit was never answered for.
     assert_eq!(opened(&bytes[..bytes.len() - 100]), Ok(40));
 }
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -259,7 +259,7 @@
     let dir = files.0.join("ledger");
     let program = start(&[&worker], &operators(&dir, ""));
     program.logged("the ledger is open");
-    // The entry is durable before the answer comes; its mark waits for the next commit, which is blocked here.
+    // The entry is durable before the answer comes; its mark may or may not be when the kill comes.
     assert_eq!(ask(program.addr, &asked("depth-log", "a1", "hydrology")).status(), 200);
     drop(program);
     let doubts: Value = serde_json::from_str(&ledger(&dir, &["doubts", "--json"]).1).unwrap();
