Share the clients' address with a successor and answer operators' readyz and telemetry

Change: the listener is bound with SO_REUSEPORT; a serving process leaves its pid in TMPDIR, and one stopped by SIGTERM that finds a living successor there takes its accept queue and closes the listener. mgmt (NODE_MGMT) answers readyz and telemetry, a line a connection, callers ended after 1.5 s; counters gain answers and attempts by class. Sixteen descriptors are kept aside for mgmt callers, so a test now reads the front share from the limits.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -24,6 +24,8 @@
     pub listen: SocketAddr,
     /// Where discovery answers; none, where all workers stand in the inventory.
     pub discovery: Option<SocketAddr>,
+    /// Where operators call (`readyz`, `telemetry`); none, where nobody does.
+    pub mgmt: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// What it may use.
@@ -56,8 +58,8 @@
 }
 
 /// Descriptors that are always taken or must stay free: standard streams, the event loop, signals, listeners,
-/// discovery, and a new connection on its way in or out.
-const OWN: usize = 24;
+/// discovery, operators' calls, and a new connection on its way in or out.
+const OWN: usize = 24 + crate::net::mgmt::CALLERS;
 
 impl Limits {
     /// So many sixteenths of the descriptors that are not taken by files, listeners and the event loop. Front
@@ -118,6 +120,7 @@
     name: String,
     listen: String,
     discovery: String,
+    mgmt: String,
     seed: String,
     limits: Limits,
     known: List,
@@ -145,6 +148,7 @@
         let file: ConfigFile = keyed(&mut serde_json::Deserializer::from_slice(text))?;
         let or = |key: &str, value: String| env(key).filter(|v| !v.is_empty()).unwrap_or(value);
         let discovery = or("NODE_DISCOVERY", file.discovery);
+        let mgmt = or("NODE_MGMT", file.mgmt);
         let setup = file.settings.ok_or("settings: missing")?;
         check(&setup)?;
         if file.limits.sockets < 64 {
@@ -157,6 +161,7 @@
             name: or("NODE_NAME", file.name),
             listen: address("listen", &or("NODE_LISTEN", file.listen))?,
             discovery: (!discovery.is_empty()).then(|| address("discovery", &discovery)).transpose()?,
+            mgmt: (!mgmt.is_empty()).then(|| address("mgmt", &mgmt)).transpose()?,
             seed: match file.seed.as_str() {
                 "" => 1,
                 hex => u64::from_str_radix(hex, 16).map_err(|_| format!("seed: not a hex number: {hex}"))?,
--- a/src/core/pool.rs
+++ b/src/core/pool.rs
@@ -19,6 +19,12 @@
         self.inputs.push(Input::Probed(worker, ok, report));
     }
 
+    /// Workers on the list that are not gone, and those of them that are avoided as they drain.
+    pub fn pool_figures(&self) -> (usize, usize) {
+        let listed = self.workers.iter().filter(|w| w.member.stage != Stage::Gone);
+        listed.fold((0, 0), |(n, d), w| (n + 1, d + usize::from(w.member.stage == Stage::Draining)))
+    }
+
     pub(super) fn list(&mut self, source: usize, complete: bool, members: Vec<Member>) -> Event {
         let mut entries: Vec<Entry> = Vec::with_capacity(members.len());
         if complete {
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -3,6 +3,7 @@
 use crate::core::{Answer, Ending};
 use crate::interface::Code;
 use serde::Serialize;
+use std::collections::BTreeMap;
 
 /// All counters since the start.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -53,6 +54,21 @@
     pub clients_gone: u64,
     /// Route steps by how they ended.
     pub endings: Endings,
+    /// Answers and attempts by class.
+    pub classes: BTreeMap<String, Responses>,
+}
+
+/// What became of the operations of one class, as their clients were told, and its attempts.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Responses {
+    /// Served: 200.
+    pub ok: u64,
+    /// Refused: 429 or 503.
+    pub shed: u64,
+    /// Failed: any other answer.
+    pub errors: u64,
+    /// Attempts written whole to workers.
+    pub tries: u64,
 }
 
 /// Route steps by how they ended.
@@ -93,6 +109,28 @@
         } += 1;
     }
 
+    /// An answer of this status is given to a client of this class.
+    pub fn responded(&mut self, class: &str, status: u16) {
+        let r = self.of(class);
+        *match status {
+            200 => &mut r.ok,
+            429 | 503 => &mut r.shed,
+            _ => &mut r.errors,
+        } += 1;
+    }
+
+    /// An attempt of this class is written whole.
+    pub fn tried(&mut self, class: &str) {
+        self.of(class).tries += 1;
+    }
+
+    fn of(&mut self, class: &str) -> &mut Responses {
+        if !self.classes.contains_key(class) {
+            self.classes.insert(class.to_owned(), Responses::default());
+        }
+        self.classes.get_mut(class).expect("inserted")
+    }
+
     /// One line of JSON.
     pub fn line(&self) -> String {
         serde_json::to_string(self).unwrap_or_default()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -82,6 +82,7 @@
 pub mod servers;
 mod settings;
 mod state;
+pub mod telemetry;
 pub mod wire;
 
 pub use balance::Balancer;
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -75,9 +75,16 @@
     bodies: Rc<Cell<usize>>,
     most_bodies: usize,
     most_idle: usize,
+    /// Closed when a successor takes the clients' address over.
+    hand_over: (Sender<()>, Receiver<()>),
 }
 
 impl Sockets {
+    /// Another process serves at the same address: the listener takes what waits for it, and closes.
+    pub(crate) fn hand_over(&self) {
+        self.hand_over.0.close();
+    }
+
     /// Front sockets that are not known to be workers'.
     pub(crate) fn clients(&self) -> usize {
         self.open.get() - self.workers.get()
@@ -237,8 +244,7 @@
 pub(crate) fn listen(
     hub: &Rc<Hub>, addr: SocketAddr, limits: &Limits,
 ) -> io::Result<(Rc<Sockets>, SocketAddr)> {
-    let listener = Async::<TcpListener>::bind(addr)?;
-    rustix::net::listen(&listener, BACKLOG)?;
+    let listener = Async::new(shared_listener(addr)?)?;
     let addr = listener.get_ref().local_addr()?;
     let (most, reserve) = (limits.front_sockets(), limits.front_reserve());
     let sockets = Rc::new(Sockets {
@@ -250,11 +256,26 @@
         bodies: Rc::default(),
         most_bodies: limits.body_bytes(),
         most_idle: limits.idle_front_sockets(),
+        hand_over: bounded(1),
     });
     let (hub, all) = (hub.clone(), sockets.clone());
     hub.clone().spawn(async move {
         loop {
-            match listener.accept().await {
+            let handed_over = async {
+                let _ = all.hand_over.1.recv().await;
+                Err(io::Error::from(io::ErrorKind::ConnectionAborted))
+            };
+            match future::or(listener.accept(), handed_over).await {
+                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted && all.hand_over.1.is_closed() => {
+                    // What waits in the queue is taken, then the listener closes: later ones reach the successor.
+                    while let Ok((stream, _)) = listener.get_ref().accept() {
+                        let Ok(stream) = Async::new(stream) else { continue };
+                        let (served, socket) = (hub.clone(), FrontSocket::new(&all));
+                        hub.with(|core, _| core.counters.front_sockets += 1);
+                        hub.spawn(async move { serve(served, stream, socket).await });
+                    }
+                    return;
+                }
                 Ok((stream, _)) => {
                     let mut socket = FrontSocket::new(&all);
                     while all.open.get() > most && all.make_room() {
@@ -286,6 +307,18 @@
     Ok((sockets, addr))
 }
 
+/// A listener that a second process of the same user may share while it replaces this one.
+fn shared_listener(addr: SocketAddr) -> io::Result<TcpListener> {
+    use rustix::net::{sockopt, AddressFamily, SocketFlags, SocketType};
+    let family = if addr.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    let fd = rustix::net::socket_with(family, SocketType::STREAM, SocketFlags::CLOEXEC, None)?;
+    sockopt::set_socket_reuseaddr(&fd, true)?;
+    sockopt::set_socket_reuseport(&fd, true)?;
+    rustix::net::bind(&fd, &addr)?;
+    rustix::net::listen(&fd, BACKLOG)?;
+    Ok(TcpListener::from(fd))
+}
+
 /// A request that was read whole.
 struct Received {
     head: Head,
@@ -451,16 +484,25 @@
 async fn dispatch(
     hub: &Rc<Hub>, conn: &mut Conn, socket: &mut FrontSocket, operation: Operation,
 ) -> Option<(Reply, Receipt)> {
+    let class = operation.class.0 as usize;
+    let told =
+        |reply: &Reply| hub.with(|core, _| core.counters.responded(&hub.classes[class].name, reply.status));
     let pending = match hub.submit(operation) {
         Ok(pending) => pending,
-        Err(why) => return Some((request::not_taken(why), Receipt::default())),
+        Err(why) => {
+            let reply = request::not_taken(why);
+            told(&reply);
+            return Some((reply, Receipt::default()));
+        }
     };
     socket.proven = true;
     let answer = future::or(async { Some(pending.answer().await) }, async {
         conn.ended().await;
         None
     });
-    answer.await.map(|(answer, receipt)| (request::reply(answer), receipt))
+    let (reply, receipt) = answer.await.map(|(answer, receipt)| (request::reply(answer), receipt))?;
+    told(&reply);
+    Some((reply, receipt))
 }
 
 #[derive(Deserialize)]
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,7 +2,9 @@
 
 pub(crate) mod discovery;
 pub(crate) mod front;
+pub(crate) mod handover;
 pub(crate) mod http;
+pub(crate) mod mgmt;
 pub(crate) mod pool;
 pub(crate) mod request;
 pub(crate) mod route;
--- a/src/net/route.rs
+++ b/src/net/route.rs
@@ -43,11 +43,12 @@
 
     /// Hands the job over. `Ok` when the worker has taken it. `lent` holds the connection once all is written.
     async fn hand_over(
-        &self, addr: SocketAddr, request: Vec<u8>, lent: &mut Option<Lent>,
+        &self, addr: SocketAddr, class: &str, request: Vec<u8>, lent: &mut Option<Lent>,
     ) -> Result<(), (Ending, Option<Report>)> {
         let mut taken = self.pool.take(addr).await.map_err(|e| (e, None))?;
         // Nothing is sent again from here: whether there is another attempt is not decided here.
         taken.conn.write(&request).await.map_err(|_| (Ending::BrokeUnsent, None))?;
+        self.hub.with(|core, _| core.counters.tried(class));
         drop(request); // the wait may be long
         let (head, _) = self.exchange(lent.insert(taken)).await.map_err(|_| (Ending::BrokeSent, None))?;
         let report = head.get("x-backend-load").map(|l| self.report(load_from_header(l)));
@@ -149,7 +150,8 @@
                 return me.hub.with(|core, _| core.step(step, StepNews::Ended(Ending::ConnectRefused, None)));
             };
             let (request, mut lent) = (request(&operation, addr, left_us), None);
-            let handed = async { Some(me.hand_over(addr, request, &mut lent).await) };
+            let class = me.hub.classes[operation.class.0 as usize].name.as_str();
+            let handed = async { Some(me.hand_over(addr, class, request, &mut lent).await) };
             let cancelled = async {
                 let _ = given_up.recv().await;
                 None
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -5,6 +5,7 @@
 use crate::interface::{JobId, Micros};
 use crate::net::request::ClassInfo;
 use crate::settings::Site;
+use crate::telemetry::{Figures, Readiness};
 use crate::{billing, drmaa, net};
 use async_channel::{bounded, Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -51,6 +52,8 @@
     pub(crate) tenant_header: Option<String>,
     /// SIGTERM has come.
     pub(crate) stopping: Cell<bool>,
+    /// Front sockets are taken and the batch loop runs.
+    serving: Cell<bool>,
 }
 
 impl Hub {
@@ -63,6 +66,33 @@
         self.clock.base
     }
 
+    /// Where this process stands, for operators.
+    pub(crate) fn readiness(&self) -> Readiness {
+        match (self.serving.get(), self.stopping.get()) {
+            (_, true) => Readiness::Stopping,
+            (true, false) => Readiness::Serving,
+            (false, false) => Readiness::Starting,
+        }
+    }
+
+    /// The figures that operators are told; every class of the settings is there, if only with nothing.
+    pub(crate) fn figures(&self) -> Figures {
+        let core = self.core.borrow();
+        let mut responses = core.counters.classes.clone();
+        for class in &self.classes {
+            responses.entry(class.name.clone()).or_default();
+        }
+        let (pool_size, pool_ejected) = core.pool_figures();
+        Figures {
+            responses,
+            active: core.owed(),
+            pool_size,
+            pool_ejected,
+            config_applied: core.counters.reloads,
+            config_rejected: core.counters.reloads_refused,
+        }
+    }
+
     /// Hands something to the core; the batch loop then takes a turn. Not to be called from within one.
     pub(crate) fn with<R>(&self, f: impl FnOnce(&mut Core, Micros) -> R) -> R {
         let done = f(&mut self.core.borrow_mut(), self.now());
@@ -169,6 +199,7 @@
         classes,
         tenant_header: config.tenants.as_ref().map(|t| t.header.clone()),
         stopping: Cell::new(false),
+        serving: Cell::new(false),
     });
     if let Some(t) = config.tenants {
         hub.with(|core, _| core.set_tenants(t.tenants));
@@ -194,10 +225,18 @@
         };
         let (sockets, addr) = net::front::listen(&hub, config.listen, &config.limits)
             .map_err(|e| format!("listen: {}: {e}", config.listen))?;
+        if let Some(mgmt) = config.mgmt {
+            let mgmt = net::mgmt::listen(&hub, mgmt).map_err(|e| format!("mgmt: {mgmt}: {e}"))?;
+            info!(log, "operators' calls"; "mgmt" => %mgmt);
+        }
         info!(log, "serving"; "name" => &config.name, "listen" => %addr);
         let batches = hub.clone();
         hub.spawn(async move { batches.batches().await });
-        let drained = drain(&hub, &sockets, jobs.as_deref());
+        hub.serving.set(true);
+        if let Err(e) = net::handover::announce(addr) {
+            warn!(log, "a successor's note could not be left"; "error" => %e);
+        }
+        let drained = drain(&hub, &sockets, addr, jobs.as_deref());
         match (calls, signals) {
             (Some(calls), _) => {
                 crate::handle::serve(&hub, calls).await;
@@ -254,14 +293,21 @@
 /// Operations still come in, on new connections for a while and on those that clients have for as long as these stay
 /// open: until shortly before the end, as a client that loses its connection finds nobody here until the restart.
 /// All that is taken is answered before the end.
-async fn drain(hub: &Rc<Hub>, sockets: &net::front::Sockets, jobs: Option<&drmaa::front::JobTable>) {
+async fn drain(
+    hub: &Rc<Hub>, sockets: &net::front::Sockets, addr: std::net::SocketAddr,
+    jobs: Option<&drmaa::front::JobTable>,
+) {
     let longest = hub.classes.iter().map(|c| c.deadline_us).max().unwrap_or(0);
     let kill = Duration::from_micros(longest).min(LONGEST) + THE_REST;
     let begun = Instant::now();
     let last_call = kill.saturating_sub(SPARE).max(STILL_COMING);
     let close_at = last_call.saturating_sub(LAST_ONES).max(STILL_COMING);
-    info!(hub.log, "stopping"; "owed" => hub.core.borrow().owed());
+    let replaced = net::handover::successor(addr);
+    info!(hub.log, "stopping"; "owed" => hub.core.borrow().owed(), "replaced" => replaced);
     hub.stopping.set(true);
+    if replaced {
+        sockets.hand_over(); // new connections reach the successor
+    }
     hub.with(|core, now| core.answer_all_by(now.saturating_add(last_call.as_micros() as Micros)));
     while begun.elapsed() < close_at {
         if sockets.clients() == 0 && begun.elapsed() >= STILL_COMING && hub.core.borrow().owed() == 0 {
--- /dev/null
+++ b/src/telemetry.rs
@@ -0,0 +1,151 @@
+//! Operators' calls: a line in, an answer out. Pure: the socket side is `net::mgmt`, the figures are told.
+
+use crate::counters::Responses;
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// The longest call that is read: the calls are single words.
+pub const LONGEST_CALL: usize = 512;
+
+/// What operators are told by `telemetry`.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Figures {
+    /// Answers and attempts by class.
+    pub responses: BTreeMap<String, Responses>,
+    /// Operations taken and not yet answered.
+    pub active: usize,
+    /// Workers on the list that are not gone.
+    pub pool_size: usize,
+    /// Workers on the list that are avoided.
+    pub pool_ejected: usize,
+    /// Configurations taken at SIGHUP.
+    pub config_applied: u64,
+    /// Configurations refused at SIGHUP.
+    pub config_rejected: u64,
+}
+
+/// A call as it was read.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Can this process serve?
+    Ready,
+    /// The figures.
+    Telemetry,
+    /// Not a call that is known, or not text; the reason.
+    Unknown(String),
+}
+
+impl Call {
+    /// One line without its end.
+    pub fn parse(line: &[u8]) -> Call {
+        match std::str::from_utf8(line).map(str::trim) {
+            Ok("readyz") => Call::Ready,
+            Ok("telemetry") => Call::Telemetry,
+            Ok(other) if other.len() <= 40 => Call::Unknown(format!("unknown call {other:?}")),
+            Ok(_) => Call::Unknown("unknown call".into()),
+            Err(_) => Call::Unknown("not text".into()),
+        }
+    }
+}
+
+/// Where this process stands, for `readyz`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Readiness {
+    /// Not serving yet.
+    Starting,
+    /// Serving.
+    Serving,
+    /// SIGTERM has come.
+    Stopping,
+}
+
+/// The whole answer to a call. `figures` is asked only for `telemetry`.
+pub fn answer(call: &Call, ready: Readiness, figures: impl FnOnce() -> Figures) -> String {
+    match (call, ready) {
+        (Call::Ready, Readiness::Serving) => "YES\n".into(),
+        (Call::Ready, Readiness::Starting) => "NO starting\n".into(),
+        (Call::Ready, Readiness::Stopping) => "NO stopping\n".into(),
+        (Call::Telemetry, _) => {
+            let json = serde_json::to_string(&figures()).unwrap_or_else(|_| "{}".into());
+            format!("YES\n{json}\nEND\n")
+        }
+        (Call::Unknown(why), _) => format!("NO {why}\n"),
+    }
+}
+
+/// Gathers one call from pieces of any size.
+#[derive(Default)]
+pub struct LineReader {
+    line: Vec<u8>,
+}
+
+/// What is known after a piece.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Read {
+    /// More is needed.
+    More,
+    /// The call, whole.
+    Line(Call),
+    /// Over [`LONGEST_CALL`] without an end.
+    TooLong,
+}
+
+impl LineReader {
+    /// Takes the next piece; anything after the end of the line is not looked at.
+    pub fn feed(&mut self, piece: &[u8]) -> Read {
+        let end = piece.iter().position(|&b| b == b'\n');
+        let take = end.map_or(piece.len(), |e| e);
+        if self.line.len() + take > LONGEST_CALL {
+            return Read::TooLong;
+        }
+        self.line.extend_from_slice(&piece[..take]);
+        match end {
+            Some(_) => Read::Line(Call::parse(&self.line)),
+            None => Read::More,
+        }
+    }
+
+    /// The peer ended its side: what came counts as the line, if anything came.
+    pub fn end(&self) -> Option<Call> {
+        (!self.line.iter().all(u8::is_ascii_whitespace)).then(|| Call::parse(&self.line))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    #[rstest]
+    #[case(&["readyz\n"], Read::Line(Call::Ready))]
+    #[case(&["re", "ad", "yz\r\n"], Read::Line(Call::Ready))]
+    #[case(&["t", "elemetry", "\nreadyz\n"], Read::Line(Call::Telemetry))]
+    #[case(&["stop\n"], Read::Line(Call::Unknown("unknown call \"stop\"".into())))]
+    fn lines_in_pieces(#[case] pieces: &[&str], #[case] last: Read) {
+        let mut reader = LineReader::default();
+        let (init, tail) = pieces.split_at(pieces.len() - 1);
+        init.iter().for_each(|p| assert_eq!(reader.feed(p.as_bytes()), Read::More));
+        assert_eq!(reader.feed(tail[0].as_bytes()), last);
+        assert_eq!(LineReader::default().feed(b"\xff\n"), Read::Line(Call::Unknown("not text".into())));
+    }
+
+    #[test]
+    fn a_long_line_is_refused() {
+        let mut reader = LineReader::default();
+        assert_eq!(reader.feed(&[b'a'; LONGEST_CALL]), Read::More);
+        assert_eq!(reader.feed(b"a"), Read::TooLong);
+    }
+
+    #[test]
+    fn answers_begin_with_yes_or_no() {
+        let figures = || Figures { active: 3, ..Figures::default() };
+        assert_eq!(answer(&Call::Ready, Readiness::Serving, figures), "YES\n");
+        assert_eq!(answer(&Call::Ready, Readiness::Stopping, figures), "NO stopping\n");
+        let told = answer(&Call::Telemetry, Readiness::Starting, figures);
+        let lines: Vec<&str> = told.lines().collect();
+        assert_eq!((lines[0], lines[2], lines.len()), ("YES", "END", 3));
+        let json: serde_json::Value = serde_json::from_str(lines[1]).expect("json");
+        assert_eq!(json["active"], 3);
+        assert_eq!(LineReader::default().end(), None);
+    }
+}
