Hear signals through pipes, not a pair of Unix sockets

The rest of the daemon was checked: no child programs, fork, splice, sendfile or io_uring; polling's epoll wakes with an eventfd; the binary links the C library dynamically; run is one exec. Change: src/signals.rs registers signal-hook's pipe handler, one pipe a signal, read on the event loop.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -81,6 +81,7 @@
 mod runtime;
 pub mod servers;
 mod settings;
+mod signals;
 mod state;
 pub mod telemetry;
 pub mod wire;
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -5,13 +5,13 @@
 use crate::interface::{JobId, Micros};
 use crate::net::request::ClassInfo;
 use crate::settings::Site;
+use crate::signals::{Signal, Signals};
 use crate::telemetry::{Figures, Readiness};
 use crate::{billing, drmaa, net};
 use async_channel::{bounded, Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Timer;
-use async_signal::{Signal, Signals};
-use futures_lite::{future, StreamExt};
+use futures_lite::future;
 use slog::{info, warn, Logger};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
@@ -209,7 +209,7 @@
         // Inside another program signals are that program's own.
         let signals = match calls {
             Some(_) => None,
-            None => Some(Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup])),
+            None => Some(Signals::new()),
         };
         let signals = signals.transpose().map_err(|e| format!("signals cannot be heard: {e}"))?;
         let pool = net::pool::Pool::new(hub.clone(), net);
@@ -259,9 +259,10 @@
 }
 
 /// Does what signals ask for, until one of them asks for the stop. Once that is under way it never comes back.
+#[allow(clippy::never_loop)]
 async fn heed(hub: &Rc<Hub>, signals: &mut Signals, watch: &net::discovery::Watch, stopping: bool) {
-    while let Some(signal) = signals.next().await {
-        match signal {
+    loop {
+        match signals.next().await {
             Ok(Signal::Usr1) => {
                 info!(hub.log, "counters"; "counters" => hub.core.borrow().counters.line())
             }
@@ -271,7 +272,6 @@
             Err(e) => warn!(hub.log, "a signal could not be read"; "error" => %e),
         }
     }
-    future::pending().await
 }
 
 /// A new configuration: the watch moves, operations and connections are untouched. A file that cannot be used
