Test operators' calls in pieces beside silent callers, and a successor on the same address

Two process tests: readyz and telemetry answered while four callers say nothing, with a served operation counted as ok and one try; a second process started on the first one's address and TMPDIR takes the new connections once the first is stopped, which finds its successor and exits 0. The mgmt address is now logged after the clients' one.

--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -225,11 +225,11 @@
         };
         let (sockets, addr) = net::front::listen(&hub, config.listen, &config.limits)
             .map_err(|e| format!("listen: {}: {e}", config.listen))?;
+        info!(log, "serving"; "name" => &config.name, "listen" => %addr);
         if let Some(mgmt) = config.mgmt {
             let mgmt = net::mgmt::listen(&hub, mgmt).map_err(|e| format!("mgmt: {mgmt}: {e}"))?;
             info!(log, "operators' calls"; "mgmt" => %mgmt);
         }
-        info!(log, "serving"; "name" => &config.name, "listen" => %addr);
         let batches = hub.clone();
         hub.spawn(async move { batches.batches().await });
         hub.serving.set(true);
--- /dev/null
+++ b/tests/operations.rs
@@ -0,0 +1,79 @@
+//! Daily operation: operators' calls at `mgmt`, and a second process that replaces the first.
+
+mod support;
+
+use serde_json::Value;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use support::*;
+
+/// One call at mgmt, sent in pieces; the whole answer.
+fn call(mgmt: SocketAddr, pieces: &[&str]) -> String {
+    let mut stream = connect(mgmt);
+    for piece in pieces {
+        stream.write_all(piece.as_bytes()).unwrap();
+        stream.flush().unwrap();
+    }
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer and the end");
+    answer
+}
+
+fn mgmt_of(program: &Program) -> SocketAddr {
+    let line = program.logged("operators' calls");
+    line.rsplit("mgmt: ").next().unwrap().trim().parse().expect("an address")
+}
+
+#[test]
+fn operators_are_told_readiness_and_figures_while_others_say_nothing() {
+    let worker = Worker::start("s-1", SERVES);
+    let mut config = config(&[&worker]);
+    config["mgmt"] = "127.0.0.1:0".into();
+    let program = Program::with(Files::new(), &config, None, &[&worker]);
+    let mgmt = mgmt_of(&program);
+    let silent: Vec<TcpStream> = (0..4).map(|_| connect(mgmt)).collect();
+    assert_eq!(call(mgmt, &["read", "yz\n"]), "YES\n");
+    assert_eq!(call(mgmt, &["uptime\n"]), "NO unknown call \"uptime\"\n");
+
+    let answer = ask(program.addr, &operation("depth-log", "a1", 4000));
+    assert_eq!(answer.status(), 200);
+    let told = call(mgmt, &["telemetry\n"]);
+    let lines: Vec<&str> = told.lines().collect();
+    assert_eq!((lines[0], lines.last().copied()), ("YES", Some("END")));
+    let figures: Value = serde_json::from_str(lines[1]).expect("json");
+    let depth = &figures["responses"]["depth-log"];
+    assert_eq!(
+        (depth["ok"].as_u64(), depth["tries"].as_u64(), depth["shed"].as_u64()),
+        (Some(1), Some(1), Some(0))
+    );
+    assert_eq!((figures["active"].as_u64(), figures["pool_size"].as_u64()), (Some(0), Some(1)));
+    assert_eq!(figures["responses"]["layer-view"]["ok"].as_u64(), Some(0));
+    drop(silent);
+}
+
+#[test]
+fn a_successor_shares_the_address_and_takes_the_new_connections() {
+    let worker = Worker::start("s-1", SERVES);
+    let files = Files::new();
+    let tmp = files.0.join("tmp");
+    std::fs::create_dir_all(&tmp).unwrap();
+    let mut first = config(&[&worker]);
+    first["environment"] = serde_json::json!({"TMPDIR": tmp.to_str().unwrap()});
+    first["mgmt"] = "127.0.0.1:0".into();
+    let old = Program::with(Files::new(), &first, None, &[&worker]);
+    let mut second = first.clone();
+    second["listen"] = old.addr.to_string().into();
+    let new = Program::with(Files::new(), &second, None, &[]);
+    assert_eq!(new.addr, old.addr);
+    assert_eq!(call(mgmt_of(&new), &["readyz\n"]), "YES\n");
+
+    old.signal("TERM");
+    assert!(old.logged("stopping").contains("replaced: true"));
+    for n in 0..8 {
+        assert_eq!(ask(new.addr, &operation("depth-log", &format!("b{n}"), 4000)).status(), 200);
+    }
+    let mut old = old;
+    assert!(old.child.wait().expect("it ends").success());
+    assert!(new.counters()["front_sockets"].as_u64().unwrap() >= 9);
+    let _ = connect(new.addr).shutdown(Shutdown::Both);
+}
