Pass call-backs for the other process's steps through a mailbox in TMPDIR

Change: each process names the other from the note in TMPDIR (the predecessor at its start, the successor at SIGTERM); a call-back that matches no step here is written whole to the other's mailbox folder and answered 204; each reads its own mailbox every 10 ms while the other lives. A process test ends an old process's job by a call-back sent to the new one.

--- a/src/counters.rs
+++ b/src/counters.rs
@@ -22,6 +22,8 @@
     pub callbacks: u64,
     /// Call-backs that matched no route step still out.
     pub callbacks_unmatched: u64,
+    /// Call-backs passed on to the other process that shares the address.
+    pub callbacks_passed_on: u64,
     /// Route steps sent.
     pub steps: u64,
     /// Connections opened to workers.
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -461,7 +461,7 @@
     let reply = match (path(&head.target), head.method.as_str()) {
         (CALL_BACKS, "POST") => {
             socket.is_worker();
-            call_back(hub, &body)
+            call_back(hub, &body, true)
         }
         (CALL_BACKS, _) => Reply::only("POST"),
         ("/up", "GET") if hub.stopping.get() => Reply::plain(503, "stopping"),
@@ -527,7 +527,30 @@
 }
 
 /// A call may come before the 202, again, or after the end: it counts once, and is answered 204 all the same.
-fn call_back(hub: &Hub, body: &[u8]) -> Reply {
+/// How often the mailbox is read while another process shares the address; ten times as seldom while none does,
+/// as one that starts beside this one may post before this one hears of it.
+const MAIL: Duration = Duration::from_millis(10);
+
+/// Reads what the other process posts while it lives: call-backs for this process's steps that reached it.
+pub(crate) fn hear_the_other(hub: &Rc<Hub>) {
+    let hub_ = hub.clone();
+    hub.spawn(async move {
+        loop {
+            let other = hub_.other.get();
+            Timer::after(if other.is_some() { MAIL } else { MAIL * 10 }).await;
+            for body in super::handover::collect() {
+                call_back(&hub_, &body, false);
+            }
+            if other.is_some_and(|pid| !super::handover::alive(pid)) {
+                hub_.other.set(None);
+            }
+        }
+    });
+}
+
+/// A worker's call-back. One that matches no step here is posted to the other process, if one shares the address
+/// and `pass_on` allows: it is that one's.
+fn call_back(hub: &Hub, body: &[u8], pass_on: bool) -> Reply {
     let call: CallBack = match serde_json::from_slice(body) {
         Ok(call) => call,
         Err(e) => return Reply::plain(400, &format!("not a call-back: {e}")),
@@ -535,7 +558,12 @@
     hub.with(|core, _| {
         core.counters.callbacks += 1;
         let Some(step) = core.find_step(&call.id, &call.from) else {
-            core.counters.callbacks_unmatched += 1;
+            match hub.other.get().filter(|_| pass_on) {
+                Some(other) if super::handover::post(other, body).is_ok() => {
+                    core.counters.callbacks_passed_on += 1
+                }
+                _ => core.counters.callbacks_unmatched += 1,
+            }
             return;
         };
         let ending = match call.state {
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -54,6 +54,8 @@
     pub(crate) stopping: Cell<bool>,
     /// Front sockets are taken and the batch loop runs.
     serving: Cell<bool>,
+    /// The other process that listens at the same address while one replaces the other.
+    pub(crate) other: Cell<Option<u32>>,
 }
 
 impl Hub {
@@ -201,6 +203,7 @@
         tenant_header: config.tenants.as_ref().map(|t| t.header.clone()),
         stopping: Cell::new(false),
         serving: Cell::new(false),
+        other: Cell::new(None),
     });
     if let Some(t) = config.tenants {
         hub.with(|core, _| core.set_tenants(t.tenants));
@@ -234,9 +237,11 @@
         let batches = hub.clone();
         hub.spawn(async move { batches.batches().await });
         hub.serving.set(true);
-        if let Err(e) = net::handover::announce(addr) {
-            warn!(log, "a successor's note could not be left"; "error" => %e);
+        match net::handover::announce(addr) {
+            Ok(before) => hub.other.set(before),
+            Err(e) => warn!(log, "a successor's note could not be left"; "error" => %e),
         }
+        net::front::hear_the_other(&hub);
         let drained = drain(&hub, &sockets, addr, jobs.as_deref());
         match (calls, signals) {
             (Some(calls), _) => {
@@ -256,6 +261,7 @@
     let done = async_io::block_on(executor.run(main));
     drop(executor); // its tasks' answers that are not written yet are noted as such
     billing.iter().for_each(|b| b.end());
+    net::handover::close();
     done
 }
 
@@ -303,10 +309,12 @@
     let begun = Instant::now();
     let last_call = kill.saturating_sub(SPARE).max(STILL_COMING);
     let close_at = last_call.saturating_sub(LAST_ONES).max(STILL_COMING);
-    let replaced = net::handover::successor(addr);
+    let successor = net::handover::successor(addr);
+    let replaced = successor.is_some();
     info!(hub.log, "stopping"; "owed" => hub.core.borrow().owed(), "replaced" => replaced);
     hub.stopping.set(true);
     if replaced {
+        hub.other.set(successor);
         sockets.hand_over(); // new connections reach the successor
     }
     hub.with(|core, now| core.answer_all_by(now.saturating_add(last_call.as_micros() as Micros)));
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -79,3 +79,30 @@
     assert!(new.counters()["front_sockets"].as_u64().unwrap() >= 9);
     let _ = connect(new.addr).shutdown(Shutdown::Both);
 }
+
+#[test]
+fn a_call_back_that_reaches_the_successor_ends_the_old_process_job() {
+    let worker = Worker::start("s-1", RUNS_ON);
+    let files = Files::new();
+    let tmp = files.0.join("tmp");
+    std::fs::create_dir_all(&tmp).unwrap();
+    let mut first = config(&[&worker]);
+    first["environment"] = serde_json::json!({"TMPDIR": tmp.to_str().unwrap()});
+    first["mgmt"] = "127.0.0.1:0".into();
+    let old = Program::with(Files::new(), &first, None, &[&worker]);
+    let mut client = connect(old.addr);
+    client.write_all(operation("depth-log", "a1", 8000).as_bytes()).unwrap();
+    assert!(matches!(worker.next(), Sent::Job { .. }));
+    worker.told.recv_timeout(LONG).expect("it has started");
+
+    let mut second = first.clone();
+    second["listen"] = old.addr.to_string().into();
+    let new = Program::with(Files::new(), &second, None, &[]);
+    assert_eq!(call(mgmt_of(&new), &["readyz\n"]), "YES\n");
+    old.signal("TERM");
+    old.logged("left to the successor"); // from here on only the new process hears the address
+    assert_eq!(call_back(new.addr, "a1", "s-1", "done"), 204);
+    let answer = read_message(&mut std::io::BufReader::new(&client)).expect("the old process answers");
+    assert_eq!((answer.status(), answer.body.as_str()), (200, "log of a1"));
+    assert_eq!(new.counters()["callbacks_passed_on"].as_u64(), Some(1));
+}
