--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,19 +1,17 @@
 //! Front sockets: clients' operations, workers' call-backs, `GET /up` and `GET /counters` on one listener.
 
 use super::http::{self, Bad, Conn, Head};
-use super::load_from_json;
 use super::pool::no_descriptors;
 use super::request::{self, busy, path, Reply};
 use crate::config::Limits;
-use crate::core::{Ending, Operation, Receipt, StepNews};
+use crate::core::{Operation, Receipt};
 use crate::runtime::Hub;
 use async_channel::{bounded, Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::future;
-use serde::Deserialize;
 use slog::{info, warn};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -461,7 +459,7 @@
     let reply = match (path(&head.target), head.method.as_str()) {
         (CALL_BACKS, "POST") => {
             socket.is_worker();
-            call_back(hub, &body, true)
+            super::callback::call_back(hub, &body, true)
         }
         (CALL_BACKS, _) => Reply::only("POST"),
         ("/up", "GET") if hub.stopping.get() => Reply::plain(503, "stopping"),
@@ -505,77 +503,3 @@
     told(&reply);
     Some((reply, receipt))
 }
-
-#[derive(Deserialize)]
-struct CallBack {
-    id: String,
-    from: String,
-    #[serde(flatten)]
-    state: JobState,
-    load: Option<HashMap<String, f64>>,
-}
-
-#[derive(Deserialize)]
-#[serde(tag = "state", rename_all = "lowercase")]
-enum JobState {
-    Started,
-    Running { share: f64 },
-    Done { result: String },
-    Failed,
-    Returned,
-    Lost,
-}
-
-/// A call may come before the 202, again, or after the end: it counts once, and is answered 204 all the same.
-/// How often the mailbox is read while another process shares the address; ten times as seldom while none does,
-/// as one that starts beside this one may post before this one hears of it.
-const MAIL: Duration = Duration::from_millis(10);
-
-/// Reads what the other process posts while it lives: call-backs for this process's steps that reached it.
-pub(crate) fn hear_the_other(hub: &Rc<Hub>) {
-    let hub_ = hub.clone();
-    hub.spawn(async move {
-        loop {
-            let other = hub_.other.get();
-            Timer::after(if other.is_some() { MAIL } else { MAIL * 10 }).await;
-            for body in super::handover::collect() {
-                call_back(&hub_, &body, false);
-            }
-            if other.is_some_and(|pid| !super::handover::alive(pid)) {
-                hub_.other.set(None);
-            }
-        }
-    });
-}
-
-/// A worker's call-back. One that matches no step here is posted to the other process, if one shares the address
-/// and `pass_on` allows: it is that one's.
-fn call_back(hub: &Hub, body: &[u8], pass_on: bool) -> Reply {
-    let call: CallBack = match serde_json::from_slice(body) {
-        Ok(call) => call,
-        Err(e) => return Reply::plain(400, &format!("not a call-back: {e}")),
-    };
-    hub.with(|core, _| {
-        core.counters.callbacks += 1;
-        let Some(step) = core.find_step(&call.id, &call.from) else {
-            match hub.other.get().filter(|_| pass_on) {
-                Some(other) if super::handover::post(other, body).is_ok() => {
-                    core.counters.callbacks_passed_on += 1
-                }
-                _ => core.counters.callbacks_unmatched += 1,
-            }
-            return;
-        };
-        let ending = match call.state {
-            JobState::Started => return core.step(step, StepNews::Started),
-            JobState::Running { share } => return core.step(step, StepNews::Progress(share)),
-            JobState::Done { result } => Ending::Served(result.into_bytes().into()),
-            JobState::Failed => Ending::WorkerFailed,
-            JobState::Returned => Ending::TurnedAway,
-            JobState::Lost => Ending::Lost,
-        };
-        let report = call.load.map(|l| core.report(&load_from_json(&l)));
-        core.step(step, StepNews::Ended(ending, report));
-    });
-    Reply::plain(204, "")
-}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The platform's front: front sockets, route steps with a connection pool, pool config.
 
+pub(crate) mod callback;
 pub(crate) mod discovery;
 pub(crate) mod front;
 pub(crate) mod handover;
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -241,7 +241,7 @@
             Ok(before) => hub.other.set(before),
             Err(e) => warn!(log, "a successor's note could not be left"; "error" => %e),
         }
-        net::front::hear_the_other(&hub);
+        net::callback::hear_the_other(&hub);
         let drained = drain(&hub, &sockets, addr, jobs.as_deref());
         match (calls, signals) {
             (Some(calls), _) => {
