Retune settings at SIGHUP: changed classes get new numbers, open jobs keep their rules

Ruled out: the refusals of broken files, which were right. Change: Reload carries the checked settings; Site::retune matches classes by name, keeps the number of one unchanged and gives a new one to one new or changed, retiring the old number with those dropped; zones and kinds take a restart; at most 256 entries. Fronts find classes by name among those not retired; the ledger names new ones as booked. A file without discovery, where the program has none, is no longer refused for it. Measured: a process test adds a class, changes one and refuses two broken files; all pass.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -88,6 +88,19 @@
         }
     }
 
+    /// New settings; classes past the known ones are new, and those known keep their rules.
+    pub fn retune(&mut self, set: Settings) {
+        for (i, c) in set.classes.iter().enumerate().skip(self.best.len()) {
+            self.best.push(Vec::new());
+            self.open.push(usize::from(c.is_bound()) * (i + 1));
+            self.fails.push(Mean::default());
+            self.run.push((Mean::guess(c.aim_us), Mean::default()));
+        }
+        self.workers.iter_mut().for_each(|w| w.charges.resize(self.best.len() + 1, None));
+        self.set = set;
+        self.pools.fill(&self.workers, &self.open, |open, e| open_to(&self.set, open, e));
+    }
+
     /// Takes one event and adds what is to be done about it to `out`.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         match event {
--- a/src/billing.rs
+++ b/src/billing.rs
@@ -26,7 +26,9 @@
     gate: RefCell<Gate>,
     writer: RefCell<Option<Writer>>,
     key: [u8; 32],
-    classes: Vec<Arc<str>>,
+    /// Class names by number; those that a retuning adds are named as they are first booked.
+    classes: RefCell<Vec<Arc<str>>>,
+    hub: std::rc::Weak<Hub>,
     nobody: Arc<str>,
     log: Logger,
 }
@@ -56,7 +58,8 @@
         gate: RefCell::new(Gate::new(config.on_failure, config.hold_ms * 1_000, MOST_WAITING)),
         writer: RefCell::new(Some(writer)),
         key,
-        classes: hub.classes.iter().map(|c| Arc::from(c.name.as_str())).collect(),
+        classes: RefCell::new(hub.classes.borrow().iter().map(|c| Arc::from(c.name.as_str())).collect()),
+        hub: Rc::downgrade(hub),
         nobody: Arc::from(NOBODY),
         log: hub.log.clone(),
     });
@@ -108,6 +111,18 @@
     }
 }
 
+impl Billing {
+    fn class(&self, number: usize) -> Arc<str> {
+        let mut classes = self.classes.borrow_mut();
+        if let Some(hub) = self.hub.upgrade().filter(|_| classes.len() <= number) {
+            let infos = hub.classes.borrow();
+            let known = classes.len().min(infos.len());
+            classes.extend(infos[known..].iter().map(|c| Arc::from(c.name.as_str())));
+        }
+        classes.get(number).cloned().unwrap_or_else(|| Arc::from("?"))
+    }
+}
+
 impl Bookkeeper for Billing {
     fn takes_work(&self) -> bool {
         self.gate.borrow().takes_work()
@@ -123,7 +138,7 @@
             time_us: wall(),
             operation: a.operation.to_string(),
             tenant: a.tenant.unwrap_or(&self.nobody).clone(),
-            class: self.classes[a.class.0 as usize].clone(),
+            class: self.class(a.class.0 as usize),
             answer: match a.ended {
                 Ended::Served => Answer::Served,
                 Ended::Busy => Answer::Busy,
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -177,10 +177,10 @@
 }
 
 /// What a new configuration changes in a program that runs.
-#[derive(Debug)]
 pub struct Reload {
-    /// Where discovery answers from now on.
-    pub discovery: SocketAddr,
+    /// Where discovery answers from now on; none, where all workers stand in the inventory.
+    pub discovery: Option<SocketAddr>,
+    pub(crate) setup: Setup,
 }
 
 impl Reload {
@@ -191,11 +191,11 @@
         let config = Config::load(|key| env(key).filter(|_| key != "NODE_DISCOVERY"), None)?;
         let told_at_start = told_at_start.filter(|a| !a.is_empty());
         let discovery = match (config.discovery, told_at_start) {
-            (Some(addr), _) => addr,
-            (None, Some(addr)) => address("NODE_DISCOVERY", &addr)?,
-            (None, None) => return Err("discovery: missing".into()),
+            (Some(addr), _) => Some(addr),
+            (None, Some(addr)) => Some(address("NODE_DISCOVERY", &addr)?),
+            (None, None) => None,
         };
-        Ok(Reload { discovery })
+        Ok(Reload { discovery, setup: config.setup })
     }
 }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -197,6 +197,26 @@
         }
     }
 
+    /// New settings at SIGHUP: see [`crate::settings`]. Nothing changes if they cannot be taken.
+    pub(crate) fn retune(&mut self, setup: crate::settings::Setup) -> Result<usize, String> {
+        let known = self.site.settings.classes.len();
+        let added = self.site.retune(setup)?;
+        if self.joins_repeats {
+            let keyed = |c: &&mut Class| matches!(c.repeat, Repeat::Keyed { .. });
+            self.site.settings.classes[known..]
+                .iter_mut()
+                .filter(keyed)
+                .for_each(|c| c.repeat = Repeat::Once);
+        }
+        self.balancer.retune(self.site.settings.clone());
+        Ok(added)
+    }
+
+    /// What fronts need to know of the classes.
+    pub(crate) fn class_infos(&self) -> Vec<crate::net::request::ClassInfo> {
+        self.site.class_infos()
+    }
+
     /// Adds a driver; pool configs name it by the number returned.
     pub fn attach_driver(&mut self, driver: Rc<dyn Driver>) -> usize {
         self.drivers.push(driver);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -58,7 +58,7 @@
 }
 
 /// A request class.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// How it may be repeated.
     pub repeat: Repeat,
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -330,7 +330,7 @@
     let head = conn.request().await?;
     let mut held = None;
     if is_operation(&head) {
-        if let Err(reply) = request::check(&hub.classes, &head.method, &head.target) {
+        if let Err(reply) = request::check(&hub.classes.borrow(), &head.method, &head.target) {
             return Ok(Err(reply));
         }
         held = socket.sockets.body(http::body_length(&head)?);
@@ -476,7 +476,8 @@
 
 fn operation(hub: &Hub, head: &Head, body: Vec<u8>) -> Result<Operation, Reply> {
     let tenant = hub.tenant_header.as_deref().map(|name| request::tenant(head.all(name)));
-    let operation = request::operation(&hub.classes, &head.method, &head.target, |n| head.get(n), body)?;
+    let operation =
+        request::operation(&hub.classes.borrow(), &head.method, &head.target, |n| head.get(n), body)?;
     Ok(Operation { tenant: tenant.transpose()?.flatten(), ..operation })
 }
 
@@ -484,8 +485,9 @@
     hub: &Rc<Hub>, conn: &mut Conn, socket: &mut FrontSocket, operation: Operation,
 ) -> Option<(Reply, Receipt)> {
     let class = operation.class.0 as usize;
-    let told =
-        |reply: &Reply| hub.with(|core, _| core.counters.responded(&hub.classes[class].name, reply.status));
+    let told = |reply: &Reply| {
+        hub.with(|core, _| core.counters.responded(&hub.classes.borrow()[class].name, reply.status))
+    };
     let pending = match hub.submit(operation) {
         Ok(pending) => pending,
         Err(why) => {
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -10,6 +10,8 @@
     pub(crate) name: String,
     pub(crate) deadline_us: Micros,
     pub(crate) keyed: bool,
+    /// Retuned away: operations open under it keep its rules; new ones find it no longer.
+    pub(crate) retired: bool,
 }
 
 /// The longest idempotency key: keys are remembered for a while.
@@ -48,7 +50,7 @@
 /// The class that a target names by its first part.
 pub(crate) fn class(classes: &[ClassInfo], target: &str) -> Option<usize> {
     let name = path(target).split('/').nth(1).unwrap_or("");
-    classes.iter().position(|c| c.name == name)
+    classes.iter().rposition(|c| c.name == name && !c.retired)
 }
 
 /// What method and target alone show to be wrong, before a body is read for nothing.
--- a/src/net/route.rs
+++ b/src/net/route.rs
@@ -150,7 +150,8 @@
                 return me.hub.with(|core, _| core.step(step, StepNews::Ended(Ending::ConnectRefused, None)));
             };
             let (request, mut lent) = (request(&operation, addr, left_us), None);
-            let class = me.hub.classes[operation.class.0 as usize].name.as_str();
+            let class = me.hub.classes.borrow()[operation.class.0 as usize].name.clone();
+            let class = class.as_str();
             let handed = async { Some(me.hand_over(addr, class, request, &mut lent).await) };
             let cancelled = async {
                 let _ = given_up.recv().await;
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -47,7 +47,8 @@
     /// Weak, as its tasks hold this: at the end they are dropped with it.
     executor: Weak<LocalExecutor<'static>>,
     pub(crate) log: Logger,
-    pub(crate) classes: Vec<ClassInfo>,
+    /// Retuned at SIGHUP; retired entries stay, as open operations are of them.
+    pub(crate) classes: RefCell<Vec<ClassInfo>>,
     /// The header that names an operation's tenant, where that matters.
     pub(crate) tenant_header: Option<String>,
     /// SIGTERM has come.
@@ -81,7 +82,7 @@
     pub(crate) fn figures(&self) -> Figures {
         let core = self.core.borrow();
         let mut responses = core.counters.classes.clone();
-        for class in &self.classes {
+        for class in self.classes.borrow().iter().filter(|c| !c.retired) {
             responses.entry(class.name.clone()).or_default();
         }
         let (pool_size, pool_ejected) = core.pool_figures();
@@ -199,7 +200,7 @@
         clock,
         executor: Rc::downgrade(&executor),
         log: log.clone(),
-        classes,
+        classes: RefCell::new(classes),
         tenant_header: config.tenants.as_ref().map(|t| t.header.clone()),
         stopping: Cell::new(false),
         serving: Cell::new(false),
@@ -285,11 +286,19 @@
 /// changes nothing.
 fn reload(hub: &Rc<Hub>, watch: &net::discovery::Watch) {
     match Reload::load(|name| std::env::var(name).ok()) {
-        Ok(new) => {
-            info!(hub.log, "new configuration"; "discovery" => %new.discovery);
-            hub.with(|core, _| core.counters.reloads += 1);
-            watch.move_to(new.discovery);
-        }
+        Ok(new) => match hub.with(|core, _| core.retune(new.setup)) {
+            Ok(added) => {
+                let discovery = new.discovery.map_or("none".into(), |d| d.to_string());
+                info!(hub.log, "new configuration"; "discovery" => discovery, "classes renumbered" => added);
+                *hub.classes.borrow_mut() = hub.core.borrow().class_infos();
+                hub.with(|core, _| core.counters.reloads += 1);
+                new.discovery.into_iter().for_each(|d| watch.move_to(d));
+            }
+            Err(why) => {
+                warn!(hub.log, "the new configuration cannot be used; the old one stays"; "why" => why);
+                hub.with(|core, _| core.counters.reloads_refused += 1);
+            }
+        },
         Err(why) => {
             warn!(hub.log, "the new configuration cannot be used; the old one stays"; "why" => why);
             hub.with(|core, _| core.counters.reloads_refused += 1);
@@ -304,7 +313,7 @@
     hub: &Rc<Hub>, sockets: &net::front::Sockets, addr: std::net::SocketAddr,
     jobs: Option<&drmaa::front::JobTable>,
 ) {
-    let longest = hub.classes.iter().map(|c| c.deadline_us).max().unwrap_or(0);
+    let longest = hub.classes.borrow().iter().map(|c| c.deadline_us).max().unwrap_or(0);
     let kill = Duration::from_micros(longest).min(LONGEST) + THE_REST;
     let begun = Instant::now();
     let last_call = kill.saturating_sub(SPARE).max(STILL_COMING);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -124,6 +124,19 @@
         id
     }
 
+    /// A new number for a name that had one: what is found by the name from now on.
+    pub(crate) fn renumber(&mut self, name: &str) -> u32 {
+        let (id, name) = (self.1.len() as u32, Arc::<str>::from(name));
+        self.1.push(name.clone());
+        self.0.insert(name, id);
+        id
+    }
+
+    /// The name is no longer found; its numbers keep it.
+    pub(crate) fn retire(&mut self, name: &str) {
+        self.0.remove(name);
+    }
+
     pub(crate) fn name(&self, id: u32) -> &str {
         &self.1[id as usize]
     }
@@ -155,6 +168,9 @@
     x0_is_free: bool,
 }
 
+/// Class entries at most since the start, retired ones included: each retuning adds those that changed.
+const MOST_CLASSES: usize = 256;
+
 /// A number for a name, the same everywhere (FNV-1a).
 pub(crate) fn mark(name: &str) -> u64 {
     name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
@@ -247,12 +263,51 @@
         }
     }
 
+    /// Takes new settings at SIGHUP. Classes are matched by name: one unchanged keeps its number; one new or changed
+    /// gets the next number, and the one it had is retired with those of dropped classes, so that operations open
+    /// under it keep its rules. Zones and kinds take a restart. Gives the classes that got a number.
+    pub(crate) fn retune(&mut self, setup: Setup) -> Result<usize, String> {
+        let fresh = Site::new(setup);
+        if fresh.zones.1 != self.zones.1 || fresh.kinds.1 != self.kinds.1 {
+            return Err("settings.zones, settings.kinds: a change takes a restart".into());
+        }
+        let dropped: Vec<Arc<str>> =
+            self.classes.0.keys().filter(|n| fresh.classes.known(n).is_none()).cloned().collect();
+        if self.settings.classes.len() + fresh.settings.classes.len() > MOST_CLASSES {
+            return Err(format!("settings.requestClasses: more than {MOST_CLASSES} classes since the start"));
+        }
+        let mut added = 0;
+        for (i, class) in fresh.settings.classes.iter().enumerate() {
+            let name = fresh.classes.name(i as u32);
+            let same = self.classes.known(name).is_some_and(|j| {
+                let j = j as usize;
+                self.settings.classes[j] == *class
+                    && self.keyed[j] == fresh.keyed[i]
+                    && self.windows[j] == fresh.windows[i]
+            });
+            if !same {
+                self.classes.renumber(name);
+                self.settings.classes.push(class.clone());
+                self.keyed.push(fresh.keyed[i]);
+                self.windows.push(fresh.windows[i]);
+                added += 1;
+            }
+        }
+        dropped.iter().for_each(|name| self.classes.retire(name));
+        let (classes, tenants) =
+            (std::mem::take(&mut self.settings.classes), std::mem::take(&mut self.settings.tenants));
+        self.settings = Settings { classes, tenants, ..fresh.settings };
+        self.connect_timeout_us = fresh.connect_timeout_us;
+        Ok(added)
+    }
+
     /// What fronts need to know of the classes.
     pub(crate) fn class_infos(&self) -> Vec<ClassInfo> {
         let info = |(i, c): (usize, &Class)| ClassInfo {
             name: self.classes.name(i as u32).to_string(),
             deadline_us: c.deadline_us,
             keyed: self.keyed[i],
+            retired: self.classes.known(self.classes.name(i as u32)) != Some(i as u32),
         };
         self.settings.classes.iter().enumerate().map(info).collect()
     }
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -106,3 +106,36 @@
     assert_eq!((answer.status(), answer.body.as_str()), (200, "log of a1"));
     assert_eq!(new.counters()["callbacks_passed_on"].as_u64(), Some(1));
 }
+
+#[test]
+fn settings_are_retuned_at_sighup_and_a_broken_file_changes_nothing() {
+    let worker = Worker::start("s-1", SERVES);
+    let mut config = config(&[&worker]);
+    config["mgmt"] = "127.0.0.1:0".into();
+    let program = Program::with(Files::new(), &config, None, &[&worker]);
+    let mgmt = mgmt_of(&program);
+    assert_eq!(ask(program.addr, &operation("core-scan", "a1", 4000)).status(), 404);
+
+    let mut retuned = config.clone();
+    let mut scan = retuned["settings"]["requestClasses"][0].clone();
+    scan["name"] = "core-scan".into();
+    retuned["settings"]["requestClasses"].as_array_mut().unwrap().push(scan);
+    retuned["settings"]["requestClasses"][1]["deadlineUs"] = 3_000_000.into();
+    program.reload(&retuned.to_string());
+    let line = program.logged("new configuration");
+    assert!(line.contains("classes renumbered: 2"), "{line}");
+    assert_eq!(ask(program.addr, &operation("core-scan", "a2", 4000)).status(), 200);
+    assert_eq!(ask(program.addr, &operation("layer-view", "a3", 4000)).status(), 200);
+
+    let mut broken = retuned.clone();
+    broken["settings"]["requestClasses"][0]["deadlineUs"] = (-5).into();
+    program.reload(&broken.to_string());
+    program.logged("cannot be used");
+    program.reload("");
+    program.logged("cannot be used");
+    let told = call(mgmt, &["telemetry\n"]);
+    let figures: Value = serde_json::from_str(told.lines().next().unwrap()).expect("json");
+    assert_eq!((figures["config_applied"].as_u64(), figures["config_rejected"].as_u64()), (Some(1), Some(2)));
+    assert_eq!(figures["responses"]["core-scan"]["ok"].as_u64(), Some(1));
+    assert_eq!(ask(program.addr, &operation("core-scan", "a4", 4000)).status(), 200);
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -582,8 +582,7 @@
     assert!(matches!(worker.next(), Sent::Job { .. }));
     program.signal("TERM");
     program.logged("stopping");
-    for (signal, logged) in
-        [("HUP", "the new configuration"), ("USR1", "counters"), ("TERM", "stopping already")]
+    for (signal, logged) in [("HUP", "new configuration"), ("USR1", "counters"), ("TERM", "stopping already")]
     {
         program.signal(signal);
         program.logged(logged);
