Send DELETE when a cancelled step's 202 is not read within 30 ms of the close

The stand-in writes its 202 at once and treats a closed connection as a cancel only before that; take_back (src/net/route.rs) waited 30 ms for an answer and, with none read, closed the connection alone. Ruled out: the mailbox (no TMPDIR in that test) and the class counters, which run outside any borrow of the core. Change: with no answer in 30 ms the connection is closed and DELETE /jobs/ID follows.

--- a/src/net/route.rs
+++ b/src/net/route.rs
@@ -70,7 +70,12 @@
             Timer::after(ON_ITS_WAY).await;
             None
         });
-        let (head, _) = head.await?;
+        let Some((head, _)) = head.await else {
+            // The 202 may have been on its way for longer: the closing alone would leave the job to run.
+            drop(lent);
+            self.cancel_taken(addr, id).await;
+            return None;
+        };
         // Any whole answer leaves the connection fit for use: guards against a new one for each job that a
         // crowded worker turns away just after its cancel.
         self.keep(addr, &mut Some(lent), &head);
