Pace calls to discovery by the fleet's size and await the head past its time-out

Discovery there does 600 lines a second, 30 lines a call, times a call out after 2 s: the fleet's retries kept its queue full. The faults were src/net/discovery.rs: BACKOFF (60 ms doubling to 1 s, spread by now % 1000) and the 2 s wait for the head (PATIENCE * 2), which gives up calls that discovery still serves in turn.

The head is awaited 3 s, past discovery's own time-out and its 503.

A test with a stand-in discovery that answers after 2.4 s fails with the old wait and passes now.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -77,6 +77,7 @@
 pub mod interface;
 pub mod middleware;
 mod net;
+mod pacing;
 pub mod program;
 mod runtime;
 pub mod servers;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -4,13 +4,14 @@
 use super::http::{Bad, Conn};
 use crate::core::{Member, PoolSource};
 use crate::interface::Stage;
+use crate::pacing::Pacing;
 use crate::runtime::Hub;
 use async_channel::{bounded, Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::future;
 use serde::Deserialize;
 use slog::{info, warn};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::{Rc, Weak};
 use std::time::Duration;
@@ -18,10 +19,11 @@
 /// An empty line comes every 2 s: a watch that says nothing for longer is broken. A change counts as told
 /// after 6 s, read or not, so there must be time left to watch anew.
 const SILENCE: Duration = Duration::from_millis(3_000);
-/// Longest wait for a connection, and for an answer's head.
+/// Longest wait for a connection.
 const PATIENCE: Duration = Duration::from_millis(1_000);
-/// Waits between watches: the first, doubled each time up to the last.
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(60), Duration::from_millis(1_000));
+/// Longest wait for an answer's head: past discovery's own time-out of a call, which then says 503, since a
+/// call given up while queued there still takes its turn, and the next is queued behind it.
+const HEAD_PATIENCE: Duration = Duration::from_millis(3_000);
 /// The longest line.
 const LINE: usize = 4 << 20;
 
@@ -95,13 +97,17 @@
     source: usize,
     version: Cell<u64>,
     running: Cell<bool>,
+    /// Pauses between calls, spread over the fleet.
+    pacing: RefCell<Pacing>,
 }
 
 impl Watch {
-    pub(crate) fn new(hub: Rc<Hub>, addr: Option<SocketAddr>, source: usize, version: u64) -> Rc<Watch> {
+    pub(crate) fn new(
+        hub: Rc<Hub>, addr: Option<SocketAddr>, source: usize, version: u64, pacing: Pacing,
+    ) -> Rc<Watch> {
         let (version, running, addr) = (Cell::new(version), Cell::new(false), Cell::new(addr));
-        let moved = bounded(1);
-        Rc::new_cyclic(|me| Watch { me: me.clone(), hub, addr, moved, source, version, running })
+        let (moved, pacing) = (bounded(1), RefCell::new(pacing));
+        Rc::new_cyclic(|me| Watch { me: me.clone(), hub, addr, moved, source, version, running, pacing })
     }
 
     /// Discovery is at another address from now on. Guards against a watch on the old one, which may look alive
@@ -117,7 +123,9 @@
     }
 
     async fn keep(&self) {
-        let mut wait = BACKOFF.0;
+        // A fleet started at once does not call at once.
+        let first = self.pacing.borrow_mut().first();
+        self.pause(first).await;
         while let Some(addr) = self.addr.get() {
             let before = self.version.get();
             let mut lines = 0u64;
@@ -128,32 +136,30 @@
             let watch = async { self.watch(addr, &mut lines).await.err() };
             let Some(why) = future::or(moved, watch).await else {
                 info!(self.hub.log, "the watch moves"; "from" => %addr, "to" => ?self.addr.get());
-                wait = BACKOFF.0;
                 continue;
             };
-            warn!(self.hub.log, "the watch on discovery broke"; "why" => why, "lines" => lines, "version" => before);
+            let wait = self.pacing.borrow_mut().after(lines > 0);
+            warn!(self.hub.log, "the watch on discovery broke"; "why" => why, "lines" => lines, "version" => before,
+                "pause_ms" => wait.as_millis() as u64);
             self.hub.with(|core, _| {
                 core.counters.watches_broken += 1;
                 core.pool_config_failed();
             });
-            wait = if lines > 0 { BACKOFF.0 } else { (wait * 2).min(BACKOFF.1) };
-            // Spread by some chance, as all dispatchers lose their watches at one moment.
-            let spread = self.hub.now() % 1_000;
-            let pause = Timer::after(wait / 2 + wait * spread as u32 / 1_000);
-            let cut_short = async {
-                let _ = self.moved.1.recv().await;
-                true
-            };
-            let paused = async {
-                pause.await;
-                false
-            };
-            if future::or(cut_short, paused).await {
-                wait = BACKOFF.0;
-            }
+            self.pause(wait).await;
         }
     }
 
+    /// Waits, unless the address moves meanwhile.
+    async fn pause(&self, wait: Duration) {
+        let cut_short = async {
+            let _ = self.moved.1.recv().await;
+        };
+        let paused = async {
+            Timer::after(wait).await;
+        };
+        future::or(cut_short, paused).await;
+    }
+
     async fn watch(&self, addr: SocketAddr, lines: &mut u64) -> Result<std::convert::Infallible, String> {
         let dial = async { Async::<TcpStream>::connect(addr).await.map_err(|e| e.to_string()) };
         let mut conn = Conn::new(within(PATIENCE, dial).await?);
@@ -163,7 +169,7 @@
             addr
         );
         conn.write(query.as_bytes()).await.map_err(|e| e.to_string())?;
-        let head = within(PATIENCE * 2, async { conn.answer().await.map_err(say) }).await?;
+        let head = within(HEAD_PATIENCE, async { conn.answer().await.map_err(say) }).await?;
         if head.status != 200 {
             return Err(format!("status {}", head.status));
         }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -332,6 +332,25 @@
     drop(silent);
 }
 
+/// Guards against a dispatcher that gives up a call which waits its turn at a busy discovery: queued there past
+/// 2 s, below discovery's own time-out, the call is still answered, and the list taken from it.
+#[test]
+fn a_call_that_waits_its_turn_at_discovery_is_not_given_up() {
+    let worker = Worker::start("s-1", SERVES);
+    let discovery = Discovery(TcpListener::bind("127.0.0.1:0").unwrap());
+    let mut config = config(&[&worker]);
+    config["discovery"] = discovery.0.local_addr().unwrap().to_string().into();
+    let program = Program::with(Files::new(), &config, None, &[&worker]);
+    let (mut queued, _) = discovery.0.accept().unwrap();
+    // Discovery works through the calls before it, as a hundred dispatchers called at once.
+    std::thread::sleep(std::time::Duration::from_millis(2_400));
+    let list = json!({"version": 2, "full": true, "servers": [worker.line("ready")]}).to_string() + "\n";
+    let text = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{list}\r\n", list.len());
+    queued.write_all(text.as_bytes()).unwrap();
+    let first = program.logged_first(&["pool config", "the watch on discovery broke"]);
+    assert!(first.contains("pool config"), "{first}");
+}
+
 #[rstest]
 #[case::attempts("/settings/limits/maxAttempts", json!("four"), "settings.limits.maxAttempts: ")]
 #[case::classes("/settings/requestClasses", json!([]), "settings.requestClasses: ")]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -303,6 +303,16 @@
         }
     }
 
+    /// Waits for the first line of the log that holds any of these.
+    pub fn logged_first(&self, whats: &[&str]) -> String {
+        loop {
+            let line = self.log.recv_timeout(LONG).unwrap_or_else(|e| panic!("not logged: {whats:?}: {e}"));
+            if whats.iter().any(|w| line.contains(w)) {
+                return line;
+            }
+        }
+    }
+
     pub fn signal(&self, name: &str) {
         let done = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
         assert!(done.expect("kill").success());
