Start discovery's pacing anew when a new configuration moves discovery

Found on reading the change: the old loop began its pauses anew after a move to another address, and the pacing kept the failures counted at the old one, so the first failure at a new discovery could wait up to the fleet's ceiling. Watch::move_to now calls Pacing::start_over; the unit test checks that the pause after it is again at most a quarter of the ceiling.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -118,6 +118,7 @@
         }
         // Another address may count its versions anew: the whole list is asked for.
         self.version.set(0);
+        self.pacing.borrow_mut().start_over();
         let _ = self.moved.0.try_send(());
         self.subscribe();
     }
--- a/src/pacing.rs
+++ b/src/pacing.rs
@@ -59,6 +59,11 @@
         grown.mul_f64(0.1 + 0.9 * self.rng.random::<f64>())
     }
 
+    /// Discovery is elsewhere now: its first failure counts as the first.
+    pub fn start_over(&mut self) {
+        self.failures = 0;
+    }
+
     /// The longest pause this dispatcher takes.
     pub fn ceiling(&self) -> Duration {
         self.ceiling
@@ -94,6 +99,9 @@
         assert!(late.iter().any(|p| *p > pacing.ceiling() / 2), "{late:?}");
         assert!(pacing.after(true) <= FIRST);
         assert!(pacing.after(false) <= pacing.ceiling() / 4);
+        (0..8).for_each(|_| drop(pacing.after(false)));
+        pacing.start_over();
+        assert!(pacing.after(false) <= pacing.ceiling() / 4, "a new address starts anew");
     }
 
     /// A fleet of a hundred whose calls all fail: what they ask of discovery in one second, once their
