--- a/src/balance.rs
+++ b/src/balance.rs
@@ -351,8 +351,8 @@
     fn credit_of(&self, now: Micros, w: &Worker) -> f64 {
         let ready = self.pools.of(Pool::All(0)).len() as f64;
         let size = if self.set.weights == Weights::Size { self.pools.size(w) } else { 1.0 };
-        // Never past this one's part of what its slots can do, and, as a fleet's fair parts add up to the usual
-        // load only, never far below it: the warm ones may be full while the cold one stands half idle.
+        // Never past this one's part of what its slots can do, and never far below it: fair parts of a
+        // fleet add up to the usual load only, while the warm ones may be full and the cold one half idle.
         let most = self.slots(w) / f64::from(self.set.dispatchers.max(1));
         let fair = self.rates.work / RATE_US / ready * size;
         let rate = fair.max(most * TAKE_UP).min(most) * self.present_share(now, w);
