A queue told in jobs counts as a wait only once the kind's free slots were seen

Ruled out: tenant shares (all over=false), spent attempts (1189, a separate path), slow workers (slowness 1.0). Cause: note_report learns a kind's slots only as the most free slots ever seen. A dispatcher restarted into a full fleet never sees a free slot, takes each worker for one slot, and hopeless() turns every queue of 8 into 8 whole jobs ahead (src/balance.rs, hopeless). Change: where reports count jobs, the queue is turned into a wait only once a free slot of the kind was seen. The wait learnt from start delays is in slots already and stays counted. Test: tests/failures.rs a_job_that_is_hopeless_everywhere_is_refused_at_once, both cases.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -208,12 +208,16 @@
     }
 
     /// Whether a job is expected far past its aim if sent there now, after the jobs ahead; or nowhere yet.
+    /// A queue told in jobs is a wait only once a free slot of the kind was seen: a newcomer to a busy fleet
+    /// would take each worker for one slot and find all hopeless.
     fn hopeless(&self, now: Micros, job: &Job, at: Option<u32>) -> bool {
         let (work, class) = (self.work_of(job), &self.set.classes[job.class]);
         let (wait, slow) = at.map_or((0.0, 1.0), |id| {
             let w = &self.workers[id as usize];
             let ahead = (self.waiting(id) as f64 + self.load_of(now, w) - 1.0).max(0.0);
-            (ahead * self.work.mean / self.slots(w), self.slowness(w))
+            let counted =
+                !self.set.reports_count_jobs || self.kinds.get(&w.entry.kind).is_some_and(|k| k.slots >= 1.0);
+            (f64::from(counted) * ahead * self.work.mean / self.slots(w), self.slowness(w))
         });
         let finish = (wait + work) * slow + now.saturating_sub(job.arrived) as f64;
         finish > HOPELESS * (class.aim_us as f64 + class.stretch * work)
