--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -24,13 +24,19 @@
     line.rsplit("mgmt: ").next().unwrap().trim().parse().expect("an address")
 }
 
-#[test]
-fn operators_are_told_readiness_and_figures_while_others_say_nothing() {
+/// One worker and a program whose operators' calls listen on an ephemeral port.
+fn with_mgmt() -> (Worker, Value, Program, SocketAddr) {
     let worker = Worker::start("s-1", SERVES);
     let mut config = config(&[&worker]);
     config["mgmt"] = "127.0.0.1:0".into();
     let program = Program::with(Files::new(), &config, None, &[&worker]);
     let mgmt = mgmt_of(&program);
+    (worker, config, program, mgmt)
+}
+
+#[test]
+fn operators_are_told_readiness_and_figures_while_others_say_nothing() {
+    let (_worker, _, program, mgmt) = with_mgmt();
     let silent: Vec<TcpStream> = (0..4).map(|_| connect(mgmt)).collect();
     assert_eq!(call(mgmt, &["read", "yz\n"]), "YES\n");
     assert_eq!(call(mgmt, &["uptime\n"]), "NO unknown call \"uptime\"\n");
@@ -115,11 +121,7 @@
 
 #[test]
 fn settings_are_retuned_at_sighup_and_a_broken_file_changes_nothing() {
-    let worker = Worker::start("s-1", SERVES);
-    let mut config = config(&[&worker]);
-    config["mgmt"] = "127.0.0.1:0".into();
-    let program = Program::with(Files::new(), &config, None, &[&worker]);
-    let mgmt = mgmt_of(&program);
+    let (_worker, config, program, mgmt) = with_mgmt();
     assert_eq!(ask(program.addr, &operation("core-scan", "a1", 4000)).status(), 404);
 
     let mut retuned = config.clone();
