Slots of a kind are learnt from free and held jobs together, not from free slots alone

Ruled out: tenant shares (none), spent attempts, a missing list (each refusal had ranked workers). At fault: note_report in src/balance.rs kept the most free slots ever seen as a kind's slots; a newcomer that first sees one or two free takes a worker of five for one or two, so its held jobs for a queue, and finds every job hopeless.

Change: reports tell the jobs held beside the free slots, so Kind::note_slots learns free plus at work; until something was shown all jobs of a full worker are taken to be at work. The guard in hopeless() is gone.

Also: a CSV text that ends inside quotes is refused with the line where the quote opens, in inventories and in receipts (crates/quotes follows the csv crate's grammar, which does not tell); the mailbox is not read where there is no TMPDIR.

--- a/crates/ledger/src/receipts.rs
+++ b/crates/ledger/src/receipts.rs
@@ -4,6 +4,7 @@
 use crate::store::{Doubt, Settle, Store, StoreError};
 use std::collections::HashSet;
 use std::path::Path;
+use streamusher_quotes::{Quotes, Watched};
 
 /// Why doubts could not be settled.
 #[derive(Debug, thiserror::Error)]
@@ -22,23 +23,23 @@
     let at = path.display();
     let bad = |why: String| ReceiptsError::File(format!("{at}: {why}"));
     let sought: HashSet<&str> = doubts.iter().map(|d| d.row.operation.as_str()).collect();
-    let mut rows = csv::ReaderBuilder::new()
-        .trim(csv::Trim::All)
-        .flexible(false)
-        .from_path(path)
-        .map_err(|e| bad(e.to_string()))?;
+    let file = std::fs::File::open(path).map_err(|e| bad(e.to_string()))?;
+    let (file, quotes) = Watched::new(file, Quotes::new(b',', None));
+    let mut rows = csv::ReaderBuilder::new().trim(csv::Trim::All).flexible(false).from_reader(file);
     let heading = rows.headers().map_err(|e| bad(e.to_string()))?;
     let column = heading.iter().position(|h| h.trim_start_matches('\u{feff}') == "operation");
     let column = column.ok_or_else(|| bad("line 1: no column 'operation'".into()))?;
     let mut found = HashSet::new();
     let mut row = csv::StringRecord::new();
-    while rows.read_record(&mut row).map_err(|e| bad(e.to_string()))? {
+    // A quote left open swallows the rest: its place is the mistake, not what the reader makes of the row.
+    let open = || quotes.borrow().open().map(|p| bad(format!("line {}: a quote without its end", p.line)));
+    while rows.read_record(&mut row).map_err(|e| open().unwrap_or_else(|| bad(e.to_string())))? {
         let operation = row.get(column).unwrap_or_default();
         if sought.contains(operation) {
             found.insert(operation.to_string());
         }
     }
-    Ok(found)
+    open().map_or(Ok(found), Err)
 }
 
 /// How many doubts were settled.
@@ -66,3 +67,17 @@
     }
     Ok(done)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_quote_without_its_end_is_refused_with_its_line() {
+        let dir = tempfile::tempdir().expect("a folder");
+        let file = dir.path().join("receipts.csv");
+        std::fs::write(&file, "operation,tenant\na,t1\n\"b,t1\nc,t1\n").expect("written");
+        let why = found(&file, &[]).expect_err("refused").to_string();
+        assert!(why.ends_with("receipts.csv: line 3: a quote without its end"), "{why}");
+    }
+}
--- a/crates/roster/src/csv.rs
+++ b/crates/roster/src/csv.rs
@@ -13,6 +13,11 @@
         return Vec::new();
     };
     let delimiter = delimiter(heading);
+    if let Some(open) = streamusher_quotes::left_open(text.as_bytes(), delimiter, Some(b'#')) {
+        // All rows behind it would be taken for one field.
+        found.add(texts, at(open.line, open.column), None, None, "a quote without its end");
+        return Vec::new();
+    }
     let mut rows = csv::ReaderBuilder::new()
         .delimiter(delimiter)
         .comment(Some(b'#'))
--- a/crates/roster/tests/corpus.rs
+++ b/crates/roster/tests/corpus.rs
@@ -131,6 +131,7 @@
     "a.csv:4:12: host b: zone: unknown: \"pump-huose\" (did you mean \"pump-house\"?)",
 ])]
 #[case::behind_a_break_in_quotes("a.csv", "note,name,address,zone,kind\n\"two\nlines\",a,10.0.0.1,north-yard,odd\n", &["a.csv:3:30: host a: kind: unknown: \"odd\""])]
+#[case::open_quote("a.csv", &format!("{HEAD}a,10.0.0.1,north-yard,\"older,,,\nb,10.0.0.2,pump-house,older,,,\n"), &["a.csv:2:23: a quote without its end"])]
 #[case::too_many_fields("a.csv", "name,zone\na,north-yard,x\n", &["a.csv:2:14: 3 fields, and the heading has 2"])]
 #[case::no_name_column("a.csv", "zone,kind\nnorth-yard,older\n", &["a.csv:1:1: name: no such column in the heading", "a.csv:2:1: name: a row without a name"])]
 #[case::yaml_place("a.yml", "all:\n  hosts:\n    a:\n      ansible_host: 10.0.0.1\n      zone: north-yard\n      kind: standard\n      weight: heavy\n", &["a.yml:7:15: host a: weight: not a number above 0: \"heavy\""])]
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -208,16 +208,12 @@
     }
 
     /// Whether a job is expected far past its aim if sent there now, after the jobs ahead; or nowhere yet.
-    /// A queue told in jobs is a wait only once a free slot of the kind was seen: a newcomer to a busy fleet
-    /// would take each worker for one slot and find all hopeless.
     fn hopeless(&self, now: Micros, job: &Job, at: Option<u32>) -> bool {
         let (work, class) = (self.work_of(job), &self.set.classes[job.class]);
         let (wait, slow) = at.map_or((0.0, 1.0), |id| {
             let w = &self.workers[id as usize];
             let ahead = (self.waiting(id) as f64 + self.load_of(now, w) - 1.0).max(0.0);
-            let counted =
-                !self.set.reports_count_jobs || self.kinds.get(&w.entry.kind).is_some_and(|k| k.slots >= 1.0);
-            (f64::from(counted) * ahead * self.work.mean / self.slots(w), self.slowness(w))
+            (ahead * self.work.mean / self.slots(w), self.slowness(w))
         });
         let finish = (wait + work) * slow + now.saturating_sub(job.arrived) as f64;
         finish > HOPELESS * (class.aim_us as f64 + class.stretch * work)
@@ -258,7 +254,7 @@
     }
 
     fn slots(&self, w: &Worker) -> f64 {
-        self.kinds.get(&w.entry.kind).map_or(1.0, |k| k.slots.max(1.0))
+        self.kinds.get(&w.entry.kind).map_or(1.0, Kind::slots)
     }
 
     /// Running time here over the usual: of the worker, while little is known of its kind, then as listed.
@@ -580,11 +576,11 @@
     fn note_report(&mut self, now: Micros, worker: u32, report: Option<Report>) {
         let Some((r, w)) = report.zip(self.workers.get(worker as usize)) else { return };
         let kind = self.kinds.entry(w.entry.kind).or_default();
-        kind.slots = kind.slots.max(r.free_slots.unwrap_or(0.0).round());
+        r.free_slots.into_iter().for_each(|free| kind.note_slots(free, r.active, r.waiting));
         let load = match (r.free_slots, r.waiting, r.active, r.busy) {
             (Some(free), _, _, _) if free >= 0.5 => 1.0 / (1.0 + free),
             (_, Some(waiting), _, _) => 1.0 + waiting,
-            (Some(_), None, active, _) => 1.0 + (active.unwrap_or(0.0) - kind.slots.max(1.0)).max(0.0),
+            (Some(_), None, active, _) => 1.0 + (active.unwrap_or(0.0) - kind.slots()).max(0.0),
             (None, None, Some(active), _) => active,
             (_, None, None, Some(busy)) => busy,
             _ => return,
--- a/src/net/callback.rs
+++ b/src/net/callback.rs
@@ -32,13 +32,16 @@
     Lost,
 }
 
-/// A call may come before the 202, again, or after the end: it counts once, and is answered 204 all the same.
 /// How often the mailbox is read while another process shares the address; ten times as seldom while none does,
 /// as one that starts beside this one may post before this one hears of it.
 const MAIL: Duration = Duration::from_millis(10);
 
-/// Reads what the other process posts while it lives: call-backs for this process's steps that reached it.
+/// Reads what the other process posts while it lives: call-backs for this process's steps that reached it. Without
+/// `$TMPDIR` there is no mailbox, and nothing wakes this process to read it.
 pub(crate) fn hear_the_other(hub: &Rc<Hub>) {
+    if !handover::is_possible() {
+        return;
+    }
     let hub_ = hub.clone();
     hub.spawn(async move {
         loop {
@@ -54,7 +57,8 @@
     });
 }
 
-/// A worker's call-back. One that matches no step here is posted to the other process, if one shares the address
+/// A worker's call-back. It may come before the 202, again, or after the end: it counts once, and is answered 204 all
+/// the same. One that matches no step here is posted to the other process, if one shares the address
 /// and `pass_on` allows: it is that one's.
 pub(crate) fn call_back(hub: &Hub, body: &[u8], pass_on: bool) -> Reply {
     let call: CallBack = match serde_json::from_slice(body) {
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -13,6 +13,11 @@
     std::env::var_os("TMPDIR").filter(|d| !d.is_empty()).map(PathBuf::from)
 }
 
+/// Whether there is a place that two processes share.
+pub(crate) fn is_possible() -> bool {
+    tmp().is_some()
+}
+
 fn note(listen: SocketAddr) -> Option<PathBuf> {
     let name = listen.to_string().replace([':', '[', ']'], "_");
     Some(tmp()?.join(format!("streamusher-{name}.serving")))
--- a/src/state.rs
+++ b/src/state.rs
@@ -60,12 +60,38 @@
     })
 }
 
-/// What is learnt of a machine kind: slowness, usual load, and the most slots ever seen free.
+/// What is learnt of a machine kind: slowness, usual load, and a lower bound of its slots.
 #[derive(Clone, Copy, Default)]
 pub struct Kind {
     pub slow: Mean,
     pub load: Mean,
-    pub slots: f64,
+    /// The most that one worker showed at once: free slots and jobs at work.
+    shown: f64,
+    /// The most jobs told by a worker with no slot free; some of them may wait.
+    held: f64,
+}
+
+impl Kind {
+    /// Learns from a report of free slots and, where it tells them, of jobs held and of those that wait. Where it
+    /// does not say what waits, nothing does while two slots are free: all held are at work, in a slot each or more.
+    pub fn note_slots(&mut self, free: f64, held: Option<f64>, waiting: Option<f64>) {
+        let held = held.unwrap_or(0.0).max(0.0);
+        let at_work = waiting.map_or(if free >= 1.5 { held } else { 0.0 }, |w| (held - w).max(0.0));
+        self.shown = self.shown.max((free + at_work).round());
+        if free < 0.5 {
+            self.held = self.held.max(held.round());
+        }
+    }
+
+    /// Slots of one worker. Until some were shown all jobs of a full one are taken to be at work: a newcomer to
+    /// a busy fleet knows no better, and must not take each worker for one slot.
+    pub fn slots(&self) -> f64 {
+        if self.shown >= 1.0 {
+            self.shown
+        } else {
+            self.held.max(1.0)
+        }
+    }
 }
 
 #[derive(Default)]
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -38,23 +38,47 @@
     assert!(sent.iter().filter(|w| !w.is_multiple_of(2)).count() >= 8, "{sent:?}");
 }
 
-/// Under overload jobs filled queues in which they were late before they began. Of the queues the wait is
-/// judged only once the kind's slots were seen free: a dispatcher that came into a full fleet took each worker
-/// for one slot, and refused nearly all it was given.
+/// Under overload jobs filled queues in which they were late before they began: what could only be late wherever it
+/// went is refused at once. A queue counts as a wait by the slots of its kind. A dispatcher that comes into a full fleet
+/// sees none free: it took each worker for one slot, and refused nearly all it was given.
 #[rstest::rstest]
-fn a_job_that_is_hopeless_everywhere_is_refused_at_once(#[values(false, true)] slots_seen: bool) {
+#[case::never_shown(&[], 16.0, None, false)]
+#[case::one_free(&[(1.0, 0.0)], 16.0, None, true)]
+#[case::five_by_free_and_held(&[(2.0, 3.0)], 9.0, None, false)]
+#[case::three_and_a_long_queue(&[(2.0, 1.0)], 60.0, None, true)]
+#[case::what_may_wait_is_not_shown(&[(1.0, 12.0)], 16.0, None, true)]
+#[case::what_waits_is_told(&[], 16.0, Some(8.0), false)]
+fn a_job_that_is_hopeless_everywhere_is_refused_at_once(
+    #[case] shown: &[(f64, f64)], #[case] held_when_full: f64, #[case] waiting: Option<f64>,
+    #[case] hopeless: bool,
+) {
     let mut desk = Desk::new(Settings { reports_count_jobs: true, ..settings() }, 4);
-    for worker in (0..4).filter(|_| slots_seen) {
-        let report = Some(Report { free_slots: Some(1.0), ..Report::default() });
-        desk.give(Event::Probed { worker: WorkerId(worker), ok: true, report });
-    }
-    for worker in 0..4 {
-        let report = Some(Report { free_slots: Some(0.0), waiting: Some(15.0), ..Report::default() });
-        desk.give(Event::Probed { worker: WorkerId(worker), ok: true, report });
-    }
+    let tell = |desk: &mut Desk, free: f64, held: f64, waiting: Option<f64>| {
+        for worker in 0..4 {
+            let free_slots = Some(free);
+            let report = Some(Report { free_slots, active: Some(held), waiting, ..Report::default() });
+            desk.give(Event::Probed { worker: WorkerId(worker), ok: true, report });
+        }
+    };
+    shown.iter().for_each(|&(free, held)| tell(&mut desk, free, held, None));
+    tell(&mut desk, 0.0, held_when_full, waiting);
     let out = desk.arrive(1, ONCE);
-    let expected = if slots_seen { (0, 1) } else { (1, 0) };
-    assert_eq!((sends(&out).len(), refused(&out)), expected);
+    assert_eq!((sends(&out).len(), refused(&out)), if hopeless { (0, 1) } else { (1, 0) });
+}
+
+/// The same newcomer, told by an answer 'full': what was turned away is no queue of its own.
+#[test]
+fn a_newcomer_that_is_turned_away_tries_elsewhere() {
+    let mut desk = Desk::new(Settings { reports_count_jobs: true, ..settings() }, 4);
+    let full = Some(Report { free_slots: Some(0.0), active: Some(7.0), ..Report::default() });
+    let mut sent = sends(&desk.arrive(1, FREE));
+    for attempt in 0..3 {
+        let end = Outcome { job: JobId(1), attempt, code: Code::Shed, complete: false, report: full };
+        sent.extend(sends(&desk.give(Event::Outcome(end))));
+    }
+    assert_eq!(sent.len(), 4, "all attempts are used: {sent:?}");
+    let next = desk.arrive(2, FREE);
+    assert!(!sends(&next).is_empty() && refused(&next) == 0, "the next job is sent too: {next:?}");
 }
 
 #[test]
