--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -83,6 +83,7 @@
     /// Since when this member does not trust what it holds: it was stopped, and has not heard the others since.
     pub(crate) stale: Option<Micros>,
     wall: Micros,
+    ending: bool,
     /// Times that it learnt it was thought dead.
     pub thought_dead: u64,
     /// A later life of this name is there: this process is not to go on.
@@ -114,6 +115,7 @@
             last_tick: now,
             stale: None,
             wall,
+            ending: false,
             thought_dead: 0,
             replaced: false,
             frames: 0,
@@ -135,7 +137,7 @@
     /// Sends own counts on, where others lack them.
     pub fn flush(&mut self, now: Micros) {
         let version = self.counts.version();
-        if version == 0 || self.setup.copies == 0 {
+        if version == 0 || self.setup.copies == 0 && !self.ending {
             return;
         }
         for to in self.ring() {
@@ -389,6 +391,19 @@
         self.peers.remove(name);
     }
 
+    /// This life is about to end: its counts go to another member, whether copies are wanted or not.
+    pub fn hand_over(&mut self) {
+        self.ending = true;
+    }
+
+    /// Another member holds all of its counts, or there is none that could.
+    pub fn handed_over(&self) -> bool {
+        let version = self.counts.version();
+        let (mut alive, least) = (self.members.alive().peekable(), self.setup.copies.max(1));
+        let holds = |m: &&Member| self.peers.get(&m.name).is_some_and(|p| p.have >= version);
+        version == 0 || alive.peek().is_none() || alive.filter(holds).count() >= least
+    }
+
     /// Says good-bye.
     pub fn leave(&mut self, now: Micros) {
         self.members.leave();
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -186,8 +186,11 @@
             out.extend(asked.map(|&w| Action::Probe { worker: WorkerId(w) }));
             out.push(job.timer(self.set.shortest_aim() / ASK_PART, 1));
         }
+        let beyond_quota = job.request.quota_free.is_some_and(|free| free <= 0.0);
         self.jobs.insert(id, job);
-        if !self.set.reports_on_probe {
+        if beyond_quota {
+            self.answer(id, out);
+        } else if !self.set.reports_on_probe {
             self.place(now, id, out);
         }
     }
--- a/src/billing.rs
+++ b/src/billing.rs
@@ -29,6 +29,8 @@
     /// Class names by number; those that a retuning adds are named as they are first booked.
     classes: RefCell<Vec<Arc<str>>>,
     hub: std::rc::Weak<Hub>,
+    /// Which of the core's bookkeepers it is.
+    number: std::cell::Cell<usize>,
     nobody: Arc<str>,
     log: Logger,
 }
@@ -60,10 +62,11 @@
         key,
         classes: RefCell::new(hub.classes.borrow().iter().map(|c| Arc::from(c.name.as_str())).collect()),
         hub: Rc::downgrade(hub),
+        number: std::cell::Cell::new(0),
         nobody: Arc::from(NOBODY),
         log: hub.log.clone(),
     });
-    hub.with(|core, _| core.attach_bookkeeper(billing.clone()));
+    billing.number.set(hub.with(|core, _| core.attach_bookkeeper(billing.clone())));
     let (heard, all) = (hub.clone(), billing.clone());
     hub.spawn(async move {
         while let Ok(told) = told.recv().await {
@@ -86,12 +89,12 @@
                 if !was_trusted {
                     info!(self.log, "the ledger is written again"; "upto" => upto);
                 }
-                hub.with(|core, _| core.durable(upto));
+                hub.with(|core, _| core.durable(self.number.get(), upto));
             }
             Told::Failed(why) => {
                 self.gate.borrow_mut().failed();
                 warn!(self.log, "the ledger cannot be written"; "why" => why);
-                hub.with(|core, _| core.hold_no_longer());
+                hub.with(|core, _| core.hold_no_longer(self.number.get()));
             }
             Told::Closed(closed) => {
                 for c in closed {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -5,6 +5,7 @@
 //! `discovery` goes first. What else there is stands in the operators' file, TOML: see [`operators`]. The DRMAA front
 //! may have a file of its own, which is that file's table.
 
+pub mod fleet;
 pub mod operators;
 
 use crate::core::Member;
@@ -39,6 +40,8 @@
     pub tenants: Option<operators::TenantsConfig>,
     /// Where use is booked, if it is.
     pub ledger: Option<operators::LedgerConfig>,
+    /// What is shared with other dispatchers, if anything is.
+    pub fleet: Option<fleet::FleetConfig>,
 }
 
 /// What the program may use.
@@ -172,6 +175,7 @@
             drmaa: None,
             tenants: None,
             ledger: None,
+            fleet: None,
         })
     }
 }
--- a/src/config/operators.rs
+++ b/src/config/operators.rs
@@ -1,5 +1,7 @@
 //! The operators' file: a table for each optional subsystem. What a table does not name is off.
 
+pub use super::fleet::FleetConfig;
+use super::fleet::FleetFile;
 use super::{address, keyed, one_line, Config, Drmaa};
 use crate::core::tenants::Tenants;
 use crate::net::http::ONCE;
@@ -21,6 +23,8 @@
     pub tenants: Option<TenantsConfig>,
     /// Where use is booked.
     pub ledger: Option<LedgerConfig>,
+    /// What is shared with other dispatchers.
+    pub fleet: Option<FleetConfig>,
 }
 
 /// The table `[tenants]`, checked.
@@ -83,6 +87,7 @@
     drmaa: Option<DrmaaFile>,
     tenants: Option<TenantsFile>,
     ledger: Option<LedgerFile>,
+    fleet: Option<FleetFile>,
 }
 
 #[derive(Deserialize)]
@@ -195,6 +200,7 @@
             drmaa: file.drmaa.map(|d| d.check(path, known)).transpose().map_err(|e| at("drmaa", e))?,
             tenants: file.tenants.map(TenantsFile::check).transpose().map_err(|e| at("tenants", e))?,
             ledger: file.ledger.map(|l| l.check(path)).transpose().map_err(|e| at("ledger", e))?,
+            fleet: file.fleet.map(|f| f.check(path)).transpose().map_err(|e| at("fleet", e))?,
         })
     }
 
@@ -203,10 +209,11 @@
         config.drmaa = self.drmaa;
         config.tenants = self.tenants;
         config.ledger = self.ledger;
+        config.fleet = self.fleet;
     }
 }
 
-fn beside(path: &Path, name: &Path) -> PathBuf {
+pub(super) fn beside(path: &Path, name: &Path) -> PathBuf {
     path.parent().unwrap_or(Path::new(".")).join(name)
 }
 
--- a/src/core/booking.rs
+++ b/src/core/booking.rs
@@ -1,6 +1,6 @@
-//! Final answers where they are booked first: each is held until its entry is durable, or its time is up.
+//! Final answers where they are booked first: each is held until all bookkeepers have it, or its time is up.
 //!
-//! Invariant: an answer is handed out once; with a bookkeeper that keeps up, never before it is booked.
+//! Invariant: an answer is handed out once; with bookkeepers that keep up, never before it is booked.
 
 use super::{Answer, Core, Due, Entered, Front, Micros};
 use crate::interface::ClassId;
@@ -55,6 +55,11 @@
         /// On the core's clock.
         until: Micros,
     },
+    /// It is booked under this number, and need not wait for it.
+    Open {
+        /// The entry's number, larger than any before.
+        number: u64,
+    },
     /// It is not booked, and goes out now.
     Unbooked,
 }
@@ -75,22 +80,18 @@
 /// not: the client had left.
 #[derive(Default)]
 #[must_use]
-pub struct Receipt(Option<(Rc<dyn Bookkeeper>, u64)>);
+pub struct Receipt(Vec<(Rc<dyn Bookkeeper>, u64)>);
 
 impl Receipt {
     /// The answer was written to the last byte.
     pub fn written(mut self) {
-        if let Some((keeper, number)) = self.0.take() {
-            keeper.written(number, true);
-        }
+        self.0.drain(..).for_each(|(keeper, number)| keeper.written(number, true));
     }
 }
 
 impl Drop for Receipt {
     fn drop(&mut self) {
-        if let Some((keeper, number)) = self.0.take() {
-            keeper.written(number, false);
-        }
+        self.0.drain(..).for_each(|(keeper, number)| keeper.written(number, false));
     }
 }
 
@@ -104,11 +105,21 @@
     pub(super) joined: bool,
 }
 
-/// A final answer whose entry is not durable yet.
+/// A final answer that some bookkeeper does not have yet.
 pub(super) struct Held {
     front: Rc<dyn Front>,
     ticket: u64,
     answer: Answer,
+    booked: Vec<Booked>,
+}
+
+/// An entry of one bookkeeper.
+#[derive(Clone, Copy)]
+struct Booked {
+    keeper: usize,
+    number: u64,
+    /// The answer waits for it.
+    waits: bool,
 }
 
 /// What an operation used, and what its account needs besides.
@@ -146,67 +157,90 @@
 }
 
 impl Core {
-    /// Has final answers booked from now on.
-    pub fn attach_bookkeeper(&mut self, keeper: Rc<dyn Bookkeeper>) {
-        self.keeper = Some(keeper);
+    /// Has final answers booked from now on, by this one too; its number.
+    pub fn attach_bookkeeper(&mut self, keeper: Rc<dyn Bookkeeper>) -> usize {
+        self.keepers.push(keeper);
+        self.keepers.len() - 1
+    }
+
+    /// A bookkeeper has all its entries up to this number: answers that wait for nothing else go out.
+    pub fn durable(&mut self, keeper: usize, upto: u64) {
+        self.let_go(keeper, |booked| booked.number <= upto);
+    }
+
+    /// Nothing becomes durable at a bookkeeper for now: what waits for it alone goes out.
+    pub fn hold_no_longer(&mut self, keeper: usize) {
+        for held in self.held.values() {
+            for booked in held.booked.iter().filter(|b| b.waits && b.keeper == keeper) {
+                self.keepers[keeper].overdue(booked.number);
+                self.counters.answers_before_booked += 1;
+            }
+        }
+        self.let_go(keeper, |_| true);
     }
 
-    /// All entries up to this number are durable: their answers go out.
-    pub fn durable(&mut self, upto: u64) {
-        let later = self.held.split_off(&upto.saturating_add(1));
-        for (number, held) in std::mem::replace(&mut self.held, later) {
-            self.hand_out(&held.front, held.ticket, &held.answer, Some(number));
+    /// The answers that need not wait any more for such entries.
+    fn let_go(&mut self, keeper: usize, there: impl Fn(&Booked) -> bool) {
+        let mut free = Vec::new();
+        for (no, held) in &mut self.held {
+            let mut entries = held.booked.iter_mut().filter(|b| b.waits && b.keeper == keeper);
+            // Numbers rise with the answers: behind one that is not there yet none is.
+            match entries.next() {
+                Some(entry) if there(entry) => entry.waits = false,
+                Some(_) => break,
+                None => continue,
+            }
+            if held.booked.iter().all(|b| !b.waits) {
+                free.push(*no);
+            }
         }
+        free.into_iter().for_each(|no| self.release(no));
     }
 
-    /// Nothing becomes durable for now: all that is held goes out.
-    pub fn hold_no_longer(&mut self) {
-        while let Some(number) = self.held.keys().next().copied() {
-            self.overdue(number);
+    /// The time of an answer is up: it goes out, whoever has not booked it yet.
+    pub(super) fn overdue(&mut self, no: u64) {
+        let Some(held) = self.held.get(&no) else { return };
+        for booked in held.booked.iter().filter(|b| b.waits) {
+            self.counters.answers_before_booked += 1;
+            self.keepers[booked.keeper].overdue(booked.number);
         }
+        self.release(no);
     }
 
-    pub(super) fn overdue(&mut self, number: u64) {
-        let Some(held) = self.held.remove(&number) else { return };
-        self.counters.answers_before_booked += 1;
-        self.keeper.iter().for_each(|k| k.overdue(number));
-        self.hand_out(&held.front, held.ticket, &held.answer, Some(number));
+    fn release(&mut self, no: u64) {
+        if let Some(held) = self.held.remove(&no) {
+            self.hand_out(&held.front, held.ticket, &held.answer, &held.booked);
+        }
     }
 
-    /// One final answer for one who waits: booked first, where there is a bookkeeper.
+    /// One final answer for one who waits: booked first, where there are bookkeepers.
     pub(super) fn give(&mut self, now: Micros, used: &Used, waiter: Waiter, answer: &Answer) {
         let ended = match answer {
             Answer::Served(_) => Ended::Served,
             Answer::Busy { .. } => Ended::Busy,
             Answer::Failed { .. } => Ended::Failed,
         };
-        let Waiter { front, ticket, .. } = &waiter;
-        match self.book(now, used, &waiter, ended) {
-            None => self.hand_out(front, *ticket, answer, None),
-            Some(Booking::Unbooked) => {
-                self.counters.answers_unbooked += 1;
-                self.hand_out(front, *ticket, answer, None);
-            }
-            Some(Booking::Hold { number, until }) => {
-                self.held
-                    .insert(number, Held { front: front.clone(), ticket: *ticket, answer: answer.clone() });
-                match until > now {
-                    true => self.at(until, Due::Held(number)),
-                    false => self.overdue(number),
-                }
-            }
+        let (booked, until) = self.book(now, used, &waiter, ended);
+        let Waiter { front, ticket, .. } = waiter;
+        if booked.iter().all(|b| !b.waits) {
+            return self.hand_out(&front, ticket, answer, &booked);
+        }
+        self.held_no += 1;
+        let no = self.held_no;
+        self.held.insert(no, Held { front, ticket, answer: answer.clone(), booked });
+        match until > now {
+            true => self.at(until, Due::Held(no)),
+            false => self.overdue(no),
         }
     }
 
     /// Books the end of a request whose client has gone away: nothing is handed out.
     pub(super) fn book_gone(&mut self, now: Micros, used: &Used, waiter: &Waiter) {
-        if let Some(Booking::Unbooked) = self.book(now, used, waiter, Ended::Gone) {
-            self.counters.answers_unbooked += 1;
-        }
+        self.book(now, used, waiter, Ended::Gone);
     }
 
-    fn book(&self, now: Micros, used: &Used, waiter: &Waiter, ended: Ended) -> Option<Booking> {
-        let keeper = self.keeper.as_ref()?;
+    /// The entries, and until when the answer waits for those that it waits for.
+    fn book(&mut self, now: Micros, used: &Used, waiter: &Waiter, ended: Ended) -> (Vec<Booked>, Micros) {
         let own = |n: Micros| if waiter.joined { 0 } else { n };
         let account = Account {
             operation: &waiter.id,
@@ -220,13 +254,24 @@
             attempts: if waiter.joined { 0 } else { used.attempts },
             idempotency_key: used.key.as_deref(),
         };
-        Some(keeper.book(now, used.by, &account))
+        let (mut entries, mut latest) = (Vec::with_capacity(self.keepers.len()), now);
+        for (keeper, k) in self.keepers.iter().enumerate() {
+            match k.book(now, used.by, &account) {
+                Booking::Hold { number, until } => {
+                    entries.push(Booked { keeper, number, waits: true });
+                    latest = latest.max(until);
+                }
+                Booking::Open { number } => entries.push(Booked { keeper, number, waits: false }),
+                Booking::Unbooked => self.counters.answers_unbooked += 1,
+            }
+        }
+        (entries, latest)
     }
 
     /// The one place where final answers go out.
-    fn hand_out(&mut self, front: &Rc<dyn Front>, ticket: u64, answer: &Answer, number: Option<u64>) {
+    fn hand_out(&mut self, front: &Rc<dyn Front>, ticket: u64, answer: &Answer, booked: &[Booked]) {
         self.counters.answer(answer);
-        let receipt = self.keeper.clone().zip(number);
+        let receipt = booked.iter().map(|b| (self.keepers[b.keeper].clone(), b.number)).collect();
         front.answer(ticket, answer, Receipt(receipt));
     }
 }
--- a/src/core/intake.rs
+++ b/src/core/intake.rs
@@ -26,7 +26,7 @@
                     NoTenant::Unlisted => NotTaken::Unlisted,
                 })?);
         }
-        if self.keeper.as_ref().is_some_and(|k| !k.takes_work()) {
+        if self.keepers.iter().any(|k| !k.takes_work()) {
             self.counters.refused_unbilled += 1;
             return Err(NotTaken::Unbilled);
         }
@@ -82,8 +82,8 @@
         }
         let (waiting, operation) = (vec![waiter(false)], Arc::new(operation));
         let (steps, winner) = (Vec::new(), None);
-        let entered =
-            Entered { operation, waiting, steps, winner, deadline, by, answered: false, started: false };
+        let (answered, started, right) = (false, false, None);
+        let entered = Entered { operation, waiting, steps, winner, deadline, by, answered, started, right };
         self.operations.insert(job, entered);
         self.inputs.push(Input::Arrived(job));
         Ok(job)
@@ -91,7 +91,7 @@
 
     /// Kept back of a client's time.
     fn kept_back(&self, left_us: Micros) -> Micros {
-        MARGIN_US + self.keeper.as_ref().map_or(0, |_| BOOKING_US.min(left_us / 8))
+        MARGIN_US + if self.keepers.is_empty() { 0 } else { BOOKING_US.min(left_us / 8) }
     }
 
     /// Whatever is in hand, or still comes, is answered by then. Guards against operations that a stop would leave
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -59,12 +59,14 @@
 mod intake;
 mod operation;
 mod pool;
+mod quotas;
 mod repeats;
 mod steps;
 pub mod tenants;
 
 pub use booking::{Account, Booking, Bookkeeper, Ended, Receipt};
 pub use operation::*;
+pub use quotas::{Quotas, Right, Taken};
 
 use booking::{Held, Used, Waiter};
 use repeats::Kept;
@@ -119,6 +121,8 @@
     by: Micros,
     answered: bool,
     started: bool,
+    /// Its tenant's, until it is answered.
+    right: Option<Right>,
 }
 
 struct Worker {
@@ -146,9 +150,11 @@
     next_job: u64,
     inputs: Vec<Input>,
     owed: usize,
-    keeper: Option<Rc<dyn Bookkeeper>>,
-    /// Answers whose entries are not durable yet, by their numbers.
+    keepers: Vec<Rc<dyn Bookkeeper>>,
+    /// Answers that wait for an entry, in the order in which they were booked.
     held: BTreeMap<u64, Held>,
+    held_no: u64,
+    quotas: Option<Rc<dyn Quotas>>,
     tenants: Option<Tenants>,
     /// All is to be answered by then: the program ends.
     last_call: Micros,
@@ -189,8 +195,10 @@
             next_job: 0,
             inputs: Vec::new(),
             owed: 0,
-            keeper: None,
+            keepers: Vec::new(),
             held: BTreeMap::new(),
+            held_no: 0,
+            quotas: None,
             tenants: None,
             last_call: Micros::MAX,
             counters: Counters::default(),
@@ -322,12 +330,16 @@
     fn feed(&mut self, now: Micros, input: Input, out: &mut Vec<Action>) {
         let event = match input {
             Input::Arrived(job) => {
-                let Some(entered) = self.operations.get(&job) else { return };
+                let Some(entered) = self.operations.get_mut(&job) else { return };
                 let o = &entered.operation;
+                let taken = self.quotas.as_ref().map_or(Taken::Unbound, |q| q.take(now, o.tenant.as_deref()));
+                let quota_free = taken.free();
+                entered.right = taken.right(self.quotas.as_ref());
                 Event::Arrived(Request {
                     job,
                     class: o.class,
                     tenant: o.tenant.as_deref().and_then(|t| self.site.tenants.known(t)).map(TenantId),
+                    quota_free,
                     expires_in_us: entered.deadline.saturating_sub(now),
                     hint_us: None,
                     slots: o.slots,
--- a/src/core/repeats.rs
+++ b/src/core/repeats.rs
@@ -20,6 +20,7 @@
     pub(super) fn close(&mut self, now: Micros, job: JobId, answer: Answer) {
         let Some(entered) = self.operations.get_mut(&job) else { return };
         entered.answered = true;
+        entered.right = None;
         self.owed -= 1;
         let Some(key) = entered.operation.idempotency_key.clone() else { return };
         let key = (entered.operation.class.0, key);
--- /dev/null
+++ b/src/fleet/books.rs
@@ -0,0 +1,148 @@
+//! The event loop's side: final answers are counted, and tenants' rights are spent.
+
+use crate::config::operators::FleetConfig;
+use crate::core::{Account, Booking, Bookkeeper, Ended, Quotas, Taken};
+use crate::interface::Micros;
+use rtrb::Producer;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::thread::Thread;
+use streamusher_fleet::purse::Purse;
+use streamusher_fleet::rights::Terms;
+use streamusher_fleet::units::{Key, Unit, Units};
+
+/// Notes that fit the ring to the state's thread.
+pub(super) const NOTES: usize = 4_096;
+/// Under which name operations are counted where no tenants are listed.
+const NOBODY: &str = "unassigned";
+
+/// Counts up to a number, for the state's thread.
+pub(super) struct Note {
+    pub(super) upto: u64,
+    pub(super) rows: Vec<(Key, Units)>,
+}
+
+/// Counts answers and spends rights. Invariant: what did not fit the ring waits in sums, and goes with the next note,
+/// at the latest when the state's thread says that there is room again.
+pub(super) struct Books {
+    notes: RefCell<Producer<Note>>,
+    state: Thread,
+    waiting: RefCell<BTreeMap<Key, Units>>,
+    last: Cell<u64>,
+    /// Answers that are not written yet: whose they are, and whether they were served.
+    out: RefCell<HashMap<u64, (Key, bool)>>,
+    budgets: HashMap<Arc<str>, usize>,
+    purses: Vec<Arc<Purse>>,
+    copies: usize,
+    hold: Micros,
+    period: Micros,
+    nobody: Arc<str>,
+}
+
+impl Books {
+    pub(super) fn new(
+        notes: Producer<Note>, state: Thread, terms: Arc<Terms>, purses: Vec<Arc<Purse>>,
+        config: &FleetConfig,
+    ) -> Books {
+        Books {
+            notes: RefCell::new(notes),
+            state,
+            waiting: RefCell::default(),
+            last: Cell::new(0),
+            out: RefCell::default(),
+            budgets: terms.budgets.iter().enumerate().map(|(i, b)| (b.name.clone(), i)).collect(),
+            purses,
+            copies: config.copies,
+            hold: config.hold_us,
+            period: config.period_us,
+            nobody: Arc::from(NOBODY),
+        }
+    }
+
+    /// The number of the last answer counted.
+    pub(super) fn last(&self) -> u64 {
+        self.last.get()
+    }
+
+    fn count(&self, key: Key, units: &Units) {
+        self.waiting.borrow_mut().entry(key).or_default().add(units);
+        self.push();
+    }
+
+    /// Hands over what waits, if the ring has room.
+    pub(super) fn push(&self) {
+        let mut waiting = self.waiting.borrow_mut();
+        let mut notes = self.notes.borrow_mut();
+        if waiting.is_empty() || notes.is_full() {
+            return;
+        }
+        let rows = std::mem::take(&mut *waiting).into_iter().collect();
+        if notes.push(Note { upto: self.last.get(), rows }).is_ok() {
+            self.state.unpark();
+        }
+    }
+
+    fn key(&self, tenant: Option<&Arc<str>>) -> Key {
+        let period = (crate::billing::wall() / self.period) as u32;
+        Key { period, tenant: tenant.unwrap_or(&self.nobody).clone() }
+    }
+}
+
+impl Bookkeeper for Books {
+    fn takes_work(&self) -> bool {
+        true
+    }
+
+    fn book(&self, now: Micros, by: Micros, a: &Account) -> Booking {
+        let (key, number) = (self.key(a.tenant), self.last.get() + 1);
+        self.last.set(number);
+        let ended = match a.ended {
+            Ended::Served => Unit::Served,
+            Ended::Busy => Unit::Refused,
+            Ended::Failed => Unit::Failed,
+            Ended::Gone => Unit::Gone,
+        };
+        let mut units = Units::one(ended, 1);
+        units.add(&Units::one(Unit::Attempts, a.attempts.into()));
+        units.add(&Units::one(Unit::UsedUs, a.run_us));
+        units.add(&Units::one(Unit::WastedUs, a.wasted_us));
+        if a.ended != Ended::Gone {
+            self.out.borrow_mut().insert(number, (key.clone(), a.ended == Ended::Served));
+        }
+        self.count(key, &units);
+        match self.copies {
+            0 => Booking::Open { number },
+            _ => Booking::Hold { number, until: now.saturating_add(self.hold).min(by.max(now)) },
+        }
+    }
+
+    fn overdue(&self, number: u64) {
+        let key = self.out.borrow().get(&number).map(|o| o.0.clone());
+        key.into_iter().for_each(|key| self.count(key, &Units::one(Unit::Unsure, 1)));
+    }
+
+    fn written(&self, number: u64, whole: bool) {
+        let Some((key, served)) = self.out.borrow_mut().remove(&number) else { return };
+        if served {
+            self.count(key, &Units::one(if whole { Unit::Written } else { Unit::Unwritten }, 1));
+        }
+    }
+}
+
+impl Quotas for Books {
+    fn take(&self, now: Micros, tenant: Option<&str>) -> Taken {
+        let Some(budget) = tenant.and_then(|t| self.budgets.get(t)).copied() else { return Taken::Unbound };
+        let purse = &self.purses[budget];
+        let free = purse.free(now);
+        if !purse.spend(now) {
+            return Taken::None;
+        }
+        let rights = purse.rights();
+        Taken::One { budget, free: free.max(1) as f64 / (rights.0 + rights.1).max(1) as f64 }
+    }
+
+    fn give_back(&self, budget: usize) {
+        self.purses[budget].give_back();
+    }
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,169 @@
+//! What this dispatcher shares with the others of its fleet: `[fleet]` in the operators' file.
+//!
+//! Three threads, joined by bounded rings (`rtrb`): one hears the socket, one keeps the state (`streamusher_fleet`), and
+//! the event loop, which waits for neither. The loop pushes counts into a ring, spends rights by one atomic exchange,
+//! and reads what operators ask for from one immutable view (`arc-swap`).
+
+mod books;
+mod threads;
+
+use crate::config::operators::FleetConfig;
+use crate::interface::Micros;
+use crate::runtime::Hub;
+use arc_swap::ArcSwap;
+use books::Books;
+use serde_json::json;
+use slog::{info, Logger};
+use std::net::UdpSocket;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread::{JoinHandle, Thread};
+use streamusher_fleet::node::{Node, Setup};
+use streamusher_fleet::rights::{Budget, Terms};
+use streamusher_fleet::show::Show;
+use streamusher_fleet::tally::Tally;
+use streamusher_fleet::units::NAMES;
+use streamusher_fleet::Life;
+
+/// What operators are shown, made by the state's thread.
+pub(super) struct View {
+    /// The number of the last answer that it counts.
+    upto: u64,
+    show: Show,
+    tally: Tally,
+}
+
+/// What the threads have in common.
+pub(super) struct Common {
+    /// The number of the last answer whose count is safe.
+    safe: AtomicU64,
+    stop: AtomicBool,
+    /// Frames that found the ring full.
+    dropped: AtomicU64,
+    view: ArcSwap<View>,
+}
+
+/// The fleet's part of a running program.
+pub(crate) struct Fleet {
+    common: Arc<Common>,
+    books: Rc<Books>,
+    period: Micros,
+    copies: usize,
+    state: Thread,
+    threads: Vec<JoinHandle<()>>,
+}
+
+/// Attaches it: answers are counted from now on, and the tenants' quotas hold. `longest` is the longest time that an
+/// operation may be in hand.
+pub(crate) fn attach(
+    hub: &Rc<Hub>, config: FleetConfig, name: &str, seed: u64, longest: Micros,
+) -> Result<Fleet, String> {
+    let name = config.name.clone().unwrap_or_else(|| name.to_string());
+    if !streamusher_fleet::life::is_name(&name) {
+        return Err(format!("fleet.name: 1 to 64 letters, digits, '-', '_' and '.': {name:?}"));
+    }
+    if !config.limits.is_empty() && !config.seats.contains(&name) {
+        return Err(format!("fleet.seats: {name:?} is not among them, and there are limits"));
+    }
+    let socket =
+        UdpSocket::bind(config.listen).map_err(|e| format!("fleet.listen: {}: {e}", config.listen))?;
+    let addr = socket.local_addr().map_err(|e| format!("fleet.listen: {e}"))?;
+    let terms = Arc::new(Terms {
+        seats: config.seats.iter().map(|s| Arc::from(s.as_str())).collect(),
+        budgets: config
+            .limits
+            .iter()
+            .map(|(t, n)| Budget { name: Arc::from(t.as_str()), units: *n })
+            .collect(),
+        floor: config.floor,
+        lease: config.lease_us,
+        hold: longest,
+        margin: 50_000,
+    });
+    let clock = hub.clock();
+    let purses: Vec<_> = terms.budgets.iter().map(|_| Arc::default()).collect();
+    let setup = Setup {
+        me: Life::new(&name, crate::billing::wall()),
+        addr: config.advertise.unwrap_or(addr),
+        join: config.join.clone(),
+        key: config.key.0,
+        seed,
+        gossip: config.gossip_us,
+        copies: config.copies,
+        terms: terms.clone(),
+        forget: config.forget_us,
+        period: config.period_us,
+    };
+    info!(hub.log, "the fleet"; "name" => &name, "udp" => %addr, "advertised" => %setup.addr,
+        "life" => setup.me.no, "copies" => config.copies, "limits" => terms.budgets.len());
+    let node = Node::new(setup, purses.clone(), clock(), crate::billing::wall());
+    let view = View { upto: 0, show: node.show(clock()), tally: node.tally() };
+    let common = Arc::new(Common {
+        safe: AtomicU64::new(0),
+        stop: AtomicBool::new(false),
+        dropped: AtomicU64::new(0),
+        view: ArcSwap::from_pointee(view),
+    });
+    let (notes, noted) = rtrb::RingBuffer::new(books::NOTES);
+    let (wake, woken) = async_channel::bounded(1);
+    let (threads, state) = threads::start(node, socket, common.clone(), noted, wake, clock, hub.log.clone())
+        .map_err(|e| format!("fleet: no thread for it: {e}"))?;
+    let books = Rc::new(Books::new(notes, state.clone(), terms, purses, &config));
+    let keeper = hub.with(|core, _| {
+        if !config.limits.is_empty() {
+            core.attach_quotas(books.clone());
+        }
+        core.attach_bookkeeper(books.clone())
+    });
+    let (heard, safe, again) = (hub.clone(), common.clone(), books.clone());
+    hub.spawn(async move {
+        while woken.recv().await.is_ok() {
+            again.push();
+            let upto = safe.safe.load(Ordering::Acquire);
+            heard.with(|core, _| core.durable(keeper, upto));
+        }
+    });
+    Ok(Fleet { common, books, period: config.period_us, copies: config.copies, state, threads })
+}
+
+impl Fleet {
+    /// What operators are told by `fleet`.
+    pub(crate) fn show(&self) -> String {
+        let view = self.common.view.load();
+        let mut show = serde_json::to_value(&view.show).unwrap_or_default();
+        show["frames_dropped"] = self.common.dropped.load(Ordering::Relaxed).into();
+        show["copies"] = self.copies.into();
+        show["uncounted"] = self.books.last().saturating_sub(view.upto).into();
+        show.to_string()
+    }
+
+    /// What operators are told by `tally`: a row for each period and tenant, the same at each member that has the same
+    /// digest.
+    pub(crate) fn tally(&self) -> String {
+        let view = self.common.view.load();
+        let rows = view.tally.rows.iter().map(|(key, (units, doubtful))| {
+            let mut row = json!({"from": u64::from(key.period) * self.period / 1_000_000, "tenant": &*key.tenant,
+                "doubtful": doubtful});
+            for (name, n) in NAMES.iter().zip(units.0) {
+                row[*name] = n.into();
+            }
+            row
+        });
+        let rows: Vec<_> = rows.collect();
+        json!({"since_us": view.tally.since, "period_s": self.period / 1_000_000, "digest": view.tally.digest,
+            "rows": rows})
+        .to_string()
+    }
+
+    /// The program ends: what was counted is handed over to others, if there are any, and the fleet is told good-bye.
+    pub(crate) fn end(self, log: &Logger) {
+        self.books.push();
+        self.common.stop.store(true, Ordering::Release);
+        self.state.unpark();
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+        info!(log, "the fleet is left"; "uncounted" => self.books.last() - self.common.view.load().upto);
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -241,6 +241,9 @@
     pub class: ClassId,
     /// Its tenant, where there are any.
     pub tenant: Option<TenantId>,
+    /// The part of its tenant's rights over the whole fleet that is free at this dispatcher, 0 to 1; none where the
+    /// tenant has no quota. At 0 it is beyond it.
+    pub quota_free: Option<f64>,
     /// The client waits this much longer.
     pub expires_in_us: Micros,
     /// Expected work on a standard core, where the client gave a hint.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -49,6 +49,7 @@
 //!     job,
 //!     class: ClassId(0),
 //!     tenant: None,
+//!     quota_free: None,
 //!     expires_in_us: 2_000_000,
 //!     hint_us: None,
 //!     slots: 1.0,
@@ -73,6 +74,7 @@
 pub mod core;
 pub mod counters;
 mod drmaa;
+mod fleet;
 pub mod handle;
 pub mod interface;
 pub mod middleware;
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -8,7 +8,7 @@
 use crate::settings::Site;
 use crate::signals::{Signal, Signals};
 use crate::telemetry::{Figures, Readiness};
-use crate::{billing, drmaa, net};
+use crate::{billing, drmaa, fleet, net};
 use async_channel::{bounded, Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Timer;
@@ -58,6 +58,8 @@
     serving: Cell<bool>,
     /// The other process that listens at the same address while one replaces the other.
     pub(crate) other: Cell<Option<u32>>,
+    /// What is shared with other dispatchers, where anything is.
+    fleet: RefCell<Option<fleet::Fleet>>,
 }
 
 impl Hub {
@@ -65,6 +67,18 @@
         self.clock.base + self.clock.start.elapsed().as_micros() as Micros
     }
 
+    /// The same clock, for another thread.
+    pub(crate) fn clock(&self) -> impl Fn() -> Micros + Send + Clone + 'static {
+        let clock = self.clock;
+        move || clock.base + clock.start.elapsed().as_micros() as Micros
+    }
+
+    /// What operators are told of the fleet, as one line; none, where this dispatcher is alone.
+    pub(crate) fn of_the_fleet(&self, call: &crate::telemetry::Call) -> Option<String> {
+        let fleet = self.fleet.borrow();
+        fleet.as_ref().map(|f| if *call == crate::telemetry::Call::Tally { f.tally() } else { f.show() })
+    }
+
     /// When this process began, in microseconds of Unix time.
     pub(crate) fn start(&self) -> Micros {
         self.clock.base
@@ -209,11 +223,16 @@
         stopping: Cell::new(false),
         serving: Cell::new(false),
         other: Cell::new(None),
+        fleet: RefCell::new(None),
     });
     if let Some(t) = config.tenants {
         hub.with(|core, _| core.set_tenants(t.tenants));
     }
     let billing = config.ledger.map(|l| billing::attach(&hub, l, &config.name)).transpose()?;
+    if let Some(f) = config.fleet {
+        let longest = hub.classes.borrow().iter().map(|c| c.deadline_us).max().unwrap_or(0);
+        *hub.fleet.borrow_mut() = Some(fleet::attach(&hub, f, &config.name, config.seed, longest)?);
+    }
     let main = async {
         // Inside another program signals are that program's own.
         let signals = match calls {
@@ -269,6 +288,7 @@
     let done = async_io::block_on(executor.run(main));
     drop(executor); // its tasks' answers that are not written yet are noted as such
     billing.iter().for_each(|b| b.end());
+    hub.fleet.take().into_iter().for_each(|f| f.end(&hub.log));
     net::handover::close();
     done
 }
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -33,6 +33,10 @@
     Ready,
     /// The figures.
     Telemetry,
+    /// The fleet as this member sees it.
+    Fleet,
+    /// The tenants' tally as this member has it.
+    Tally,
     /// Not a call that is known, or not text; the reason.
     Unknown(String),
 }
@@ -43,6 +47,8 @@
         match std::str::from_utf8(line).map(str::trim) {
             Ok("readyz") => Call::Ready,
             Ok("telemetry") => Call::Telemetry,
+            Ok("fleet") => Call::Fleet,
+            Ok("tally") => Call::Tally,
             Ok(other) if other.len() <= 40 => Call::Unknown(format!("unknown call {other:?}")),
             Ok(_) => Call::Unknown("unknown call".into()),
             Err(_) => Call::Unknown("not text".into()),
@@ -62,8 +68,12 @@
 }
 
 /// The whole answer to a call: a line that begins with YES or NO; for `telemetry` the figures as one line of JSON,
-/// then a line `END`. `figures` is asked only for `telemetry`.
-pub fn answer(call: &Call, ready: Readiness, figures: impl FnOnce() -> Figures) -> String {
+/// then a line `END`; for `fleet` and `tally` the same with what `fleet` says, or NO where nothing is shared. `figures`
+/// is asked only for `telemetry`.
+pub fn answer(
+    call: &Call, ready: Readiness, figures: impl FnOnce() -> Figures,
+    fleet: impl FnOnce(&Call) -> Option<String>,
+) -> String {
     match (call, ready) {
         (Call::Ready, Readiness::Serving) => "YES\n".into(),
         (Call::Ready, Readiness::Starting) => "NO starting\n".into(),
@@ -72,6 +82,10 @@
             let json = serde_json::to_string(&figures()).unwrap_or_else(|_| "{}".into());
             format!("{json}\nEND\n")
         }
+        (Call::Fleet | Call::Tally, _) => match fleet(call) {
+            Some(json) => format!("{json}\nEND\n"),
+            None => "NO this dispatcher shares nothing: [fleet] is off\n".into(),
+        },
         (Call::Unknown(why), _) => format!("NO {why}\n"),
     }
 }
@@ -142,9 +156,9 @@
     #[test]
     fn answers_begin_with_yes_or_no() {
         let figures = || Figures { active: 3, ..Figures::default() };
-        assert_eq!(answer(&Call::Ready, Readiness::Serving, figures), "YES\n");
-        assert_eq!(answer(&Call::Ready, Readiness::Stopping, figures), "NO stopping\n");
-        let told = answer(&Call::Telemetry, Readiness::Starting, figures);
+        assert_eq!(answer(&Call::Ready, Readiness::Serving, figures, |_| None), "YES\n");
+        assert_eq!(answer(&Call::Ready, Readiness::Stopping, figures, |_| None), "NO stopping\n");
+        let told = answer(&Call::Telemetry, Readiness::Starting, figures, |_| None);
         let lines: Vec<&str> = told.lines().collect();
         assert_eq!((lines[1], lines.len()), ("END", 2));
         let json: serde_json::Value = serde_json::from_str(lines[0]).expect("json");
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -215,6 +215,7 @@
                     job: job()?,
                     class: ClassId(class),
                     tenant: tenant.map(TenantId),
+                    quota_free: None,
                     expires_in_us: wait.max(0) as u64,
                     hint_us: line.weight_hint_us.filter(|&h| hinted && h > 0.0).map(|h| h as u64),
                     slots: line.slots.unwrap_or(1.0),
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -296,6 +296,7 @@
                 0 => Event::List { complete: rng.random(), entries: vec![e] },
                 1 => Event::ListFailed,
                 2..=4 => Event::Arrived(Request {
+                    quota_free: (rng.random_range(0..10) == 0).then(|| rng.random_range(0..3) as f64 / 2.0),
                     job,
                     class: ClassId(rng.random_range(0..6)),
                     tenant: Some(TenantId(rng.random_range(0..3))),
--- /dev/null
+++ b/tests/support/fleet.rs
@@ -0,0 +1,511 @@
+//! A fleet of real processes on loopback: members with stand-in workers, a relay in front of each member that loses,
+//! delays, repeats and cuts frames by their sender, and clients that keep receipts.
+#![allow(dead_code)]
+
+use super::*;
+use std::collections::BTreeMap;
+use std::net::UdpSocket;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Instant;
+
+/// What a relay does with frames of one sender to its member.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Link {
+    pub cut: bool,
+    /// Of a thousand frames, so many are lost.
+    pub lost: u64,
+    /// Of a thousand, so many come twice.
+    pub twice: u64,
+    /// Each is so late, and up to as much more at random: later frames overtake it.
+    pub late: Duration,
+    pub jitter: Duration,
+    /// One frame a second at most.
+    pub slow: bool,
+}
+
+/// In front of one member: others are told its address.
+pub struct Relay {
+    pub addr: SocketAddr,
+    links: Arc<Mutex<BTreeMap<u16, Link>>>,
+    pub passed: Arc<AtomicU64>,
+}
+
+impl Relay {
+    /// Passes on to the member's own address.
+    fn start(member: SocketAddr, seed: u64) -> Relay {
+        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+        let addr = socket.local_addr().unwrap();
+        let links: Arc<Mutex<BTreeMap<u16, Link>>> = Arc::default();
+        let (known, passed) = (links.clone(), Arc::new(AtomicU64::new(0)));
+        let (late_tx, late_rx) = channel::<(Instant, Vec<u8>)>();
+        let (out, count) = (socket.try_clone().unwrap(), passed.clone());
+        let now_out = socket.try_clone().unwrap();
+        spawn(move || {
+            let mut waiting: Vec<(Instant, Vec<u8>)> = Vec::new();
+            loop {
+                let next = waiting.iter().map(|w| w.0).min();
+                let wait = next.map_or(LONG, |n| n.saturating_duration_since(Instant::now()));
+                match late_rx.recv_timeout(wait) {
+                    Ok(late) => waiting.push(late),
+                    Err(std::sync::mpsc::RecvTimeoutError::Disconnected) => return,
+                    Err(_) => {}
+                }
+                let now = Instant::now();
+                waiting.retain(|(at, bytes)| {
+                    let due = *at <= now;
+                    if due {
+                        let _ = out.send_to(bytes, member);
+                    }
+                    !due
+                });
+            }
+        });
+        spawn(move || {
+            let (mut bytes, mut random) = ([0u8; 2_048], seed | 1);
+            let mut last: BTreeMap<u16, Instant> = BTreeMap::new();
+            let mut dice = move || {
+                random ^= random << 13;
+                random ^= random >> 7;
+                random ^= random << 17;
+                random
+            };
+            while let Ok((n, from)) = socket.recv_from(&mut bytes) {
+                let link = known.lock().unwrap().get(&from.port()).copied().unwrap_or_default();
+                if link.cut || dice() % 1_000 < link.lost {
+                    continue;
+                }
+                if link.slow {
+                    let now = Instant::now();
+                    if last.get(&from.port()).is_some_and(|l| now.duration_since(*l) < Duration::from_secs(1))
+                    {
+                        continue;
+                    }
+                    last.insert(from.port(), now);
+                }
+                count.fetch_add(1, Ordering::Relaxed);
+                for _ in 0..1 + u32::from(dice() % 1_000 < link.twice) {
+                    if link.late.is_zero() && link.jitter.is_zero() {
+                        let _ = now_out.send_to(&bytes[..n], member);
+                    } else {
+                        let jitter = link.jitter.mul_f64((dice() % 1_000) as f64 / 1_000.0);
+                        let _ = late_tx.send((Instant::now() + link.late + jitter, bytes[..n].to_vec()));
+                    }
+                }
+            }
+        });
+        Relay { addr, links, passed }
+    }
+}
+
+/// How a fleet is made.
+#[derive(Clone)]
+pub struct Plan {
+    pub members: usize,
+    pub copies: usize,
+    /// Jobs in hand over the fleet for tenant `t0`; none, where there is no limit.
+    pub limit: Option<u64>,
+    pub floor: u64,
+    pub lease_ms: u64,
+    pub gossip_ms: u64,
+    pub hold_ms: u64,
+    /// The longest deadline: rights are back so long after a lease.
+    pub deadline_ms: u64,
+    pub seed: u64,
+    /// How long stand-in workers take for a job.
+    pub work: Duration,
+    pub ledger: bool,
+    /// The operators' file has `[fleet]`.
+    pub on: bool,
+}
+
+impl Default for Plan {
+    fn default() -> Plan {
+        Plan {
+            members: 3,
+            copies: 0,
+            limit: None,
+            floor: 1,
+            lease_ms: 1_000,
+            gossip_ms: 50,
+            hold_ms: 2_000,
+            deadline_ms: 3_000,
+            seed: 7,
+            work: Duration::ZERO,
+            ledger: false,
+            on: true,
+        }
+    }
+}
+
+pub struct Member {
+    pub program: Option<Program>,
+    pub addr: SocketAddr,
+    pub mgmt: SocketAddr,
+    /// Where it hears frames itself, and the relay in front.
+    pub udp: SocketAddr,
+    pub relay: Relay,
+}
+
+pub struct Fleet {
+    pub plan: Plan,
+    pub members: Vec<Member>,
+    pub files: Files,
+    /// The address of each member's worker, which outlives it.
+    sheds: Vec<SocketAddr>,
+    pub running: Arc<Running>,
+}
+
+/// What the stand-in workers see: jobs in work now, and the most at once.
+#[derive(Default)]
+pub struct Running {
+    pub now: AtomicU64,
+    pub most: AtomicU64,
+    pub jobs: AtomicU64,
+}
+
+fn free_tcp() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn free_udp() -> SocketAddr {
+    UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// A worker that speaks DRMAA, takes its time for each job, and says how many it has.
+fn shed(running: Arc<Running>, work: Duration) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let running = running.clone();
+            spawn(move || serve(stream, &running, work));
+        }
+    });
+    addr
+}
+
+fn serve(mut stream: TcpStream, running: &Running, work: Duration) -> Option<()> {
+    stream.set_nodelay(true).ok()?;
+    let reader = BufReader::new(stream.try_clone().ok()?);
+    let mut named = String::new();
+    for line in reader.lines().map_while(Result::ok) {
+        let call: Value = serde_json::from_str(&line).expect("a call");
+        let seq = &call["seq"];
+        let said = match call["call"].as_str()? {
+            "runJob" => {
+                named = call["jobTemplate"]["jobName"].as_str()?.to_string();
+                running.jobs.fetch_add(1, Ordering::SeqCst);
+                let n = running.now.fetch_add(1, Ordering::SeqCst) + 1;
+                running.most.fetch_max(n, Ordering::SeqCst);
+                std::thread::sleep(work); // the work itself
+                running.now.fetch_sub(1, Ordering::SeqCst);
+                vec![
+                    json!({"seq": seq, "jobId": "j"}),
+                    json!({"event": "NEW_STATE", "jobId": "j", "jobState": "RUNNING"}),
+                ]
+            }
+            "waitTerminated" => {
+                vec![json!({"seq": seq, "jobInfo": {"jobId": "j", "jobState": "DONE",
+                    "streamusher_output": format!("log of {named}")}})]
+            }
+            "terminate" => vec![json!({"seq": seq})],
+            _ => continue,
+        };
+        said.iter().try_for_each(|s| stream.write_all(format!("{s}\n").as_bytes())).ok()?;
+    }
+    Some(())
+}
+
+impl Fleet {
+    pub fn start(plan: Plan) -> Fleet {
+        let files = Files::new();
+        files.add("fleet.key", &"a7".repeat(32));
+        files.add("ledger.key", &"5c".repeat(32));
+        let running = Arc::new(Running::default());
+        let mut members = Vec::new();
+        for i in 0..plan.members {
+            let udp = free_udp();
+            members.push(Member {
+                program: None,
+                addr: free_tcp(),
+                mgmt: free_tcp(),
+                udp,
+                relay: Relay::start(udp, plan.seed ^ (i as u64 + 1) << 20),
+            });
+        }
+        let sheds = (0..plan.members).map(|_| shed(running.clone(), plan.work)).collect();
+        let mut fleet = Fleet { plan, members, files, sheds, running };
+        (0..fleet.members.len()).for_each(|i| fleet.begin(i));
+        fleet
+    }
+
+    fn operators(&self, i: usize) -> String {
+        let (plan, m) = (&self.plan, &self.members[i]);
+        let names: Vec<String> = (0..plan.members).map(|n| format!("'m{n}'")).collect();
+        let join: Vec<String> = self.members.iter().take(3).map(|m| format!("'{}'", m.relay.addr)).collect();
+        let mut text = String::from(
+            "[drmaa]\ninventory = 'workers.csv'\n[tenants]\nlist = ['t0', 't1', 't2']\nunlisted = 'book'\n",
+        );
+        if plan.ledger {
+            text += &format!(
+                "[ledger]\ndir = '{}'\nkey_file = '{}'\nperiod = 'hour'\n",
+                self.files.0.join(format!("ledger-m{i}")).display(),
+                self.files.0.join("ledger.key").display()
+            );
+        }
+        if plan.on {
+            text += &format!(
+                "[fleet]\nlisten = '{}'\nadvertise = '{}'\njoin = [{}]\nkey_file = '{}'\nname = 'm{i}'\nseats = [{}]\n\
+                 floor = {}\nlease_ms = {}\ngossip_ms = {}\ncopies = {}\nhold_ms = {}\nperiod = 'day'\n",
+                m.udp,
+                m.relay.addr,
+                join.join(", "),
+                self.files.0.join("fleet.key").display(),
+                names.join(", "),
+                plan.floor,
+                plan.lease_ms,
+                plan.gossip_ms,
+                plan.copies,
+                plan.hold_ms
+            );
+            text += &plan.limit.map_or(String::new(), |n| format!("[fleet.limits]\nt0 = {n}\n"));
+        }
+        text
+    }
+
+    /// Starts a member, or starts it again under its name.
+    pub fn begin(&mut self, i: usize) {
+        let files = Files::new();
+        files.add(
+            "workers.csv",
+            &format!(
+                "name,address,port,zone,kind\nshed-{i},127.0.0.1,{},pump-house,standard\n",
+                self.sheds[i].port()
+            ),
+        );
+        let mut config = config(&[]);
+        let m = &self.members[i];
+        (config["name"], config["seed"]) =
+            (format!("m{i}").into(), format!("{:x}", self.plan.seed + i as u64).into());
+        (config["listen"], config["mgmt"]) = (m.addr.to_string().into(), m.mgmt.to_string().into());
+        for class in config["settings"]["requestClasses"].as_array_mut().unwrap() {
+            class["deadlineUs"] = (self.plan.deadline_ms * 1_000).into();
+        }
+        config["operators"] = self.operators(i).into();
+        let program = Program::with(files, &config, None, &[]);
+        program.logged("operators' calls"); // they are heard a moment after clients are
+        self.members[i].program = Some(program);
+    }
+
+    pub fn kill(&mut self, i: usize) {
+        drop(self.members[i].program.take()); // SIGKILL
+    }
+
+    /// SIGTERM, and the wait for the orderly end.
+    pub fn stop(&mut self, i: usize) {
+        let mut program = self.members[i].program.take().expect("it runs");
+        program.signal("TERM");
+        assert!(program.child.wait().unwrap().success());
+    }
+
+    pub fn signal(&self, i: usize, name: &str) {
+        self.members[i].program.as_ref().expect("it runs").signal(name);
+    }
+
+    /// What the relay of `to` does with the frames of `from`.
+    pub fn link(&self, from: usize, to: usize, link: Link) {
+        let port = self.members[from].udp.port();
+        self.members[to].relay.links.lock().unwrap().insert(port, link);
+    }
+
+    /// Cuts these off from all others, both ways.
+    pub fn part(&self, one: &[usize]) {
+        for i in 0..self.members.len() {
+            for j in (0..self.members.len()).filter(|j| one.contains(&i) != one.contains(j)) {
+                self.link(i, j, Link { cut: true, ..Link::default() });
+            }
+        }
+    }
+
+    pub fn heal(&self) {
+        self.members.iter().for_each(|m| m.relay.links.lock().unwrap().clear());
+    }
+
+    /// An operators' call: its line of JSON.
+    pub fn call(&self, i: usize, what: &str) -> Value {
+        let mut stream = connect(self.members[i].mgmt);
+        stream.write_all(format!("{what}\n").as_bytes()).unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("an answer and the end");
+        let (json, end) = answer.split_once('\n').expect("two lines");
+        assert_eq!(end, "END\n", "{answer}");
+        serde_json::from_str(json).expect("json")
+    }
+
+    /// Waits until this holds, told how it looks if it never does.
+    pub fn wait(&self, what: &str, mut holds: impl FnMut(&Fleet) -> Result<(), String>) {
+        let from = Instant::now();
+        loop {
+            match holds(self) {
+                Ok(()) => return,
+                Err(why) if from.elapsed() > LONG * 2 => panic!("{what}: {why}"),
+                Err(_) => std::thread::sleep(Duration::from_millis(20)), // asked again, as no event tells of it
+            }
+        }
+    }
+
+    pub fn live(&self) -> Vec<usize> {
+        (0..self.members.len()).filter(|i| self.members[*i].program.is_some()).collect()
+    }
+
+    /// Waits until each member that runs sees all others that do.
+    pub fn joined(&self) {
+        self.wait("all have joined", |fleet| {
+            let live = fleet.live();
+            for &i in &live {
+                let show = fleet.call(i, "fleet");
+                let alive =
+                    show["members"].as_array().unwrap().iter().filter(|m| m["standing"] == "alive").count();
+                if alive + 1 < live.len() {
+                    return Err(show.to_string());
+                }
+            }
+            Ok(())
+        });
+    }
+
+    /// Waits until the parts of the budgets have come in everywhere.
+    pub fn seated(&self) {
+        self.wait("all are seated", |fleet| {
+            let all = fleet.live().iter().all(|&i| fleet.call(i, "fleet")["seated"] == true);
+            all.then_some(()).ok_or("not yet".into())
+        });
+    }
+
+    /// Waits until all members that run have one tally, and gives it.
+    pub fn one_tally(&self) -> Value {
+        let mut last = Value::Null;
+        self.wait("one tally", |fleet| {
+            let live = fleet.live();
+            let counted = live.iter().all(|&i| fleet.call(i, "fleet")["uncounted"] == 0);
+            let tallies: Vec<Value> = live.iter().map(|&i| fleet.call(i, "tally")).collect();
+            last = tallies[0].clone();
+            match counted
+                && tallies
+                    .iter()
+                    .all(|t| t["digest"] == tallies[0]["digest"] && t["rows"] == tallies[0]["rows"])
+            {
+                true => Ok(()),
+                false => Err(format!("{tallies:?}")),
+            }
+        });
+        last
+    }
+}
+
+/// The sum of a unit over the tally's rows; of one tenant, if one is named.
+pub fn sum(tally: &Value, unit: &str, tenant: Option<&str>) -> u64 {
+    let rows = tally["rows"].as_array().expect("rows").iter();
+    rows.filter(|r| tenant.is_none_or(|t| r["tenant"] == t)).filter_map(|r| r[unit].as_u64()).sum()
+}
+
+/// Clients that send one operation after another, each to its own member or to any, and keep receipts.
+pub struct Clients {
+    stop: Arc<AtomicBool>,
+    threads: Vec<std::thread::JoinHandle<Receipts>>,
+    pub served: Arc<AtomicU64>,
+}
+
+/// What clients got: answers by tenant and kind.
+#[derive(Clone, Debug, Default)]
+pub struct Receipts {
+    pub served: BTreeMap<String, u64>,
+    pub refused: u64,
+    pub failed: u64,
+    pub broken: u64,
+}
+
+impl Clients {
+    /// `n` clients at each of `at`, for these tenants in turn.
+    pub fn start(
+        fleet: &Fleet, at: &[usize], n: usize, tenants: &'static [&'static str], pause: Duration,
+    ) -> Clients {
+        static NEXT: AtomicU64 = AtomicU64::new(1);
+        let (stop, served) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+        let left_ms = fleet.plan.deadline_ms;
+        let mut threads = Vec::new();
+        for &member in at {
+            for c in 0..n {
+                let (addr, stop, served) = (fleet.members[member].addr, stop.clone(), served.clone());
+                threads.push(spawn(move || {
+                    let (mut got, mut stream, mut turn) = (Receipts::default(), None::<TcpStream>, c);
+                    while !stop.load(Ordering::Relaxed) {
+                        let id = format!("{:016x}", NEXT.fetch_add(1, Ordering::Relaxed));
+                        let tenant = tenants[turn % tenants.len()];
+                        turn += 1;
+                        let text = format!(
+                            "POST /depth-log/bh-7 HTTP/1.1\r\nHost: x\r\nX-Tenant: {tenant}\r\nX-Correlation-Id: {id}\r\n\
+                             X-Time-Left-Ms: {left_ms}\r\nContent-Length: 4\r\n\r\ncore"
+                        );
+                        let connected = stream.take().or_else(|| TcpStream::connect(addr).ok());
+                        let answer = connected.and_then(|mut s| {
+                            s.set_read_timeout(Some(LONG)).unwrap();
+                            s.set_nodelay(true).unwrap();
+                            let answer = exchange(&mut s, &text)?;
+                            if !answer.get("connection").is_some_and(|c| c.eq_ignore_ascii_case("close")) {
+                                stream = Some(s);
+                            }
+                            Some(answer)
+                        });
+                        match answer.as_ref().map(Message::status) {
+                            Some(200) => {
+                                assert_eq!(answer.unwrap().body, format!("log of {id}"));
+                                *got.served.entry(tenant.into()).or_default() += 1;
+                                served.fetch_add(1, Ordering::Relaxed);
+                            }
+                            Some(429 | 503) => {
+                                got.refused += 1;
+                                std::thread::sleep(Duration::from_millis(3)); // as a client that honours the advice
+                            }
+                            Some(_) => got.failed += 1,
+                            None => {
+                                got.broken += 1;
+                                std::thread::sleep(Duration::from_millis(3)); // nobody may be there yet
+                            }
+                        }
+                        std::thread::sleep(pause);
+                    }
+                    got
+                }));
+            }
+        }
+        Clients { stop, threads, served }
+    }
+
+    /// Waits until so many more were served.
+    pub fn more(&self, n: u64) {
+        let (from, begun) = (self.served.load(Ordering::Relaxed), Instant::now());
+        while self.served.load(Ordering::Relaxed) < from + n {
+            assert!(begun.elapsed() < LONG * 2, "nothing is served");
+            std::thread::sleep(Duration::from_millis(1)); // the clients' threads count
+        }
+    }
+
+    pub fn end(self) -> Receipts {
+        self.stop.store(true, Ordering::Relaxed);
+        let mut all = Receipts::default();
+        for thread in self.threads {
+            let got = thread.join().expect("a client");
+            got.served.into_iter().for_each(|(t, n)| *all.served.entry(t).or_default() += n);
+            (all.refused, all.failed) = (all.refused + got.refused, all.failed + got.failed);
+            all.broken += got.broken;
+        }
+        all
+    }
+}
+
+impl Receipts {
+    pub fn all(&self) -> u64 {
+        self.served.values().sum()
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Starts the real program and plays its clients, workers and discovery, each on a loopback port of its own.
 #![allow(dead_code)]
 
+pub mod fleet;
+
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -283,7 +285,8 @@
         spawn(move || errors.lines().map_while(Result::ok).try_for_each(|l| tell.send(l)));
         let mut program = Program { child, addr: ([127, 0, 0, 1], 0).into(), drmaa: None, log, files };
         let at = |line: String| line.rsplit("listen: ").next().unwrap().trim().parse().expect("an address");
-        let operators = config["operators"].as_str();
+        // [fleet] listens too, but its table stands behind those of fronts in the tests' files.
+        let operators = config["operators"].as_str().and_then(|o| o.split("[fleet]").next());
         if drmaa.or(operators).is_some_and(|d| d.contains("listen")) {
             program.drmaa = Some(at(program.logged("serving DRMAA")));
         }
