A cold worker's credit follows what a dispatcher serves, not its even part alone

At fault: credit_of in src/balance.rs capped a dispatcher at its even part of the slots; with traffic several times the mean at some dispatchers, those turned their work away at the warm ones while the others left their parts unused.

Change: the credit grows with the work that this dispatcher has had served, times 1.25, or with 0.8 of its even part if that is more, both scaled by what tips the worker. What was only sent counts no more, as refused work comes again.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -36,6 +36,8 @@
 const HEAVY: f64 = 3.0;
 /// Part of its present capacity that a cold worker is credited in all, from all dispatchers: room for chance.
 const TAKE_UP: f64 = 0.8;
+/// Room over a worker's usual load that a cold one is credited, for the load that warm ones turn away.
+const ROOM: f64 = 1.25;
 /// Traffic beyond its share is served while this part of the slots is free: room for one slow-down of all.
 const SPARE: f64 = 0.35;
 /// A job is given up early when it is expected to take this many times its aim: estimates are rough.
@@ -354,11 +356,14 @@
     fn credit_of(&self, now: Micros, w: &Worker) -> f64 {
         let ready = self.pools.of(Pool::All(0)).len() as f64;
         let size = if self.set.weights == Weights::Size { self.pools.size(w) } else { 1.0 };
-        // Never past this one's part of what its slots can do, and never far below it: fair parts of a
-        // fleet add up to the usual load only, while the warm ones may be full and the cold one half idle.
-        let most = self.slots(w) / f64::from(self.set.dispatchers.max(1));
-        let fair = self.rates.work / RATE_US / ready * size;
-        let rate = fair.max(most * TAKE_UP).min(most) * self.present_share(now, w);
+        // What is served from here is this one's part of a worker's usual load: over the fleet it adds up to
+        // no more than all can do, and with room for more it may grow while warm ones are full. Traffic is
+        // uneven: one with little may still take its even part of what the slots can do. Both together stay
+        // far enough below what tips the worker.
+        let even = self.slots(w) / f64::from(self.set.dispatchers.max(1)) * TAKE_UP;
+        let usual = self.rates.work / RATE_US / ready * size * ROOM;
+        let bears = (self.set.tip_multiple / (1.4 * (TAKE_UP + ROOM))).min(1.0);
+        let rate = usual.max(even) * bears * self.present_share(now, w);
         (w.credit.1 + rate * now.saturating_sub(w.credit.0) as f64).min(self.work.mean)
     }
 
@@ -472,10 +477,8 @@
         if spent || !self.eligible(now, job, worker) {
             return;
         }
-        let (work, first) = (self.work_of(job), job.attempts.is_empty());
+        let work = self.work_of(job);
         self.work.add(work);
-        self.rates.age(now);
-        self.rates.work += if first { work } else { 0.0 }; // copies are no more work
         let w = &self.workers[worker as usize];
         let credit = self.credit_of(now, w) - work;
         let clear = self.set.tells_start || w.out == 0 && self.load_of(now, w) < 1.0;
@@ -537,6 +540,8 @@
                 self.fails[class].add(0.0);
                 self.clear(now, worker, class);
                 self.burned.add(0.0);
+                self.rates.age(now);
+                self.rates.work += hint.map_or(self.run[class].0.mean, |h| h as f64);
                 if clear {
                     self.note_run(worker, class, hint, now.saturating_sub(began).max(1) as f64);
                 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -235,6 +235,44 @@
     assert!(work <= bears, "{work} s of work to the cold one, which bears {bears}");
 }
 
+/// The same where ten of the hundred have all the traffic: their even parts alone would leave the cold one idle, while
+/// they turn away what the full ones have no room for.
+#[test]
+fn a_cold_worker_takes_its_part_where_traffic_is_uneven() {
+    let (fleet, busy, workers, cold) = (100u64, 10u64, 20u32, 2u32);
+    let set = Settings { dispatchers: fleet as u32, ..patient() };
+    let (mut to_cold, window, pause) = (0, 8 * SECOND, 60 * MS);
+    for seed in 0..busy {
+        let mut desk = Desk::new(set.clone(), workers);
+        desk.balancer = streamusher::Balancer::new(set.clone(), seed, desk.now);
+        desk.list(true, (0..workers).map(entry).collect());
+        for job in 0..20 * SECOND / pause {
+            desk.arrive(job, ONCE);
+            desk.now += pause;
+            desk.end(job, 0, Code::Delivered);
+        }
+        let since = desk.now;
+        desk.list(false, vec![Entry { since, ..entry(cold) }]);
+        desk.log.clear();
+        for job in (0..window / pause).map(|j| 1_000_000 + j) {
+            let (mut out, mut sent) = (desk.arrive(job, FREE), 0);
+            while sends(&out).first().is_some_and(|&w| w != cold) {
+                out = desk.end(job, sent, Code::Shed);
+                sent += 1;
+            }
+            desk.now += pause;
+            if !sends(&out).is_empty() {
+                desk.end(job, sent, Code::Delivered);
+            }
+        }
+        to_cold += sends(&desk.log).iter().filter(|&&w| w == cold).count();
+    }
+    // As above: 5.2 s of work in the window. The ten served half of what a warm one does; even parts alone come to 0.5 s.
+    let (work, bears) = (to_cold as f64 * 0.06, (0.3 + 1.0) / 2.0 * 8.0);
+    assert!(work >= 0.2 * bears, "{work} s of work to the cold one, which bears {bears}");
+    assert!(work <= 1.5 * bears, "{work} s of work to the cold one, which bears {bears}");
+}
+
 /// However much credit there is: a single job of a heavy class may cost many times the usual.
 #[test]
 fn a_cold_worker_gets_nothing_that_could_tip_it_alone() {
