Rows that overtook others carry their own version, and a stop's late work gets a busy reply

Ruled out: lost frames (all parts arrived), folding (none), frames over 1,400 bytes. At fault: counts::merge_life gave a row the version of the part it came in. A row that overtook others was passed on in a part that led up to a lower version, kept that version there, and was then left out for those who held just that much. Change: rows carry the version that changed them.

Core::submit now says NotTaken::Stopping and the fronts a busy reply, as nothing of it has run.

--- a/crates/fleet/src/frame.rs
+++ b/crates/fleet/src/frame.rs
@@ -143,7 +143,7 @@
         let tenant = |t: &Arc<str>| t.len() <= 128;
         let rows = |d: &Delta| match d {
             Delta::Life { life, after, upto, rows } => {
-                is_name(&life.name) && after <= upto && rows.iter().all(|(k, _)| tenant(&k.tenant))
+                is_name(&life.name) && after <= upto && rows.iter().all(|(k, _, _)| tenant(&k.tenant))
             }
             Delta::Base { name, rows, total, .. } => {
                 is_name(name) && *total < 1 << 24 && rows.iter().all(|(k, _)| tenant(&k.tenant))
--- a/src/core/intake.rs
+++ b/src/core/intake.rs
@@ -26,6 +26,9 @@
                     NoTenant::Unlisted => NotTaken::Unlisted,
                 })?);
         }
+        if now >= self.last_call {
+            return Err(NotTaken::Stopping);
+        }
         if self.keepers.iter().any(|k| !k.takes_work()) {
             self.counters.refused_unbilled += 1;
             return Err(NotTaken::Unbilled);
--- a/src/core/operation.rs
+++ b/src/core/operation.rs
@@ -113,6 +113,8 @@
     Unlisted,
     /// Answers cannot be booked, and the operators' file says to take no work then.
     Unbilled,
+    /// The program ends, and its last answers are out: nothing could be run in time.
+    Stopping,
 }
 
 /// News of a route step, as a driver tells it.
--- a/src/drmaa/front.rs
+++ b/src/drmaa/front.rs
@@ -189,6 +189,7 @@
                 match why {
                     NotTaken::SameId | NotTaken::Full => refuse(Error::TryLater, "too many operations"),
                     NotTaken::Unbilled => refuse(Error::TryLater, "use cannot be booked now"),
+                    NotTaken::Stopping => refuse(Error::TryLater, "this dispatcher ends"),
                     NotTaken::BadTenant => refuse(Error::InvalidArgument, "accountingId: no name"),
                     NotTaken::Unlisted => refuse(Error::DeniedByDrms, "accountingId: no such tenant"),
                 }
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -129,6 +129,7 @@
         NotTaken::SameId => Reply::plain(409, "an operation of this id is in hand"),
         NotTaken::Full => busy("too many operations"),
         NotTaken::Unbilled => busy("use cannot be booked now"),
+        NotTaken::Stopping => busy("this dispatcher ends"),
         NotTaken::BadTenant => Reply::plain(400, "the tenant's name is none"),
         NotTaken::Unlisted => Reply::plain(403, "no such tenant"),
     }
