Members tell each other what they see of core workers; few are not believed

The need: the issue on shared state asks for judgements that no author counts twice in, that few cannot force, that end by themselves and that own evidence goes before; and for the event by which the module is told.

Change: crates/fleet/src/judge.rs, pure; words go along with the digests. Core::attach_witness tells how route steps end and which workers there are; three ends of one kind in a row make an observation, a result takes it back. Verdicts need three authors and shun a third of a zone at most; they are shown by 'fleet' and told to the module as Event::Judged, which it does not use yet.

--- a/crates/fleet/src/frame.rs
+++ b/crates/fleet/src/frame.rs
@@ -4,6 +4,7 @@
 //! next digest, so nothing here needs a stream.
 
 use crate::counts::{Delta, Holds};
+use crate::judge::Word;
 use crate::life::is_name;
 use crate::members::Member;
 use crate::rights::{Ask, Grant};
@@ -42,6 +43,8 @@
     Ask(Ask),
     /// Rights are lent.
     Grant(Grant),
+    /// Observations of core workers.
+    Words(Vec<Word>),
 }
 
 /// A frame that was read.
@@ -155,6 +158,9 @@
                     from.iter().all(|f| is_name(f)) && holds.iter().all(|h| is_name(&h.name))
                 }
                 Body::Rows(deltas) => deltas.iter().all(rows),
+                Body::Words(words) => {
+                    words.iter().all(|w| is_name(&w.author.name) && (1..=128).contains(&w.worker.0.len()))
+                }
                 _ => true,
             }
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`counts`]: counters that only a life itself raises; merged in any order they converge at every member.
 //! - [`rights`]: a budget over the whole fleet, divided into rights that are held, lent and leased.
 //! - [`purse`]: where the data path spends rights, with one atomic exchange.
+//! - [`judge`]: what members say of core workers, and when they are believed.
 //! - [`frame`]: what goes over the wire, under a MAC.
 //! - [`node`]: one member, all of these together.
 //!
@@ -12,6 +13,7 @@
 
 pub mod counts;
 pub mod frame;
+pub mod judge;
 pub mod life;
 pub mod members;
 pub mod node;
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -6,6 +6,7 @@
 
 use crate::counts::{Counts, Delta, Holds};
 use crate::frame::{Bad, Body, Frame, Sealer, MOST_BYTES};
+use crate::judge::Judgements;
 use crate::life::{Life, Micros};
 use crate::members::{Member, Members, News};
 use crate::purse::Purse;
@@ -51,6 +52,8 @@
 const PARTS: usize = 32;
 /// Gossip periods after which a superseded life may be folded.
 const SETTLE: u64 = 100;
+/// Observations sent along with a digest.
+const WORDS: usize = 6;
 /// Gossip periods between two looks for lives to fold.
 const FOLD: u64 = 10;
 
@@ -69,6 +72,8 @@
     sealer: Sealer,
     pub(crate) members: Members,
     pub(crate) counts: Counts,
+    /// What is said of core workers.
+    pub judge: Judgements,
     /// Rights, by budget.
     pub rights: Rights<Arc<Purse>>,
     wants: Vec<u64>,
@@ -103,6 +108,7 @@
             sealer: Sealer::new(setup.key),
             members: Members::new(me, probe, setup.seed),
             counts: Counts::new(setup.me.clone()),
+            judge: Judgements::new(setup.me.clone()),
             wants: vec![0; setup.terms.budgets.len()],
             rights: Rights::new(setup.me.clone(), setup.terms.clone(), purses, now),
             peers: BTreeMap::new(),
@@ -245,6 +251,7 @@
                 }
             }
             Body::Grant(grant) => self.rights.granted(now, &from.name, &grant),
+            Body::Words(words) => self.judge.hear(now, &words),
         }
         self.after(now);
     }
@@ -272,6 +279,7 @@
         }
         self.members.tick(now);
         self.rights.tick(now);
+        self.judge.tick(now);
         if self.stale.is_none() {
             self.rights
                 .pockets
@@ -296,6 +304,10 @@
             let next = if last { None } else { holds.last().map(|h| h.name.clone()) };
             let from = std::mem::replace(&mut self.cursor, next);
             self.send(to, Body::Digest { from, last, holds, answer: true });
+            let words = self.judge.words(now, WORDS);
+            if !words.is_empty() {
+                self.send(to, Body::Words(words));
+            }
         }
         // Those that the file names and that are not there are called, one in each round.
         let known = |a: &SocketAddr| *a == self.setup.addr || alive.iter().any(|m| m.addr == *a);
--- a/crates/fleet/src/show.rs
+++ b/crates/fleet/src/show.rs
@@ -70,6 +70,8 @@
     pub rows: usize,
     /// Rows of folded lives that came late.
     pub refused_late: u64,
+    /// Observations of core workers, its own and others'.
+    pub observations: usize,
     /// Frames taken.
     pub frames: u64,
     /// Frames set aside, by cause.
@@ -118,6 +120,7 @@
             lives,
             rows,
             refused_late: self.counts.refused_late,
+            observations: self.judge.len(),
             frames: self.frames,
             bad: self.bad.iter().fold(BTreeMap::new(), |mut all, (bad, n)| {
                 *all.entry(bad.to_string()).or_default() += n;
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -128,7 +128,7 @@
             Event::Timer { token } if token % 2 == 1 => self.stalled(now, JobId(token / 2), out),
             Event::Timer { token } => self.answer(JobId(token / 2), out),
             Event::Probed { worker, report, .. } => self.note_report(now, worker.0, report),
-            Event::Mail | Event::ListFailed => {}
+            Event::Mail | Event::ListFailed | Event::Judged { .. } => {}
             Event::Settled => self.settled(now, out),
         }
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -63,10 +63,12 @@
 mod repeats;
 mod steps;
 pub mod tenants;
+mod witness;
 
 pub use booking::{Account, Booking, Bookkeeper, Ended, Receipt};
 pub use operation::*;
 pub use quotas::{Quotas, Right, Taken};
+pub use witness::Witness;
 
 use booking::{Held, Used, Waiter};
 use repeats::Kept;
@@ -89,6 +91,7 @@
     List { source: usize, complete: bool, members: Vec<Member> },
     ListFailed,
     Probed(WorkerId, bool, Option<Report>),
+    Judged(WorkerId, u32),
     Timer(u64),
     Deadline(JobId),
 }
@@ -155,6 +158,7 @@
     held: BTreeMap<u64, Held>,
     held_no: u64,
     quotas: Option<Rc<dyn Quotas>>,
+    witness: Option<Rc<dyn Witness>>,
     tenants: Option<Tenants>,
     /// All is to be answered by then: the program ends.
     last_call: Micros,
@@ -199,6 +203,7 @@
             held: BTreeMap::new(),
             held_no: 0,
             quotas: None,
+            witness: None,
             tenants: None,
             last_call: Micros::MAX,
             counters: Counters::default(),
@@ -361,6 +366,7 @@
             Input::List { source, complete, members } => self.list(source, complete, members),
             Input::ListFailed => Event::ListFailed,
             Input::Probed(worker, ok, report) => Event::Probed { worker, ok, report },
+            Input::Judged(worker, weight) => Event::Judged { worker, weight },
             Input::Timer(token) => Event::Timer { token },
             Input::Deadline(job) => {
                 let Some(entered) = self.operations.get(&job) else { return };
--- a/src/core/pool.rs
+++ b/src/core/pool.rs
@@ -45,6 +45,7 @@
             }
             entries.push(entry);
         }
+        self.tell_list();
         Event::List { complete, entries }
     }
 
--- a/src/core/steps.rs
+++ b/src/core/steps.rs
@@ -23,6 +23,8 @@
                     entered.winner = Some(attempt as usize);
                 }
                 self.counters.ending(&ending);
+                let worker = &self.workers[s.worker.0 as usize].member;
+                self.witness.iter().for_each(|w| w.ended(worker, &ending));
                 let code = ending.code();
                 if let Ending::Served(result) = ending {
                     self.finish(now, job, Answer::Served(result));
--- a/src/fleet/books.rs
+++ b/src/fleet/books.rs
@@ -8,6 +8,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::thread::Thread;
+use streamusher_fleet::judge::{Fault, Worker};
 use streamusher_fleet::purse::Purse;
 use streamusher_fleet::rights::Terms;
 use streamusher_fleet::units::{Key, Unit, Units};
@@ -17,10 +18,24 @@
 /// Under which name operations are counted where no tenants are listed.
 const NOBODY: &str = "unassigned";
 
-/// Counts up to a number, for the state's thread.
-pub(super) struct Note {
-    pub(super) upto: u64,
-    pub(super) rows: Vec<(Key, Units)>,
+/// News for the state's thread.
+pub(super) enum Note {
+    /// Counts up to a number.
+    Counts {
+        /// Of an answer.
+        upto: u64,
+        /// What was counted since the note before.
+        rows: Vec<(Key, Units)>,
+    },
+    /// Something was seen of a worker: a fault, or that it serves.
+    Saw {
+        /// Of whom.
+        worker: Worker,
+        /// None: it serves.
+        fault: Option<Fault>,
+        /// How sure, of 100.
+        weight: u8,
+    },
 }
 
 /// Counts answers and spends rights. Invariant: what did not fit the ring waits in sums, and goes with the next note,
@@ -78,7 +93,14 @@
             return;
         }
         let rows = std::mem::take(&mut *waiting).into_iter().collect();
-        if notes.push(Note { upto: self.last.get(), rows }).is_ok() {
+        if notes.push(Note::Counts { upto: self.last.get(), rows }).is_ok() {
+            self.state.unpark();
+        }
+    }
+
+    /// An observation goes on, if there is room: it is a hint, and is made again.
+    pub(super) fn saw(&self, note: Note) {
+        if self.notes.borrow_mut().push(note).is_ok() {
             self.state.unpark();
         }
     }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 mod books;
 mod threads;
+mod witness;
 
 use crate::config::operators::FleetConfig;
 use crate::interface::Micros;
@@ -19,12 +20,14 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::thread::{JoinHandle, Thread};
+use streamusher_fleet::judge::{Verdict, Worker};
 use streamusher_fleet::node::{Node, Setup};
 use streamusher_fleet::rights::{Budget, Terms};
 use streamusher_fleet::show::Show;
 use streamusher_fleet::tally::Tally;
 use streamusher_fleet::units::NAMES;
 use streamusher_fleet::Life;
+use witness::Eyes;
 
 /// What operators are shown, made by the state's thread.
 pub(super) struct View {
@@ -32,8 +35,12 @@
     upto: u64,
     show: Show,
     tally: Tally,
+    verdicts: Vec<Verdict>,
 }
 
+/// The workers that take work, and their zones.
+type Roster = Vec<(Worker, Arc<str>)>;
+
 /// What the threads have in common.
 pub(super) struct Common {
     /// The number of the last answer whose count is safe.
@@ -42,6 +49,9 @@
     /// Frames that found the ring full.
     dropped: AtomicU64,
     view: ArcSwap<View>,
+    /// The verdicts of the view are others than those that the loop has taken.
+    judged: AtomicBool,
+    roster: ArcSwap<Roster>,
 }
 
 /// The fleet's part of a running program.
@@ -98,12 +108,14 @@
     info!(hub.log, "the fleet"; "name" => &name, "udp" => %addr, "advertised" => %setup.addr,
         "life" => setup.me.no, "copies" => config.copies, "limits" => terms.budgets.len());
     let node = Node::new(setup, purses.clone(), clock(), crate::billing::wall());
-    let view = View { upto: 0, show: node.show(clock()), tally: node.tally() };
+    let view = View { upto: 0, show: node.show(clock()), tally: node.tally(), verdicts: Vec::new() };
     let common = Arc::new(Common {
         safe: AtomicU64::new(0),
         stop: AtomicBool::new(false),
         dropped: AtomicU64::new(0),
         view: ArcSwap::from_pointee(view),
+        judged: AtomicBool::new(false),
+        roster: ArcSwap::default(),
     });
     let (notes, noted) = rtrb::RingBuffer::new(books::NOTES);
     let (wake, woken) = async_channel::bounded(1);
@@ -114,6 +126,7 @@
         if !config.limits.is_empty() {
             core.attach_quotas(books.clone());
         }
+        core.attach_witness(Rc::new(Eyes::new(books.clone(), common.clone())));
         core.attach_bookkeeper(books.clone())
     });
     let (heard, safe, again) = (hub.clone(), common.clone(), books.clone());
@@ -122,6 +135,12 @@
             again.push();
             let upto = safe.safe.load(Ordering::Acquire);
             heard.with(|core, _| core.durable(keeper, upto));
+            if safe.judged.swap(false, Ordering::AcqRel) {
+                let view = safe.view.load();
+                let verdicts: Vec<(&str, u32)> =
+                    view.verdicts.iter().map(|v| (&*v.worker, v.weight)).collect();
+                heard.with(|core, _| core.judged(&verdicts));
+            }
         }
     });
     Ok(Fleet { common, books, period: config.period_us, copies: config.copies, state, threads })
@@ -133,6 +152,7 @@
         let view = self.common.view.load();
         let mut show = serde_json::to_value(&view.show).unwrap_or_default();
         show["frames_dropped"] = self.common.dropped.load(Ordering::Relaxed).into();
+        show["verdicts"] = serde_json::to_value(&view.verdicts).unwrap_or_default();
         show["copies"] = self.copies.into();
         show["uncounted"] = self.books.last().saturating_sub(view.upto).into();
         show.to_string()
--- a/src/fleet/threads.rs
+++ b/src/fleet/threads.rs
@@ -1,6 +1,7 @@
 //! The two threads beside the event loop: one hears the socket, one keeps the state.
 
 use super::books::{Note, NOTES};
+use super::witness::HOLDS;
 use super::{Common, View};
 use crate::interface::Micros;
 use async_channel::Sender;
@@ -14,6 +15,7 @@
 use std::thread::{Builder, JoinHandle, Thread};
 use std::time::Duration;
 use streamusher_fleet::frame::MOST_BYTES;
+use streamusher_fleet::judge::Rules;
 use streamusher_fleet::node::Node;
 
 /// Frames that fit the ring from the socket; more are dropped, as the network would.
@@ -24,6 +26,8 @@
 const LOOK: Duration = Duration::from_millis(200);
 /// The view is made anew so often, where anything changed.
 const VIEW: Micros = 50_000;
+/// Few members are not believed, and all together shun no more than a third of a zone.
+const RULES: Rules = Rules { quorum: 3, most_part: 0.34 };
 /// How long the end waits for another member to hold all counts.
 const HAND_OVER: Micros = 600_000;
 
@@ -35,7 +39,8 @@
     let hears = socket.try_clone()?;
     hears.set_read_timeout(Some(LOOK))?;
     let (frames, heard) = RingBuffer::new(FRAMES);
-    let mut state = State { node, socket, common: common.clone(), notes, heard, wake, clock, log };
+    let mut state =
+        State { node, socket, common: common.clone(), notes, heard, wake, clock, rules: RULES, log };
     let state = Builder::new().name("fleet-state".into()).spawn(move || state.run())?;
     let thread = state.thread().clone();
     let woken = thread.clone();
@@ -63,6 +68,7 @@
     heard: Consumer<Vec<u8>>,
     wake: Sender<()>,
     clock: C,
+    rules: Rules,
     log: Logger,
 }
 
@@ -79,9 +85,20 @@
             }
             let was_full = self.notes.slots() == NOTES;
             while let Ok(note) = self.notes.pop() {
-                let version = note.rows.into_iter().map(|(key, units)| self.node.raise(key, &units)).last();
-                version.into_iter().for_each(|v| versions.push_back((note.upto, v)));
-                taken = note.upto;
+                match note {
+                    Note::Counts { upto, rows } => {
+                        let version =
+                            rows.into_iter().map(|(key, units)| self.node.raise(key, &units)).last();
+                        version.into_iter().for_each(|v| versions.push_back((upto, v)));
+                        taken = upto;
+                    }
+                    Note::Saw { worker, fault: Some(fault), weight } => {
+                        self.node.judge.observe(now, worker, fault, weight, HOLDS);
+                    }
+                    Note::Saw { worker, fault: None, .. } => {
+                        self.node.judge.vindicate(now, worker, HOLDS / 4)
+                    }
+                }
             }
             self.node.tick(now, wall);
             self.node.flush(now);
@@ -102,8 +119,15 @@
             }
             if now.saturating_sub(viewed) >= VIEW {
                 viewed = now;
-                let view = View { upto: taken, show: self.node.show(now), tally: self.node.tally() };
-                self.common.view.store(Arc::new(view));
+                let roster = self.common.roster.load();
+                let verdicts = self.node.judge.verdicts(now, self.rules, &roster);
+                let changed = verdicts != self.common.view.load().verdicts;
+                let (show, tally) = (self.node.show(now), self.node.tally());
+                self.common.view.store(Arc::new(View { upto: taken, show, tally, verdicts }));
+                if changed {
+                    self.common.judged.store(true, Ordering::Release);
+                    let _ = self.wake.try_send(());
+                }
             }
             if self.node.replaced && !std::mem::replace(&mut replaced, true) {
                 warn!(
@@ -124,8 +148,8 @@
             }
         }
         let now = (self.clock)();
-        let view = View { upto: taken, show: self.node.show(now), tally: self.node.tally() };
-        self.common.view.store(Arc::new(view));
+        let (show, tally) = (self.node.show(now), self.node.tally());
+        self.common.view.store(Arc::new(View { upto: taken, show, tally, verdicts: Vec::new() }));
         self.node.leave(now);
         for (to, bytes) in self.node.take_out() {
             let _ = self.socket.send_to(&bytes, to);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -327,6 +327,14 @@
         /// What it said of its load.
         report: Option<Report>,
     },
+    /// What the other dispatchers together say against a worker; own evidence goes first. 0 when nothing is said any
+    /// more. The decisions do not use it yet.
+    Judged {
+        /// The worker.
+        worker: WorkerId,
+        /// The sum of what their authors are sure of, each 1 to 100.
+        weight: u32,
+    },
     /// Another dispatcher wrote.
     Mail,
     /// All that arrived at this moment has been handed over.
--- a/tests/fleet_faults.rs
+++ b/tests/fleet_faults.rs
@@ -317,6 +317,38 @@
     assert_eq!(sum(&fleet.one_tally(), "served", None), got.all());
 }
 
+/// A worker at which all fails: once three members have seen it, each knows, also the one that has seen nothing; two are
+/// not believed.
+#[test]
+fn what_several_have_seen_of_a_worker_all_know() {
+    let fleet =
+        Fleet::start(Plan { members: 4, shared: true, bad: Some(1), work: ms(20), ..Plan::default() });
+    fleet.joined();
+    let seen = |f: &Fleet, i: usize| f.call(i, "fleet")["observations"].as_u64().unwrap_or(0);
+    let two = Clients::start(&fleet, &[0, 1], 16, &["t0"], NONE);
+    fleet.wait("two have seen it", |f| {
+        let n = seen(f, 3);
+        if n >= 2 {
+            Ok(())
+        } else {
+            Err(format!("{n} observations"))
+        }
+    });
+    assert_eq!(fleet.call(3, "fleet")["verdicts"], serde_json::json!([]), "two are not believed");
+    let third = Clients::start(&fleet, &[2], 16, &["t0"], NONE);
+    fleet.wait("all know", |f| {
+        let verdicts = f.call(3, "fleet")["verdicts"].clone();
+        let known = verdicts[0]["worker"] == "shed-1" && verdicts[0]["fault"] == "failing";
+        if known && verdicts[0]["authors"].as_u64() >= Some(3) {
+            Ok(())
+        } else {
+            Err(verdicts.to_string())
+        }
+    });
+    two.end();
+    third.end();
+}
+
 /// With the ledger on as well both have the same answers, to the unit.
 #[test]
 fn the_ledger_and_the_tally_agree() {
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -116,6 +116,10 @@
     pub ledger: bool,
     /// The operators' file has `[fleet]`.
     pub on: bool,
+    /// Each member knows the workers of all.
+    pub shared: bool,
+    /// All jobs fail at this member's worker.
+    pub bad: Option<usize>,
 }
 
 impl Default for Plan {
@@ -133,6 +137,8 @@
             work: Duration::ZERO,
             ledger: false,
             on: true,
+            shared: false,
+            bad: None,
         }
     }
 }
@@ -172,19 +178,19 @@
 }
 
 /// A worker that speaks DRMAA, takes its time for each job, and says how many it has.
-fn shed(running: Arc<Running>, work: Duration) -> SocketAddr {
+fn shed(running: Arc<Running>, work: Duration, bad: bool) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = listener.local_addr().unwrap();
     spawn(move || {
         for stream in listener.incoming().flatten() {
             let running = running.clone();
-            spawn(move || serve(stream, &running, work));
+            spawn(move || serve(stream, &running, work, bad));
         }
     });
     addr
 }
 
-fn serve(mut stream: TcpStream, running: &Running, work: Duration) -> Option<()> {
+fn serve(mut stream: TcpStream, running: &Running, work: Duration, bad: bool) -> Option<()> {
     stream.set_nodelay(true).ok()?;
     let reader = BufReader::new(stream.try_clone().ok()?);
     let mut named = String::new();
@@ -204,6 +210,9 @@
                     json!({"event": "NEW_STATE", "jobId": "j", "jobState": "RUNNING"}),
                 ]
             }
+            "waitTerminated" if bad => {
+                vec![json!({"seq": seq, "jobInfo": {"jobId": "j", "jobState": "FAILED"}})]
+            }
             "waitTerminated" => {
                 vec![json!({"seq": seq, "jobInfo": {"jobId": "j", "jobState": "DONE",
                     "streamusher_output": format!("log of {named}")}})]
@@ -233,7 +242,8 @@
                 relay: Relay::start(udp, plan.seed ^ (i as u64 + 1) << 20),
             });
         }
-        let sheds = (0..plan.members).map(|_| shed(running.clone(), plan.work)).collect();
+        let sheds =
+            (0..plan.members).map(|i| shed(running.clone(), plan.work, plan.bad == Some(i))).collect();
         let mut fleet = Fleet { plan, members, files, sheds, running };
         (0..fleet.members.len()).for_each(|i| fleet.begin(i));
         fleet
@@ -276,13 +286,10 @@
     /// Starts a member, or starts it again under its name.
     pub fn begin(&mut self, i: usize) {
         let files = Files::new();
-        files.add(
-            "workers.csv",
-            &format!(
-                "name,address,port,zone,kind\nshed-{i},127.0.0.1,{},pump-house,standard\n",
-                self.sheds[i].port()
-            ),
-        );
+        let known = (0..self.sheds.len()).filter(|n| self.plan.shared || *n == i);
+        let row = |n: usize| format!("shed-{n},127.0.0.1,{},pump-house,standard\n", self.sheds[n].port());
+        let rows: String = known.map(row).collect();
+        files.add("workers.csv", &format!("name,address,port,zone,kind\n{rows}"));
         let mut config = config(&[]);
         let m = &self.members[i];
         (config["name"], config["seed"]) =
