--- /dev/null
+++ b/src/balance/ranking.rs
@@ -0,0 +1,168 @@
+//! Which worker: own jobs there, what is added to the count, and what forbids it. See `src/interface.rs`.
+
+use super::{open_to, Balancer, CHARGE};
+use crate::interface::*;
+use crate::state::*;
+use rand::seq::*;
+use std::f64::consts::LN_2;
+
+/// Workers sampled for a ranking, from the own zone and from all alike: few, so cost follows the sample.
+const SAMPLE: usize = 6;
+/// Jobs that a worker of another zone must be ahead by: a crossing costs little beside a wait.
+const CROSSING: f64 = 0.25;
+/// Jobs ahead that cost about the whole worth of a request: they weigh what a new connection costs.
+const WORTH: f64 = 5.0;
+/// A job may cost this many times what its class costs on average; a cold worker must bear that.
+const HEAVY: f64 = 3.0;
+/// Part of its present capacity that a cold worker is credited in all, from all dispatchers: room for chance.
+const TAKE_UP: f64 = 0.8;
+/// Room over a worker's usual load that a cold one is credited, for the load that warm ones turn away.
+const ROOM: f64 = 1.25;
+
+impl Balancer {
+    /// Own jobs at the worker; in jobs too, its charges and, to break ties, others' load, slowness, distance.
+    pub(super) fn rank(&self, now: Micros, id: u32, class: usize) -> f64 {
+        let w = &self.workers[id as usize];
+        let crossing = if w.entry.zone == self.set.my_zone { 0.0 } else { CROSSING };
+        let connecting = f64::from(w.out >= w.carries(now, &self.set)) * WORTH * self.set.connection_cost;
+        let others = (self.load_of(now, w) + 0.5) * self.slowness(w);
+        w.out as f64
+            + self.charge_of(now, w, class)
+            + self.charge_of(now, w, self.best.len())
+            + others
+            + crossing
+            + connecting
+    }
+
+    /// What speaks against a worker for a class: what was seen fades to what is usual for the class.
+    pub(super) fn charge_of(&self, now: Micros, w: &Worker, class: usize) -> f64 {
+        let usual = self.fails.get(class).map_or(0.0, |f| f.mean * CHARGE);
+        fading(w.charges[class], usual, now, self.set.warm_after_us.max(1_000_000) as f64 / LN_2)
+    }
+
+    /// Load by others: what was seen fades to the usual of its kind; one for all would jam fast ones unseen.
+    pub(super) fn load_of(&self, now: Micros, w: &Worker) -> f64 {
+        let usual = self.kinds.get(&w.entry.kind).map_or(0.0, |k| k.load.mean);
+        fading(w.seen, (1.0 + usual) * self.held(w) - 1.0, now, 2.0 * self.work.mean)
+    }
+
+    /// Where only those asked tell their load, a live weight tells it of all: size over one and jobs held.
+    pub(super) fn held(&self, w: &Worker) -> f64 {
+        let live = self.set.weights == Weights::Live && self.set.reports_on_probe;
+        self.pools.size(w).max(0.1).powi(-i32::from(live))
+    }
+
+    pub(super) fn slots(&self, w: &Worker) -> f64 {
+        self.kinds.get(&w.entry.kind).map_or(1.0, Kind::slots)
+    }
+
+    /// Running time here over the usual: of the worker, while little is known of its kind, then as listed.
+    pub(super) fn slowness(&self, w: &Worker) -> f64 {
+        let listed = -(self.pools.size(w) * self.held(w)).max(1e-9).ln().clamp(-1.0, 1.0);
+        let kind = self.kinds.get(&w.entry.kind).map_or(listed, |k| k.slow.or(listed));
+        w.slow.or(kind).exp()
+    }
+
+    pub(super) fn sort(&self, now: Micros, class: usize, workers: &mut [u32]) {
+        workers.sort_by_cached_key(|&w| (self.rank(now, w, class) * 1e6) as i64);
+    }
+
+    /// Eligible workers for the next attempt of a job, lowest rank first: a sample and the best remembered.
+    pub(super) fn ranked(&mut self, now: Micros, id: JobId) -> Vec<u32> {
+        let Some(job) = self.jobs.get(&id) else { return Vec::new() };
+        let first = self.bound(job).map(|a| &self.workers[a.worker as usize].entry);
+        let pool = match (self.set.classes[job.class].repeat, first) {
+            (Repeat::Keyed { scope: Scope::Cell, .. }, Some(e)) => Pool::Cell(job.open, e.cell),
+            (Repeat::Keyed { scope: Scope::Zone, .. }, Some(e)) => Pool::Zone(job.open, e.zone),
+            _ => Pool::All(job.open),
+        };
+        let (all, best) = (self.pools.of(pool), &self.best[job.class]);
+        let own_zone = Pool::Zone(job.open, self.set.my_zone);
+        let near = self.pools.of(if matches!(pool, Pool::All(_)) { own_zone } else { pool });
+        // Away from its homes a subject's data must be fetched; of workers not asked no load is known.
+        let known = if job.homes.is_empty() && self.set.reports_on_probe { best } else { &job.homes };
+        let mut picks: Vec<u32> = known.iter().copied().filter(|&w| self.eligible(now, job, w)).collect();
+        if picks.is_empty() {
+            picks.extend(all.choose_multiple(&mut self.rng, SAMPLE));
+            picks.extend(near.choose_multiple(&mut self.rng, SAMPLE));
+            picks.extend(best);
+            picks.retain(|&w| self.eligible(now, job, w));
+            picks.sort_unstable();
+            picks.dedup();
+        }
+        if picks.is_empty() {
+            picks = all.iter().copied().filter(|&w| self.eligible(now, job, w)).take(SAMPLE).collect();
+        }
+        picks.shuffle(&mut self.rng); // ties go at random
+        self.sort(now, job.class, &mut picks);
+        picks
+    }
+
+    /// All that may forbid an attempt at this worker; the one sending place asks again.
+    pub(super) fn eligible(&self, now: Micros, job: &Job, id: u32) -> bool {
+        let w = &self.workers[id as usize];
+        w.entry.stage == Stage::Ready
+            && open_to(&self.set, job.open, &w.entry)
+            && !job.attempts.iter().any(|a| a.worker == id && a.life == w.life)
+            && (self.set.may_duplicate || !job.is_out())
+            && self.repeat_allowed(now, job, &w.entry)
+            && self.cold_room(now, job, w)
+    }
+
+    /// The first attempt that may have run, copies still out included: it fixes a keyed job's group, window,
+    /// and an unsafe job's only try. Where workers shed what they had begun, 'full' proves nothing.
+    pub(super) fn bound<'a>(&self, job: &'a Job) -> Option<&'a Attempt> {
+        let never_ran = |code| match code {
+            Code::DialFailed | Code::Unused => true,
+            Code::Shed => !self.set.full_may_have_run,
+            _ => false,
+        };
+        job.attempts.iter().find(|a| !a.end.is_some_and(never_ran))
+    }
+
+    pub(super) fn repeat_allowed(&self, now: Micros, job: &Job, e: &Entry) -> bool {
+        match (self.set.classes[job.class].repeat, self.bound(job)) {
+            (Repeat::Free, _) | (_, None) => true,
+            (Repeat::Once, Some(_)) => false,
+            (Repeat::Keyed { scope, window_us }, Some(a)) => {
+                let first = &self.workers[a.worker as usize].entry;
+                (scope != Scope::Zone || first.zone == e.zone)
+                    && (scope != Scope::Cell || first.cell == e.cell)
+                    && now < a.sent.saturating_add(window_us)
+            }
+        }
+    }
+
+    /// Guards a cold worker: nothing that could be too heavy for it alone, and no more than its present share
+    /// of what a warm one gets from here. If all keep to that it gets a warm one's load for its capacity.
+    pub(super) fn cold_room(&self, now: Micros, job: &Job, w: &Worker) -> bool {
+        let share = self.present_share(now, w);
+        let bearable = share * self.set.tip_multiple * self.set.fall_us as f64;
+        share >= 1.0 || (self.work_of(job) * HEAVY <= bearable && self.credit_of(now, w) >= 0.0)
+    }
+
+    pub(super) fn present_share(&self, now: Micros, w: &Worker) -> f64 {
+        let warm = now.saturating_sub(w.entry.since) as f64 / self.set.warm_after_us.max(1) as f64;
+        let warm = if w.entry.since == 0 { 1.0 } else { warm.min(1.0) };
+        self.set.start_capacity + (1.0 - self.set.start_capacity) * warm
+    }
+
+    pub(super) fn credit_of(&self, now: Micros, w: &Worker) -> f64 {
+        let ready = self.pools.of(Pool::All(0)).len() as f64;
+        let size = if self.set.weights == Weights::Size { self.pools.size(w) } else { 1.0 };
+        // What is served from here is this one's part of a worker's usual load: over the fleet it adds up to
+        // no more than all can do, and with room for more it may grow while warm ones are full. Traffic is
+        // uneven: one with little may still take its even part of what the slots can do. Both together stay
+        // far enough below what tips the worker.
+        let even = self.slots(w) / f64::from(self.set.dispatchers.max(1)) * TAKE_UP;
+        let usual = self.rates.work / RATE_US / ready * size * ROOM;
+        let bears = (self.set.tip_multiple / (1.4 * (TAKE_UP + ROOM))).min(1.0);
+        let rate = usual.max(even) * bears * self.present_share(now, w);
+        (w.credit.1 + rate * now.saturating_sub(w.credit.0) as f64).min(self.work.mean)
+    }
+
+    /// Work expected of a job: its hint, or the usual of its class; at first the aim, which is of that order.
+    pub(super) fn work_of(&self, job: &Job) -> f64 {
+        job.request.hint_us.map_or(self.run[job.class].0.mean, |h| h as f64).max(1.0)
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,4 +1,4 @@
-//! What a dispatcher keeps of workers and jobs: plain records. Nothing here decides; that is `src/balance.rs`.
+//! What a dispatcher keeps of workers and jobs: plain records. Nothing here decides; that is `src/balance/`.
 
 use crate::interface::*;
 use std::collections::BTreeMap;
