--- a/crates/fleet/src/counts.rs
+++ b/crates/fleet/src/counts.rs
@@ -7,7 +7,7 @@
 //!
 //! **Folding.** All lives of a name but the newest are gone for good. Once every member that is not forgotten has told
 //! that it holds such a life up to the same version as this one, nobody can hold more: the life's rows are final and go
-//! into the name's [`Base`], one sum, with the number of the last life folded. Invariant, asserted: no row of a life
+//! into the name's base, one sum, with the number of the last life folded. Invariant, asserted: no row of a life
 //! stands beside a base that holds it, so none counts twice. A base is a join of its own: the larger number wins, and
 //! of equal ones the larger sums, which are sums over the same lives; a member that missed the folding drops its rows
 //! of those lives as it takes the base, and rows of folded lives that others still send are refused.
