What a fleet's member sends of itself stands in a file of its own

Own counts to their copies, the round of a period and the hand-over went to gossip.rs as they were. Checked: the crate's tests, its lints and pages, and tests/fleet_faults.rs pass.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod counts;
 pub mod frame;
+mod gossip;
 pub mod judge;
 pub mod life;
 pub mod members;
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -13,7 +13,7 @@
 use crate::rights::{Rights, Terms};
 use crate::tally::Tally;
 use crate::units::{Key, Units};
-use rand::{seq::IteratorRandom, RngExt, SeedableRng};
+use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -50,45 +50,39 @@
 const ROOM: usize = MOST_BYTES - 200;
 /// Parts sent in answer to one digest.
 const PARTS: usize = 32;
-/// Gossip periods after which a superseded life may be folded.
-const SETTLE: u64 = 100;
-/// Observations sent along with a digest.
-const WORDS: usize = 6;
-/// Gossip periods between two looks for lives to fold.
-const FOLD: u64 = 10;
 
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Peer {
-    no: u64,
+    pub(crate) no: u64,
     pub(crate) heard: Micros,
     /// How much of own counts it holds, and up to where they were sent to it, and when.
     pub(crate) have: u64,
-    sent: (u64, Micros),
+    pub(crate) sent: (u64, Micros),
 }
 
 /// See the module's own page.
 pub struct Node {
     pub(crate) setup: Setup,
-    sealer: Sealer,
+    pub(crate) sealer: Sealer,
     pub(crate) members: Members,
     pub(crate) counts: Counts,
     /// What is said of core workers.
     pub judge: Judgements,
     /// Rights, by budget.
     pub rights: Rights<Arc<Purse>>,
-    wants: Vec<u64>,
+    pub(crate) wants: Vec<u64>,
     pub(crate) peers: BTreeMap<Arc<str>, Peer>,
-    out: Vec<(SocketAddr, Vec<u8>)>,
+    pub(crate) out: Vec<(SocketAddr, Vec<u8>)>,
     pub(crate) bad: BTreeMap<Bad, u64>,
-    rng: Pcg64Mcg,
-    cursor: Option<Arc<str>>,
-    next_gossip: Micros,
-    rounds: u64,
-    last_tick: Micros,
+    pub(crate) rng: Pcg64Mcg,
+    pub(crate) cursor: Option<Arc<str>>,
+    pub(crate) next_gossip: Micros,
+    pub(crate) rounds: u64,
+    pub(crate) last_tick: Micros,
     /// Since when this member does not trust what it holds: it was stopped, and has not heard the others since.
     pub(crate) stale: Option<Micros>,
-    wall: Micros,
-    ending: bool,
+    pub(crate) wall: Micros,
+    pub(crate) ending: bool,
     /// Times that it learnt it was thought dead.
     pub thought_dead: u64,
     /// A later life of this name is there: this process is not to go on.
@@ -140,43 +134,6 @@
         self.counts.raise(key, units)
     }
 
-    /// Sends own counts on, where others lack them.
-    pub fn flush(&mut self, now: Micros) {
-        let version = self.counts.version();
-        if version == 0 || self.setup.copies == 0 && !self.ending {
-            return;
-        }
-        for to in self.ring() {
-            let peer = self.peers.entry(to.name.clone()).or_default();
-            // What was sent is not sent again before it could have been answered.
-            let waits = now.saturating_sub(peer.sent.1) < self.setup.gossip / 2;
-            let from = if waits { peer.have.max(peer.sent.0) } else { peer.have };
-            if from < version {
-                peer.sent = (version, now);
-                let rows = self.counts.own_since(from);
-                self.send_rows(&to, rows);
-            }
-        }
-    }
-
-    /// The members behind this one in the ring of names, one more than the copies wanted.
-    fn ring(&self) -> Vec<Member> {
-        let mut alive: Vec<&Member> = self.members.alive().collect();
-        alive.sort_by(|a, b| a.name.cmp(&b.name));
-        let at = alive.partition_point(|m| m.name <= self.setup.me.name);
-        alive[at..].iter().chain(&alive[..at]).take(self.setup.copies + 1).map(|m| (*m).clone()).collect()
-    }
-
-    /// The version of own counts that enough other members hold, of those not thought dead.
-    pub fn safe(&self) -> u64 {
-        let copies = if cfg!(feature = "mutant-copies") { 0 } else { self.setup.copies };
-        let Some(last) = copies.checked_sub(1) else { return self.counts.version() };
-        let alive = |name: &Arc<str>| self.members.alive().any(|m| m.name == *name);
-        let mut have: Vec<u64> = self.peers.iter().filter(|(n, _)| alive(n)).map(|(_, p)| p.have).collect();
-        have.sort_unstable_by(|a, b| b.cmp(a));
-        have.get(last).copied().unwrap_or(0)
-    }
-
     /// A datagram came. `wall` is Unix time.
     pub fn receive(&mut self, now: Micros, wall: Micros, bytes: &[u8]) {
         self.wall = wall;
@@ -294,56 +251,6 @@
         self.after(now);
     }
 
-    fn round(&mut self, now: Micros) {
-        self.rounds += 1;
-        let alive: Vec<Member> = self.members.alive().cloned().collect();
-        for to in alive.iter().sample(&mut self.rng, 2) {
-            let mut holds = self.counts.digest(self.cursor.as_ref(), 64);
-            let whole = holds.len() < 64;
-            let last = fit(&mut holds) && whole;
-            let next = if last { None } else { holds.last().map(|h| h.name.clone()) };
-            let from = std::mem::replace(&mut self.cursor, next);
-            self.send(to, Body::Digest { from, last, holds, answer: true });
-            let words = self.judge.words(now, WORDS);
-            if !words.is_empty() {
-                self.send(to, Body::Words(words));
-            }
-        }
-        // Those that the file names and that are not there are called, one in each round.
-        let known = |a: &SocketAddr| *a == self.setup.addr || alive.iter().any(|m| m.addr == *a);
-        let missing = self.setup.join.iter().filter(|a| !known(a)).choose(&mut self.rng).copied();
-        if let Some(addr) = missing.filter(|_| alive.is_empty() || self.rounds.is_multiple_of(4)) {
-            self.send_to(addr, Body::Hello);
-        }
-        let names: Vec<Arc<str>> = alive.iter().map(|m| m.name.clone()).collect();
-        for budget in 0..self.wants.len() {
-            let pocket = &self.rights.pockets[budget];
-            let ((own, borrowed), used, denied) = (pocket.rights(), pocket.used(), pocket.take_denied());
-            let rights = own + borrowed;
-            // What was denied is asked for, by half as much again at a time; what is not used goes slowly.
-            self.wants[budget] = match denied {
-                0 => used.max(self.wants[budget].saturating_sub(self.wants[budget].div_ceil(10))),
-                n => (rights.max(used) + n.min(rights / 2 + 4)).min(self.setup.terms.budgets[budget].units),
-            };
-            for (name, ask) in self.rights.want(now, budget, self.wants[budget], &names) {
-                if let Some(to) = alive.iter().find(|m| m.name == name) {
-                    self.send(to, Body::Ask(ask));
-                }
-            }
-        }
-        if self.rounds.is_multiple_of(FOLD) {
-            let others = self.not_forgotten(now);
-            self.counts.fold(now, self.setup.gossip * SETTLE, &others);
-            self.counts.forget_old_periods();
-        }
-        self.flush(now);
-    }
-
-    fn not_forgotten(&self, now: Micros) -> Vec<Arc<str>> {
-        let heard = |p: &Peer| now.saturating_sub(p.heard) < self.setup.forget;
-        self.peers.iter().filter(|(_, p)| heard(p)).map(|(n, _)| n.clone()).collect()
-    }
-
     /// What foca has to say goes out.
     fn after(&mut self, now: Micros) {
         let (send, news) = self.members.take(now);
@@ -365,7 +272,7 @@
         }
     }
 
-    fn send_rows(&mut self, to: &Member, parts: Vec<Delta>) {
+    pub(crate) fn send_rows(&mut self, to: &Member, parts: Vec<Delta>) {
         let mut frame = Vec::new();
         let mut bytes = 0;
         for part in parts {
@@ -382,11 +289,11 @@
         }
     }
 
-    fn send(&mut self, to: &Member, body: Body) {
+    pub(crate) fn send(&mut self, to: &Member, body: Body) {
         self.send_to(to.addr, body);
     }
 
-    fn send_to(&mut self, addr: SocketAddr, body: Body) {
+    pub(crate) fn send_to(&mut self, addr: SocketAddr, body: Body) {
         let frame = Frame { from: self.members.me().clone(), body };
         if let Some(bytes) = self.sealer.seal(&frame) {
             self.sent = (self.sent.0 + bytes.len() as u64, self.sent.1 + 1);
@@ -435,7 +342,7 @@
 }
 
 /// Leaves as many as fit into a frame; whether all did.
-fn fit(holds: &mut Vec<Holds>) -> bool {
+pub(crate) fn fit(holds: &mut Vec<Holds>) -> bool {
     let mut bytes = 0;
     let size = |h: &Holds| postcard::to_stdvec(h).map_or(ROOM, |b| b.len());
     let n = holds
