The list's clock is one pure machine; a pushed list is watched from the first moment

At fault: src/net/discovery.rs `Watch::subscribe` ran only when the decisions asked for it, which they do only where `list_must_be_asked`.

Change: src/list_clock.rs owns every wait (table of source, event, told at); the watch begins with the process; src/net/lists.rs takes objects out of a watch, indented or in pieces. src/pacing.rs is gone.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,10 +1,11 @@
-//! The pool config: discovery's list, watched from the moment the decisions first ask for it, and moved to
-//! another address when a new configuration says so.
+//! The pool config: discovery's list, watched from the process's start, and moved to another address when a new
+//! configuration says so. When it is called and what is given up is [`ListClock`]'s to say.
 
 use super::http::{Bad, Conn};
+use super::lists::{Said, Splitter};
 use crate::core::{Member, PoolSource};
 use crate::interface::Stage;
-use crate::pacing::Pacing;
+use crate::list_clock::ListClock;
 use crate::runtime::Hub;
 use async_channel::{bounded, Receiver, Sender};
 use async_io::{Async, Timer};
@@ -12,21 +13,12 @@
 use serde::Deserialize;
 use slog::{info, warn};
 use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::future::Future;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
-/// An empty line comes every 2 s: a watch that says nothing for longer is broken. A change counts as told
-/// after 6 s, read or not, so there must be time left to watch anew.
-const SILENCE: Duration = Duration::from_millis(3_000);
-/// Longest wait for a connection.
-const PATIENCE: Duration = Duration::from_millis(1_000);
-/// Longest wait for an answer's head: past discovery's own time-out of a call, which then says 503, since a
-/// call given up while queued there still takes its turn, and the next is queued behind it.
-const HEAD_PATIENCE: Duration = Duration::from_millis(3_000);
-/// The longest line.
-const LINE: usize = 4 << 20;
-
 /// A list, or the changes to one.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(default)]
@@ -97,17 +89,16 @@
     source: usize,
     version: Cell<u64>,
     running: Cell<bool>,
-    /// Pauses between calls, spread over the fleet.
-    pacing: RefCell<Pacing>,
+    clock: RefCell<ListClock>,
 }
 
 impl Watch {
     pub(crate) fn new(
-        hub: Rc<Hub>, addr: Option<SocketAddr>, source: usize, version: u64, pacing: Pacing,
+        hub: Rc<Hub>, addr: Option<SocketAddr>, source: usize, version: u64, clock: ListClock,
     ) -> Rc<Watch> {
         let (version, running, addr) = (Cell::new(version), Cell::new(false), Cell::new(addr));
-        let (moved, pacing) = (bounded(1), RefCell::new(pacing));
-        Rc::new_cyclic(|me| Watch { me: me.clone(), hub, addr, moved, source, version, running, pacing })
+        let (moved, clock) = (bounded(1), RefCell::new(clock));
+        Rc::new_cyclic(|me| Watch { me: me.clone(), hub, addr, moved, source, version, running, clock })
     }
 
     /// Discovery is at another address from now on. Guards against a watch on the old one, which may look alive
@@ -118,81 +109,88 @@
         }
         // Another address may count its versions anew: the whole list is asked for.
         self.version.set(0);
-        self.pacing.borrow_mut().start_over();
+        self.clock.borrow_mut().moved(self.hub.now());
         let _ = self.moved.0.try_send(());
         self.subscribe();
     }
 
     async fn keep(&self) {
-        // A fleet started at once does not call at once.
-        let first = self.pacing.borrow_mut().first();
-        self.pause(first).await;
         while let Some(addr) = self.addr.get() {
-            let before = self.version.get();
-            let mut lines = 0u64;
             let moved = async {
                 let _ = self.moved.1.recv().await;
                 None
             };
-            let watch = async { self.watch(addr, &mut lines).await.err() };
+            let (before, lists) = (self.version.get(), Cell::new(0u64));
+            let watch = async {
+                self.due().await;
+                self.clock.borrow_mut().call(self.hub.now());
+                self.watch(addr, &lists).await.err()
+            };
             let Some(why) = future::or(moved, watch).await else {
                 info!(self.hub.log, "the watch moves"; "from" => %addr, "to" => ?self.addr.get());
                 continue;
             };
-            let wait = self.pacing.borrow_mut().after(lines > 0);
-            warn!(self.hub.log, "the watch on discovery broke"; "why" => why, "lines" => lines, "version" => before,
-                "pause_ms" => wait.as_millis() as u64);
+            let pause_us = self.clock.borrow_mut().ended(self.hub.now());
+            warn!(self.hub.log, "the watch on discovery broke"; "why" => why, "lists" => lists.get(),
+                "version" => before, "pause_ms" => pause_us / 1_000);
             self.hub.with(|core, _| {
                 core.counters.watches_broken += 1;
                 core.pool_config_failed();
             });
-            self.pause(wait).await;
         }
     }
 
-    /// Waits, unless the address moves meanwhile.
-    async fn pause(&self, wait: Duration) {
-        let cut_short = async {
-            let _ = self.moved.1.recv().await;
-        };
-        let paused = async {
-            Timer::after(wait).await;
+    /// Comes back when the clock wants something done.
+    async fn due(&self) {
+        let at = self.clock.borrow().due();
+        Timer::after(Duration::from_micros(at.saturating_sub(self.hub.now()))).await;
+    }
+
+    /// Waits for this step of the call for as long as the clock allows.
+    async fn within<T>(&self, what: impl Future<Output = Result<T, String>>) -> Result<T, String> {
+        let late = async {
+            self.due().await;
+            Err("nothing came in time".into())
         };
-        future::or(cut_short, paused).await;
+        future::or(what, late).await
     }
 
-    async fn watch(&self, addr: SocketAddr, lines: &mut u64) -> Result<std::convert::Infallible, String> {
+    async fn watch(&self, addr: SocketAddr, lists: &Cell<u64>) -> Result<Infallible, String> {
         let dial = async { Async::<TcpStream>::connect(addr).await.map_err(|e| e.to_string()) };
-        let mut conn = Conn::new(within(PATIENCE, dial).await?);
+        let mut conn = Conn::new(self.within(dial).await?);
+        self.clock.borrow_mut().connected(self.hub.now());
         let query = format!(
             "GET /discovery/hosts?watch=1&after={} HTTP/1.1\r\nHost: {}\r\n\r\n",
             self.version.get(),
             addr
         );
-        conn.write(query.as_bytes()).await.map_err(|e| e.to_string())?;
-        let head = within(HEAD_PATIENCE, async { conn.answer().await.map_err(say) }).await?;
+        let head = self.within(async {
+            conn.write(query.as_bytes()).await.map_err(|e| e.to_string())?;
+            conn.answer().await.map_err(say)
+        });
+        let head = head.await?;
         if head.status != 200 {
             return Err(format!("status {}", head.status));
         }
-        let mut text = Vec::new();
+        self.clock.borrow_mut().opened(self.hub.now());
+        let (mut splitter, mut said) = (Splitter::new(), Vec::new());
         loop {
-            let part = within(SILENCE, async { conn.chunk().await.map_err(say) }).await?;
-            text.extend_from_slice(&part.ok_or("it was ended")?);
-            while let Some(end) = text.iter().position(|&b| b == b'\n') {
-                let line: Vec<u8> = text.drain(..=end).collect();
-                *lines += 1;
-                if !line.iter().all(u8::is_ascii_whitespace) {
-                    self.take(&line)?;
+            let piece = self.within(async { conn.chunk().await.map_err(say) }).await?;
+            splitter
+                .feed(&piece.ok_or("it was ended")?, &mut said)
+                .map_err(|e| format!("not a list: {e:?}"))?;
+            for said in said.drain(..) {
+                if let Said::Object(text) = said {
+                    self.take(&text)?;
+                    lists.set(lists.get() + 1);
                 }
-            }
-            if text.len() > LINE {
-                return Err("a line without end".into());
+                self.clock.borrow_mut().heard(self.hub.now());
             }
         }
     }
 
-    fn take(&self, line: &[u8]) -> Result<(), String> {
-        let list: List = serde_json::from_slice(line).map_err(|e| format!("not a list: {e}"))?;
+    fn take(&self, text: &[u8]) -> Result<(), String> {
+        let list: List = serde_json::from_slice(text).map_err(|e| format!("not a list: {e}"))?;
         self.version.set(list.version);
         info!(self.hub.log, "pool config"; "version" => list.version, "full" => list.full,
             "servers" => list.servers.len());
@@ -209,18 +207,8 @@
     format!("{bad:?}")
 }
 
-async fn within<T>(
-    limit: Duration, what: impl std::future::Future<Output = Result<T, String>>,
-) -> Result<T, String> {
-    let late = async {
-        Timer::after(limit).await;
-        Err(format!("nothing for {limit:?}"))
-    };
-    future::or(what, late).await
-}
-
 impl PoolSource for Watch {
-    /// Once begun the watch keeps itself up; asked again it has nothing to do.
+    /// Once begun the watch keeps itself up; asked again, as the decisions do, it has nothing to do.
     fn subscribe(&self) {
         if self.addr.get().is_some() && !self.running.replace(true) {
             let me = self.me.upgrade().expect("called through an Rc");
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod front;
 pub(crate) mod handover;
 pub(crate) mod http;
+pub mod lists;
 pub(crate) mod mgmt;
 pub(crate) mod pool;
 pub(crate) mod request;
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -3,8 +3,8 @@
 use crate::config::{Config, Reload};
 use crate::core::{Answer, Core, Front, Member, NotTaken, Operation, Receipt};
 use crate::interface::{JobId, Micros};
+use crate::list_clock::{ListClock, Source};
 use crate::net::request::ClassInfo;
-use crate::pacing::Pacing;
 use crate::settings::Site;
 use crate::signals::{Signal, Signals};
 use crate::telemetry::{Figures, Readiness};
@@ -202,9 +202,9 @@
     let executor = Rc::new(LocalExecutor::new());
     let base = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1 << 40, |d| d.as_micros() as Micros);
     let clock = Clock { base, start: Instant::now() };
-    let told_after = Duration::from_micros(config.setup.rules.ask_within_us);
-    let fleet = config.setup.balancers;
-    let pacing = Pacing::new(fleet, told_after, config.seed);
+    let (fleet, within) = (config.setup.balancers, config.setup.rules.ask_within_us);
+    let source = if config.setup.discovery == "pushed" { Source::Pushed } else { Source::Asked };
+    let list_clock = ListClock::new(source, fleet, within, config.seed, base);
     let site = Site::new(config.setup);
     let classes = site.class_infos();
     let net = net::Figures::new(&site, &config.limits);
@@ -245,11 +245,12 @@
             hub.with(|core, _| core.attach_driver(net::route::HttpDriver::new(hub.clone(), pool.clone())));
         let known: Vec<Member> = config.known.servers.iter().map(|s| s.member()).collect();
         hub.with(|core, _| core.pool_config(driver, true, known));
-        info!(log, "discovery's calls"; "fleet" => fleet, "told_after_ms" => told_after.as_millis() as u64,
-            "longest_pause_ms" => pacing.ceiling().as_millis() as u64);
-        let watch =
-            net::discovery::Watch::new(hub.clone(), config.discovery, driver, config.known.version, pacing);
+        info!(log, "discovery's calls"; "source" => ?source, "fleet" => fleet, "ask_within_ms" => within / 1_000,
+            "longest_pause_ms" => list_clock.ceiling_us() / 1_000);
+        let version = config.known.version;
+        let watch = net::discovery::Watch::new(hub.clone(), config.discovery, driver, version, list_clock);
         hub.with(|core, _| core.attach_source(watch.clone()));
+        crate::core::PoolSource::subscribe(&*watch); // a change may count as told from the first moment
         let jobs = match config.drmaa {
             Some(d) => drmaa::attach(&hub, d, pool, config.limits.sessions())?,
             None => None,
--- /dev/null
+++ b/tests/list_clock.rs
@@ -0,0 +1,196 @@
+//! The list's clock by row of its table, and played against discoveries that fail in every way: pure, in virtual time.
+
+use rstest::rstest;
+use streamusher::interface::Micros;
+use streamusher::list_clock::*;
+
+const S: Micros = 1_000_000;
+
+#[rstest]
+#[case::written_on_a_watch(Source::Asked, Event::Written(9 * S), 10 * S, 9 * S)]
+#[case::written_by_the_agent(Source::Pushed, Event::Written(9 * S), 10 * S, 9 * S)]
+#[case::reachable(Source::Asked, Event::Reachable(9 * S), 10 * S, 15 * S)]
+#[case::the_agent_has_it(Source::Pushed, Event::Reachable(9 * S), 10 * S, 9 * S)]
+#[case::unasked_for_long(Source::Asked, Event::Unasked(9 * S, 1), 10 * S, 15 * S)]
+#[case::unasked_for_a_short_time(Source::Asked, Event::Unasked(9 * S, 1), 2 * S, 11 * S)]
+#[case::a_failed_call_bears_no_more(Source::Asked, Event::Unasked(9 * S, 4), 2 * S, 15 * S)]
+#[case::a_failed_call_of_a_quick_site(Source::Asked, Event::Unasked(9 * S, 4), S, 13 * S)]
+#[case::settings_without_a_time(Source::Asked, Event::Unasked(9 * S, 4), 0, 15 * S)]
+#[case::unasked_but_pushed(Source::Pushed, Event::Unasked(9 * S, 4), 10 * S, 9 * S)]
+#[case::silent(Source::Asked, Event::Silent(9 * S), 10 * S, 15 * S)]
+#[case::silent_agent(Source::Pushed, Event::Silent(9 * S), 10 * S, 15 * S)]
+#[case::moved(Source::Asked, Event::Moved(9 * S), 10 * S, 13 * S)]
+#[case::moved_agent(Source::Pushed, Event::Moved(9 * S), 10 * S, 13 * S)]
+#[case::the_end_of_time(Source::Asked, Event::Unasked(Micros::MAX, 4), Micros::MAX, Micros::MAX)]
+fn a_change_counts_as_told(
+    #[case] source: Source, #[case] event: Event, #[case] within: Micros, #[case] want: Micros,
+) {
+    assert_eq!(told_at(source, event, within), want);
+}
+
+#[rstest]
+#[case(Source::Asked, 1, 10 * S, S)]
+#[case(Source::Asked, 40, 10 * S, 1_600_000)]
+#[case(Source::Asked, 300, 20 * S, 2 * S)]
+#[case(Source::Asked, 300, 0, 2 * S)]
+#[case(Source::Asked, 300, S, 500_000)]
+#[case(Source::Asked, 0, 1, 100_000)]
+#[case(Source::Pushed, 300, 20 * S, 100_000)]
+fn the_longest_pause_follows_the_fleet_and_leaves_time_for_a_call(
+    #[case] source: Source, #[case] fleet: u32, #[case] within: Micros, #[case] want: Micros,
+) {
+    let mut clock = ListClock::new(source, fleet, within, 1, 0);
+    assert_eq!(clock.ceiling_us(), want);
+    let mut now = clock.due();
+    for _ in 0..40 {
+        clock.call(now);
+        let pause = clock.ended(now);
+        assert!(pause <= want && pause > 0, "{pause}");
+        now += pause;
+    }
+}
+
+#[test]
+fn failures_grow_the_pause_and_a_word_or_another_address_starts_it_anew() {
+    let mut clock = ListClock::new(Source::Asked, 300, 10 * S, 7, 0);
+    let mut now = clock.due();
+    let fail = |clock: &mut ListClock, now: &mut Micros| {
+        clock.call(*now);
+        let pause = clock.ended(*now);
+        *now += pause;
+        pause
+    };
+    let pauses: Vec<Micros> = (0..12).map(|_| fail(&mut clock, &mut now)).collect();
+    assert!(pauses[0] <= clock.ceiling_us() / 4, "{pauses:?}");
+    assert!(pauses[6..].iter().any(|p| *p > clock.ceiling_us() / 2), "spread over all of it: {pauses:?}");
+    clock.call(now);
+    clock.connected(now);
+    clock.opened(now);
+    clock.heard(now);
+    assert!(clock.ended(now) <= 100_000, "it had something to say");
+    now = clock.due();
+    assert!(fail(&mut clock, &mut now) <= clock.ceiling_us() / 4);
+    for _ in 0..8 {
+        fail(&mut clock, &mut now);
+    }
+    clock.moved(now);
+    assert_eq!(clock.due(), now, "another address is called at once");
+    assert!(fail(&mut clock, &mut now) <= clock.ceiling_us() / 4);
+}
+
+/// Guards against a fleet that calls as one: what a hundred ask of discovery in a second, once their calls fail, stays
+/// far below a hundred.
+#[test]
+fn a_failing_fleet_spreads_its_calls() {
+    let mut calls = vec![0u32; 60];
+    let mut first = Vec::new();
+    for seed in 0..100 {
+        let mut clock = ListClock::new(Source::Asked, 100, 10 * S, seed, 0);
+        first.push(clock.due());
+        while clock.due() < 60 * S {
+            let now = clock.due();
+            clock.call(now);
+            calls[(now / S) as usize] += 1;
+            clock.ended(now + S); // discovery's own time-out
+        }
+    }
+    assert!(first.iter().max().unwrap() - first.iter().min().unwrap() > S, "the first calls are spread");
+    let most = calls[20..50].iter().max().unwrap();
+    assert!(*most < 75, "calls a second: {calls:?}");
+}
+
+/// How calls end before discovery is back, or answers again.
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    /// A watch that stays open and says nothing, after its last line.
+    Silence,
+    /// Nobody answers a dial.
+    NoDial,
+    Refused,
+    /// A dial comes up, and no head ever comes.
+    NoHead,
+    /// 503 after so long.
+    Busy(Micros),
+    /// The watch is answered, and nothing is said on it.
+    Mute,
+    /// The watch is answered and reset at once.
+    Reset,
+}
+
+/// Whatever became of the calls before, once each call succeeds the list is there before new work to a worker that
+/// leaves would break the rule.
+#[rstest]
+#[case(Trouble::Silence)]
+#[case(Trouble::NoDial)]
+#[case(Trouble::Refused)]
+#[case(Trouble::NoHead)]
+#[case(Trouble::Busy(S))]
+#[case(Trouble::Busy(2 * S))]
+#[case(Trouble::Mute)]
+#[case(Trouble::Reset)]
+fn the_list_is_heard_in_time(
+    #[case] trouble: Trouble, #[values(Source::Asked, Source::Pushed)] source: Source,
+    #[values(1, 30, 300)] fleet: u32, #[values(2 * S, 10 * S)] within: Micros,
+) {
+    for seed in 0..400u64 {
+        let mut clock = ListClock::new(source, fleet, within, seed, 0);
+        let (back, way) = (20 * S + seed * 23_456, 5_000);
+        // A watch that falls silent at the moment of the change; the other troubles end at that moment.
+        let event = match trouble {
+            Trouble::Silence => Event::Silent(back),
+            _ => Event::Reachable(back),
+        };
+        let heard = loop {
+            let now = clock.due();
+            clock.call(now);
+            let silent_watch = matches!(trouble, Trouble::Silence) && now < back;
+            if silent_watch || now >= back {
+                clock.connected(now + way);
+                clock.opened(now + 2 * way);
+                clock.heard(now + 2 * way);
+                if now >= back {
+                    break now + 2 * way;
+                }
+                let mut at = now + 2 * way;
+                while at + 2 * S < back {
+                    at += 2 * S;
+                    clock.heard(at);
+                }
+                let due = clock.due();
+                clock.ended(due);
+                continue;
+            }
+            let ends = match trouble {
+                Trouble::Silence | Trouble::NoDial => clock.due(),
+                Trouble::Refused => now + way,
+                Trouble::NoHead => {
+                    clock.connected(now + way);
+                    clock.due()
+                }
+                Trouble::Busy(after) => {
+                    clock.connected(now + way);
+                    clock.due().min(now + way + after)
+                }
+                Trouble::Mute => {
+                    clock.connected(now + way);
+                    clock.opened(now + 2 * way);
+                    clock.due()
+                }
+                Trouble::Reset => {
+                    clock.connected(now + way);
+                    clock.opened(now + 2 * way);
+                    now + 3 * way
+                }
+            };
+            clock.ended(ends);
+        };
+        // A mute watch is opened before discovery is back and breaks by its silence, which has its own row.
+        let told = match trouble {
+            Trouble::Mute => told_at(source, Event::Silent(back), within),
+            _ => told_at(source, event, within),
+        };
+        // Eight tenths of the grace: the strictest that any deployment here names.
+        let by = told + GRACE_US / 10 * 8;
+        assert!(heard <= by, "{trouble:?} {source:?} seed {seed}: heard {} us after {by}", heard - by);
+    }
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -4,7 +4,7 @@
 
 use rstest::rstest;
 use serde_json::json;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use support::*;
 
@@ -284,31 +284,6 @@
     assert!(opened < TRIES, "{opened} connections");
 }
 
-/// Discovery as the dispatcher sees it: takes watches, one after the other.
-struct Discovery(TcpListener);
-
-impl Discovery {
-    fn watch(&self, after: u64, lines: &[serde_json::Value]) -> std::net::TcpStream {
-        let (mut stream, _) = self.0.accept().unwrap();
-        let mut asked = String::new();
-        let mut reader = BufReader::new(stream.try_clone().unwrap());
-        while !asked.ends_with("\r\n\r\n") {
-            reader.read_line(&mut asked).unwrap();
-        }
-        let line = format!("GET /discovery/hosts?watch=1&after={after} HTTP/1.1\r\n");
-        assert!(asked.starts_with(&line), "{asked}");
-        let mut text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_string();
-        for line in lines {
-            // In two chunks, as a line need not come in one.
-            let line = format!("{line}\n");
-            let (a, b) = line.split_at(line.len() / 2);
-            [a, b].iter().for_each(|p| text += &format!("{:x}\r\n{p}\r\n", p.len()));
-        }
-        stream.write_all(text.as_bytes()).unwrap();
-        stream
-    }
-}
-
 #[test]
 fn the_watch_is_kept_up_and_a_draining_worker_gets_nothing_more() {
     let (old, new) = (Worker::start("s-1", SERVES), Worker::start("s-2", SERVES));
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,13 +4,13 @@
 pub mod fleet;
 
 use serde_json::{json, Value};
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::thread::spawn;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Longest wait for anything that should come: only a failure takes it.
 pub const LONG: Duration = Duration::from_secs(20);
@@ -186,6 +186,79 @@
     }
 }
 
+/// Discovery as the dispatcher sees it: takes watches, one after the other.
+pub struct Discovery(pub TcpListener);
+
+impl Discovery {
+    pub fn start() -> Discovery {
+        Discovery(TcpListener::bind("127.0.0.1:0").unwrap())
+    }
+
+    pub fn addr(&self) -> String {
+        self.0.local_addr().unwrap().to_string()
+    }
+
+    /// Takes a call and reads it; whatever it asks for is not answered yet.
+    pub fn call(&self) -> (TcpStream, String) {
+        let stream = accept(&self.0);
+        let mut asked = String::new();
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        while !asked.ends_with("\r\n\r\n") {
+            assert!(reader.read_line(&mut asked).unwrap() > 0, "a call broke off: {asked:?}");
+        }
+        (stream, asked)
+    }
+
+    pub fn watch(&self, after: u64, lines: &[Value]) -> TcpStream {
+        let (mut stream, asked) = self.call();
+        let line = format!("GET /discovery/hosts?watch=1&after={after} HTTP/1.1\r\n");
+        assert!(asked.starts_with(&line), "{asked}");
+        stream.write_all(WATCHED.as_bytes()).unwrap();
+        for line in lines {
+            // In two chunks, as a line need not come in one.
+            let line = format!("{line}\n");
+            let (a, b) = line.split_at(line.len() / 2);
+            [a, b].iter().for_each(|p| write_chunk(&mut stream, p.as_bytes()));
+        }
+        stream
+    }
+}
+
+/// Takes the next connection; it is a failure if none comes.
+pub fn accept(listener: &TcpListener) -> TcpStream {
+    listener.set_nonblocking(true).unwrap();
+    let by = Instant::now() + LONG;
+    let stream = loop {
+        match listener.accept() {
+            Ok((stream, _)) => break stream,
+            Err(e) if e.kind() == ErrorKind::WouldBlock && Instant::now() < by => {
+                std::thread::sleep(Duration::from_millis(2));
+            }
+            Err(e) => panic!("no connection came: {e}"),
+        }
+    };
+    listener.set_nonblocking(false).unwrap();
+    stream.set_nonblocking(false).unwrap();
+    stream.set_nodelay(true).unwrap();
+    stream.set_read_timeout(Some(LONG)).unwrap();
+    stream
+}
+
+/// The head of a watch.
+pub const WATCHED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+pub fn write_chunk(stream: &mut TcpStream, piece: &[u8]) {
+    let mut text = format!("{:x}\r\n", piece.len()).into_bytes();
+    text.extend_from_slice(piece);
+    text.extend_from_slice(b"\r\n");
+    stream.write_all(&text).unwrap();
+}
+
+/// Resets a connection: the other side's next read fails.
+pub fn reset(stream: TcpStream) {
+    rustix::net::sockopt::set_socket_linger(&stream, Some(Duration::ZERO)).unwrap();
+}
+
 /// The program, stopped when dropped.
 pub struct Program {
     pub child: Child,
