Attempts ask again when their connection is there; connections close in order and rest

- src/net/route.rs `hand_over`: `Pool::take` may wait for a connection up to `connectTimeoutUs`, and the job was then written whatever had become of it.
Seen: a job written for a client that had gone (where no cancel may be sent), to a worker told draining, and past a key's window.
Now `Core::may_begin` is asked before the first byte; with no the step ends as never sent.
X-Time-Left-Ms was from before the dial too.
- src/net/http.rs `ended`: stopped reading at 16 KiB, so that a client that sent more and went was never noticed.
- src/net/pool.rs `take`: a worker's second answer, a few ms late, was read as that to the next request (a 503 with X-Unprocessed for a job that ran: an unsafe class ran twice).
A connection rests 20 ms before it is used again.
- src/net/route.rs `ask`: a cancel that found all worker connections held was dropped.
A sixteenth is set aside for cancels, and they wait for it.
- src/net/discovery.rs, pool.rs: out of descriptors, a dial failed for as long as idle clients held them all; they give way now.
- src/net/front.rs `serve`: connections that rested were closed without telling the end first, over a request that came in that moment, which resets. src/closing.rs is the close, pure; `Conn::close` takes the connection whole.
- src/core/steps.rs: a step that was never handed to a driver was cancelled there (a DELETE of nothing).

Ruled out by tests/departures.rs: a departure in one turn with a start, a 202's end, a failure, a retry timer, the deadline.

--- a/src/balance/ranking.rs
+++ b/src/balance/ranking.rs
@@ -112,20 +112,28 @@
     /// The first attempt that may have run, copies still out included: it fixes a keyed job's group, window,
     /// and an unsafe job's only try. Where workers shed what they had begun, 'full' proves nothing.
     pub(super) fn bound<'a>(&self, job: &'a Job) -> Option<&'a Attempt> {
-        let never_ran = |code| match code {
-            Code::DialFailed | Code::Unused => true,
-            Code::Shed => !self.set.full_may_have_run,
+        job.attempts.iter().find(|a| !self.never_ran(a))
+    }
+
+    fn never_ran(&self, a: &Attempt) -> bool {
+        match a.end {
+            Some(Code::DialFailed | Code::Unused) => true,
+            Some(Code::Shed) => !self.set.full_may_have_run,
             _ => false,
-        };
-        job.attempts.iter().find(|a| !a.end.is_some_and(never_ran))
+        }
     }
 
     pub(super) fn repeat_allowed(&self, now: Micros, job: &Job, e: &Entry) -> bool {
-        match (self.set.classes[job.class].repeat, self.bound(job)) {
-            (Repeat::Free, _) | (_, None) => true,
-            (Repeat::Once, Some(_)) => false,
-            (Repeat::Keyed { scope, window_us }, Some(a)) => {
-                let first = &self.workers[a.worker as usize].entry;
+        self.bound(job).is_none_or(|a| self.bears(now, &self.set.classes[job.class].repeat, a, e))
+    }
+
+    /// Whether a class bears an attempt there after, or beside, one that may have run.
+    fn bears(&self, now: Micros, repeat: &Repeat, a: &Attempt, e: &Entry) -> bool {
+        let first = &self.workers[a.worker as usize].entry;
+        match *repeat {
+            Repeat::Free => true,
+            Repeat::Once => false,
+            Repeat::Keyed { scope, window_us } => {
                 (scope != Scope::Zone || first.zone == e.zone)
                     && (scope != Scope::Cell || first.cell == e.cell)
                     && now < a.sent.saturating_add(window_us)
@@ -133,6 +141,20 @@
         }
     }
 
+    /// Whether an attempt that was decided on may still begin. Asked when its connection is there, which may
+    /// be late: by then the job may be answered, the worker leaving or another life, and a window over.
+    pub fn may_begin(&self, now: Micros, job: JobId, attempt: u32) -> bool {
+        let own = attempt as usize;
+        let open = |job: &&Job| !job.answered && !job.time_is_up(now);
+        let Some(job) = self.jobs.get(&job).filter(open) else { return false };
+        let waits = |a: &&Attempt| a.end.is_none() && !a.cancelled;
+        let Some(a) = job.attempts.get(own).filter(waits) else { return false };
+        let (w, repeat) = (&self.workers[a.worker as usize], &self.set.classes[job.class].repeat);
+        let mut others = job.attempts.iter().enumerate().filter(|(i, _)| *i != own).map(|(_, b)| b);
+        let bears = |b: &Attempt| self.never_ran(b) || self.bears(now, repeat, b, &w.entry);
+        w.entry.stage == Stage::Ready && w.life == a.life && others.all(bears)
+    }
+
     /// Guards a cold worker: nothing that could be too heavy for it alone, and no more than its present share
     /// of what a warm one gets from here. If all keep to that it gets a warm one's load for its capacity.
     pub(super) fn cold_room(&self, now: Micros, job: &Job, w: &Worker) -> bool {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -66,7 +66,7 @@
 
 impl Limits {
     /// So many sixteenths of the descriptors that are not taken by files, listeners and the event loop. Front
-    /// sockets and their reserve, connections to workers and job sessions have fifteen of them.
+    /// sockets and their reserve, connections to workers, job sessions and cancels have all of them.
     fn share(&self, sixteenths: usize) -> usize {
         ((self.sockets - OWN) * sixteenths / 16).max(2)
     }
@@ -102,6 +102,11 @@
     pub fn worker_sockets(&self) -> usize {
         self.share(6)
     }
+
+    /// Connections beside these that cancels may open while all others are in use: the last sixteenth.
+    pub fn cancel_reserve(&self) -> usize {
+        self.share(1)
+    }
 }
 
 /// The DRMAA front and its workers.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -21,7 +21,7 @@
 //!     }
 //! }
 //!
-//! /// Notes which steps it was given; a real one would send them.
+//! /// Notes which steps it was given; a real one would send them, each as long as [`Core::may_begin`] allows it.
 //! #[derive(Default)]
 //! struct Runner(RefCell<Vec<StepId>>);
 //! impl Driver for Runner {
@@ -106,6 +106,8 @@
 
 struct RouteStep {
     worker: WorkerId,
+    /// A driver was given it.
+    handed: bool,
     sent: Micros,
     started: Option<Micros>,
     ended_at: Option<Micros>,
--- a/src/core/operation.rs
+++ b/src/core/operation.rs
@@ -162,7 +162,7 @@
 /// Carries route steps to the workers of one kind of wire. None of its calls may block or call the core;
 /// what becomes of a step is told to the core later.
 pub trait Driver {
-    /// Begins a route step.
+    /// Begins a route step: once its connection is there, if [`super::Core::may_begin`] still allows it.
     fn send(&self, step: StepId, operation: &Arc<Operation>, worker: &Member, left_us: Micros);
     /// Gives a route step up.
     fn cancel(&self, step: StepId, operation: &Arc<Operation>, worker: &Member);
--- a/src/core/steps.rs
+++ b/src/core/steps.rs
@@ -68,6 +68,7 @@
         let useless = entered.answered || now >= entered.deadline;
         entered.steps.push(RouteStep {
             worker,
+            handed: !useless,
             sent: now,
             started: None,
             ended_at: None,
@@ -88,10 +89,26 @@
         self.drivers[w.driver].send(step, &entered.operation, &w.member, entered.deadline - now);
     }
 
+    /// Whether a step may still begin, and the time that is left for it: a driver asks this when its connection is
+    /// there, before the first byte. A connection may come up late, and by then the client may have gone, the
+    /// operation be answered, the worker leave, or the window of a key be over. With none the step is to end as
+    /// [`Ending::NeverSent`].
+    pub fn may_begin(&self, now: Micros, step: StepId) -> Option<Micros> {
+        let entered = self.operations.get(&step.job)?;
+        let wanted = !entered.answered && !entered.waiting.is_empty() && now < entered.deadline;
+        let out = entered.steps.get(step.attempt as usize).is_some_and(|s| !s.ended);
+        let may = wanted && out && self.balancer.may_begin(now, step.job, step.attempt);
+        may.then(|| entered.deadline - now)
+    }
+
     /// Has the driver give a step up that is still out.
     pub(super) fn call_off(&self, step: StepId) {
         let Some(entered) = self.operations.get(&step.job) else { return };
-        let w = &self.workers[entered.steps[step.attempt as usize].worker.0 as usize];
+        let s = &entered.steps[step.attempt as usize];
+        if !s.handed {
+            return; // no driver has heard of it
+        }
+        let w = &self.workers[s.worker.0 as usize];
         self.drivers[w.driver].cancel(step, &entered.operation, &w.member);
     }
 }
--- a/src/drmaa/worker.rs
+++ b/src/drmaa/worker.rs
@@ -4,7 +4,7 @@
 use crate::core::{Driver, Ending, Member, Operation, StepId, StepNews};
 use crate::interface::{Micros, WorkerId};
 use crate::net::http::BODY;
-use crate::net::pool::{Lent, Pool};
+use crate::net::pool::{Lent, Pool, Use};
 use crate::runtime::Hub;
 use async_channel::{bounded, Receiver, Sender};
 use async_io::Timer;
@@ -34,13 +34,22 @@
 
     /// One job from hand-over to end. `job` is filled once the worker has named it.
     async fn run(
-        &self, step: StepId, addr: SocketAddr, call: Vec<u8>, lent: &mut Option<Lent>,
+        &self, step: StepId, addr: SocketAddr, operation: &Operation, lent: &mut Option<Lent>,
         job: &mut Option<String>,
     ) -> Ending {
-        let mut taken = match self.pool.take(addr).await {
+        let mut taken = match self.pool.take(addr, Use::Work).await {
             Ok(taken) => taken,
             Err(ending) => return ending,
         };
+        // The connection may have come up late: see the platform's driver.
+        let Some(deadline) = self.hub.with(|core, now| core.may_begin(now, step).map(|left| now + left))
+        else {
+            self.pool.give_back(addr, taken);
+            return Ending::NeverSent;
+        };
+        let job_template =
+            serde_json::to_value(template(operation, deadline as f64 / 1e6)).expect("plain data");
+        let call = line(&Call { seq: 1, what: What::RunJob { job_template } });
         if taken.conn.write(&call).await.is_err() {
             return Ending::BrokeUnsent;
         }
@@ -103,9 +112,9 @@
         }
     }
 
-    async fn step(&self, step: StepId, addr: SocketAddr, call: Vec<u8>, given_up: Receiver<()>) {
+    async fn step(&self, step: StepId, addr: SocketAddr, operation: Arc<Operation>, given_up: Receiver<()>) {
         let (mut lent, mut job) = (None, None);
-        let run = async { Some(self.run(step, addr, call, &mut lent, &mut job).await) };
+        let run = async { Some(self.run(step, addr, &operation, &mut lent, &mut job).await) };
         let cancelled = async {
             let _ = given_up.recv().await;
             None
@@ -170,17 +179,14 @@
 }
 
 impl Driver for DrmaaDriver {
-    fn send(&self, step: StepId, operation: &Arc<Operation>, worker: &Member, left_us: Micros) {
+    fn send(&self, step: StepId, operation: &Arc<Operation>, worker: &Member, _left_us: Micros) {
         let (give_up, given_up) = bounded::<()>(1);
         self.out.borrow_mut().insert(step, give_up);
         let me = self.me.upgrade().expect("called through an Rc");
-        let deadline_s = (self.hub.now() + left_us) as f64 / 1e6;
-        let job_template = serde_json::to_value(template(operation, deadline_s)).expect("plain data");
-        let call = line(&Call { seq: 1, what: What::RunJob { job_template } });
-        let addr = worker.addr.parse::<SocketAddr>();
+        let (operation, addr) = (operation.clone(), worker.addr.parse::<SocketAddr>());
         self.hub.spawn(async move {
             match addr {
-                Ok(addr) => me.step(step, addr, call, given_up).await,
+                Ok(addr) => me.step(step, addr, operation, given_up).await,
                 Err(_) => {
                     me.hub.with(|core, _| core.step(step, StepNews::Ended(Ending::ConnectRefused, None)))
                 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -69,6 +69,7 @@
 
 mod balance;
 mod billing;
+pub mod closing;
 mod command;
 pub mod config;
 pub mod core;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -3,6 +3,7 @@
 
 use super::http::{Bad, Conn};
 use super::lists::{Said, Splitter};
+use super::pool::no_descriptors;
 use crate::core::{Member, PoolSource};
 use crate::interface::Stage;
 use crate::list_clock::ListClock;
@@ -19,6 +20,9 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
+/// Time for a client's connection that gives way to close.
+const ROOM: Duration = Duration::from_millis(2);
+
 /// A list, or the changes to one.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(default)]
@@ -156,7 +160,15 @@
     }
 
     async fn watch(&self, addr: SocketAddr, lists: &Cell<u64>) -> Result<Infallible, String> {
-        let dial = async { Async::<TcpStream>::connect(addr).await.map_err(|e| e.to_string()) };
+        let dial = async {
+            let mut dialed = Async::<TcpStream>::connect(addr).await;
+            // Fewer descriptors than were promised: clients that rest give way.
+            while dialed.as_ref().is_err_and(no_descriptors) && self.hub.make_room() {
+                Timer::after(ROOM).await;
+                dialed = Async::<TcpStream>::connect(addr).await;
+            }
+            dialed.map_err(|e| e.to_string())
+        };
         let mut conn = Conn::new(self.within(dial).await?);
         self.clock.borrow_mut().connected(self.hub.now());
         let query = format!(
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -3,6 +3,7 @@
 use super::http::{self, Bad, Conn, Head};
 use super::pool::no_descriptors;
 use super::request::{self, busy, path, Reply};
+use crate::closing::Closing;
 use crate::config::Limits;
 use crate::core::{Operation, Receipt};
 use crate::runtime::Hub;
@@ -28,8 +29,6 @@
 const ASKED: Duration = Duration::from_millis(2_500);
 /// Longest time for a client to read its answer.
 const ANSWER: Duration = Duration::from_secs(5);
-/// How long a closed connection is still read, so that what was last written to it is not lost with it.
-const LINGER: Duration = Duration::from_secs(1);
 /// Connections that may wait to be accepted. Guards against floods of hundreds at once: what finds no place, usual
 /// clients and call-backs among them, would be tried again by its system a second later.
 const BACKLOG: i32 = 1_024;
@@ -103,7 +102,7 @@
     /// Closes the one that can best be done without, if there is any: of the first kind in the order of [`At`] the
     /// oldest. Guards against floods of connections that never say anything, or never end it, in the place of
     /// those that usual clients keep.
-    fn make_room(&self) -> bool {
+    pub(crate) fn make_room(&self) -> bool {
         let mut entries = self.entries.borrow_mut();
         let gives_way = |e: &Entry| match e.at {
             At::Busy => false,
@@ -285,7 +284,10 @@
                     if all.open.get() > most + reserve {
                         // Guards against connections that queue up outside, where they would hear nothing.
                         hub.with(|core, _| core.counters.front_sockets_refused += 1);
-                        let _ = (&mut stream.get_ref()).write(NO_ROOM);
+                        let conn = Conn::new(stream);
+                        let _ = conn.stream().get_ref().write(NO_ROOM);
+                        hub.spawn(async move { conn.close(Closing::at_once()).await });
+                        future::yield_now().await; // lets it close
                         continue;
                     }
                     let served = hub.clone();
@@ -373,7 +375,8 @@
                     // More that has come before the answer would have to wait: it is not taken up.
                     Some((reply, booked)) => {
                         receipt = booked;
-                        (reply, head.close || conn.has_input() && !socket.worker)
+                        let more = conn.has_input() && !socket.worker || conn.is_overrun();
+                        (reply, head.close || more)
                     }
                     None => return, // the client has gone away
                 }
@@ -401,16 +404,17 @@
         receipt.written();
         if close {
             socket.is_at(At::Leaving);
-            return future::or(linger(conn), socket.given_up()).await;
+            return future::or(conn.close(Closing::in_order()), socket.given_up()).await;
         }
     }
-}
-
-async fn linger(mut conn: Conn) {
-    // The end is told first and the rest read: closing with bytes unread would reset the connection, and the
-    // answer just written could be lost.
-    let _ = conn.stream().get_ref().shutdown(std::net::Shutdown::Write);
-    future::or(conn.discard(), after(LINGER)).await;
+    // Between requests, or before the first. Bytes may come in this very moment, a request among them: it is not taken, and
+    // its client sends it once more elsewhere. One that gives way to others has no time to linger.
+    socket.is_at(At::Leaving);
+    let stopping = socket.sockets.closing.get().0;
+    match socket.closed.is_closed() && !stopping {
+        true => conn.close(Closing::at_once()).await,
+        false => conn.close(Closing::resting()).await,
+    }
 }
 
 fn bytes(reply: &Reply, close: bool) -> Vec<u8> {
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -10,8 +10,6 @@
 /// The longest body.
 pub const BODY: usize = 64 << 10;
 const HEADERS: usize = 64;
-/// The most that is read of what nobody wants.
-const DISCARD: usize = 1 << 20;
 /// The longest chunk of an answer without end, such as a watch.
 const CHUNK: usize = 4 << 20;
 /// Headers that must not come twice, as the two could be read in two ways.
@@ -79,6 +77,7 @@
 pub struct Conn {
     stream: Async<TcpStream>,
     buf: Vec<u8>,
+    overrun: bool,
 }
 
 impl Conn {
@@ -86,7 +85,7 @@
     pub fn new(stream: Async<TcpStream>) -> Conn {
         // Guards against small answers waiting for acknowledgements.
         let _ = stream.get_ref().set_nodelay(true);
-        Conn { stream, buf: Vec::new() }
+        Conn { stream, buf: Vec::new(), overrun: false }
     }
 
     /// The stream below.
@@ -102,27 +101,34 @@
     }
 
     /// Comes back when the other side has ended the connection, never otherwise. What it sends meanwhile is
-    /// kept, up to a little.
+    /// kept, up to a little; the rest is thrown away, and the connection is fit for nothing but to be closed. Guards
+    /// against a client that sends much at once and goes: its end stands behind what it sent.
     pub async fn ended(&mut self) {
-        while self.buf.len() < HEAD {
-            if !matches!(self.fill().await, Ok(n) if n > 0) {
-                return;
+        loop {
+            if self.buf.len() < HEAD {
+                if !matches!(self.fill().await, Ok(n) if n > 0) {
+                    return;
+                }
+            } else {
+                self.overrun = true;
+                if self.throw_away().await == 0 {
+                    return;
+                }
             }
+            // Guards against a client that sends at full speed and keeps all others waiting.
+            futures_lite::future::yield_now().await;
         }
-        futures_lite::future::pending().await
     }
 
-    /// Throws away what comes until the end, or until it is too much to be waited for.
-    pub async fn discard(&mut self) {
-        self.buf = Vec::new();
+    /// Whether some of what came was thrown away.
+    pub fn is_overrun(&self) -> bool {
+        self.overrun
+    }
+
+    /// Reads some of what comes, for nothing; how much it was, and 0 at the end.
+    pub async fn throw_away(&mut self) -> usize {
         let mut part = [0u8; 8 << 10];
-        for _ in 0..DISCARD / part.len() {
-            if !matches!(self.stream.read(&mut part).await, Ok(n) if n > 0) {
-                return;
-            }
-            // Guards against a client that sends at full speed and keeps all others waiting.
-            futures_lite::future::yield_now().await;
-        }
+        self.stream.read(&mut part).await.unwrap_or(0)
     }
 
     /// Whether the connection can carry another request: nothing has come unasked, the end neither.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The platform's front: front sockets, route steps with a connection pool, pool config.
 
 pub(crate) mod callback;
+mod close;
 pub(crate) mod discovery;
 pub(crate) mod front;
 pub(crate) mod handover;
@@ -22,6 +23,8 @@
     pub(crate) connect_timeout: Duration,
     pub(crate) idle: Duration,
     pub(crate) sockets: usize,
+    /// Beside these, for cancels.
+    pub(crate) reserve: usize,
 }
 
 impl Figures {
@@ -31,6 +34,7 @@
             // Well before the worker's machine closes: a request written after that would be lost.
             idle: Duration::from_micros(site.settings.idle_close_us / 10 * 8),
             sockets: limits.worker_sockets(),
+            reserve: limits.cancel_reserve(),
         }
     }
 }
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -2,6 +2,7 @@
 
 use super::http::Conn;
 use super::Figures;
+use crate::closing::Closing;
 use crate::core::Ending;
 use crate::runtime::Hub;
 use async_io::{Async, Timer};
@@ -13,6 +14,20 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+/// How long a connection rests after an answer before it carries the next request. Guards against a worker that answers
+/// twice: the second answer comes some milliseconds later, and would be read as that to the next request, which might
+/// say of a job that runs that it never began.
+const REST: Duration = Duration::from_millis(20);
+
+/// What a connection is wanted for.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Use {
+    /// A route step, or a probe.
+    Work,
+    /// The end of one: it may use what is set aside.
+    Cancel,
+}
+
 /// Idle connections by worker, and how many connections there are in all.
 pub(crate) struct Pool {
     hub: Rc<Hub>,
@@ -53,29 +68,60 @@
     fn retire(&self) {
         let mut idle = self.idle.borrow_mut();
         let limit = self.figures.idle;
-        idle.values_mut().for_each(|c| c.retain(|(since, conn)| since.elapsed() < limit && conn.is_quiet()));
+        let mut over = Vec::new();
+        for conns in idle.values_mut() {
+            let fit = |(since, conn): &(Instant, Conn)| since.elapsed() < limit && conn.is_quiet();
+            over.extend(conns.extract_if(.., |c| !fit(c)).map(|(_, conn)| conn));
+        }
         idle.retain(|_, c| !c.is_empty());
+        drop(idle);
+        over.into_iter().for_each(|conn| self.close(conn));
+    }
+
+    /// Closes a connection in order.
+    fn close(&self, conn: Conn) {
+        self.hub.spawn(conn.close(Closing::resting()));
+    }
+
+    /// A connection that stands idle, has rested, and is fit for use: the one used last.
+    fn rested(&self, addr: SocketAddr) -> Option<Conn> {
+        let mut idle = self.idle.borrow_mut();
+        let conns = idle.get_mut(&addr)?;
+        while let Some(at) = conns.iter().rposition(|(since, _)| since.elapsed() >= REST) {
+            let (since, conn) = conns.remove(at);
+            if since.elapsed() < self.figures.idle && conn.is_quiet() {
+                return Some(conn);
+            }
+            self.close(conn);
+        }
+        None
     }
 
     /// A connection that stands idle, or a new one.
-    pub(crate) async fn take(&self, addr: SocketAddr) -> Result<Lent, Ending> {
+    pub(crate) async fn take(&self, addr: SocketAddr, what: Use) -> Result<Lent, Ending> {
         let counted = |open: &Rc<Cell<usize>>| {
             open.set(open.get() + 1);
             Counted(open.clone())
         };
-        loop {
-            let kept = self.idle.borrow_mut().get_mut(&addr).and_then(Vec::pop);
-            let Some((since, conn)) = kept else { break };
-            if since.elapsed() < self.figures.idle && conn.is_quiet() {
-                return Ok(Lent { conn, _counted: counted(&self.open) });
-            }
+        if let Some(conn) = self.rested(addr) {
+            return Ok(Lent { conn, _counted: counted(&self.open) });
         }
         let idle: usize = self.idle.borrow().values().map(Vec::len).sum();
-        if self.open.get() + idle >= self.figures.sockets && !self.drop_oldest() {
+        let most = self.figures.sockets + if what == Use::Cancel { self.figures.reserve } else { 0 };
+        if self.open.get() + idle >= most && !self.drop_oldest() {
             return Err(Ending::NeverSent); // no descriptor to spare; another worker would need one too
         }
         let counted = counted(&self.open);
-        let dial = async { Async::<TcpStream>::connect(addr).await.map(Some) };
+        let dial = async {
+            match Async::<TcpStream>::connect(addr).await {
+                // Fewer descriptors than were promised: clients that rest give way.
+                Err(e) if no_descriptors(&e) && self.hub.make_room() => {
+                    Timer::after(Duration::from_millis(2)).await; // lets one close
+                    Async::<TcpStream>::connect(addr).await.map(Some)
+                }
+                dialed => dialed.map(Some),
+            }
+        };
         let late = async {
             Timer::after(self.figures.connect_timeout).await;
             Ok(None)
@@ -91,6 +137,15 @@
         }
     }
 
+    /// Ends a connection on which an answer is still owed by the worker: that gives the job up.
+    pub(crate) fn end(&self, lent: Lent) {
+        let Lent { conn, _counted } = lent;
+        self.hub.spawn(async move {
+            conn.close(Closing::resting()).await;
+            drop(_counted);
+        });
+    }
+
     /// Takes a connection back after a whole exchange.
     pub(crate) fn give_back(&self, addr: SocketAddr, lent: Lent) {
         self.idle.borrow_mut().entry(addr).or_default().push((Instant::now(), lent.conn));
@@ -100,7 +155,9 @@
         let mut idle = self.idle.borrow_mut();
         let oldest = idle.iter().filter_map(|(a, c)| c.first().map(|(since, _)| (*since, *a))).min();
         let Some((_, addr)) = oldest else { return false };
-        idle.get_mut(&addr).map(|c| c.remove(0)).is_some()
+        let Some(conns) = idle.get_mut(&addr) else { return false };
+        conns.remove(0); // its descriptor is wanted at once
+        true
     }
 }
 
--- a/src/net/route.rs
+++ b/src/net/route.rs
@@ -1,7 +1,7 @@
 //! Route steps over HTTP: one exchange that hands a job to a worker, and the cancel.
 
 use super::http::{Bad, Head};
-use super::pool::{Lent, Pool};
+use super::pool::{Lent, Pool, Use};
 use super::{load_from_header, load_from_json};
 use crate::core::{Driver, Ending, Member, Operation, StepId, StepNews};
 use crate::interface::{Micros, Report, WorkerId};
@@ -20,6 +20,9 @@
 /// How long a cancel or a probe may take: long enough for a worker that stands still for a moment.
 const SHORT: Duration = Duration::from_secs(2);
 
+/// How soon a cancel that found no descriptor asks for one again.
+const AGAIN: Duration = Duration::from_millis(20);
+
 /// How long a 202 is waited for that may be on its way: a few times the way between buildings.
 const ON_ITS_WAY: Duration = Duration::from_millis(30);
 
@@ -43,12 +46,20 @@
 
     /// Hands the job over. `Ok` when the worker has taken it. `lent` holds the connection once all is written.
     async fn hand_over(
-        &self, addr: SocketAddr, class: &str, request: Vec<u8>, lent: &mut Option<Lent>,
+        &self, step: StepId, addr: SocketAddr, operation: &Operation, lent: &mut Option<Lent>,
     ) -> Result<(), (Ending, Option<Report>)> {
-        let mut taken = self.pool.take(addr).await.map_err(|e| (e, None))?;
+        let mut taken = self.pool.take(addr, Use::Work).await.map_err(|e| (e, None))?;
+        // The connection may have come up late: guards against an attempt for a client that has gone, at a worker
+        // that leaves, or past a key's window.
+        let Some(left_us) = self.hub.with(|core, now| core.may_begin(now, step)) else {
+            self.pool.give_back(addr, taken);
+            return Err((Ending::NeverSent, None));
+        };
+        let request = request(operation, addr, left_us);
+        let class = self.hub.classes.borrow()[operation.class.0 as usize].name.clone();
         // Nothing is sent again from here: whether there is another attempt is not decided here.
         taken.conn.write(&request).await.map_err(|_| (Ending::BrokeUnsent, None))?;
-        self.hub.with(|core, _| core.counters.tried(class));
+        self.hub.with(|core, _| core.counters.tried(&class));
         drop(request); // the wait may be long
         let (head, _) = self.exchange(lent.insert(taken)).await.map_err(|_| (Ending::BrokeSent, None))?;
         let report = head.get("x-backend-load").map(|l| self.report(load_from_header(l)));
@@ -72,7 +83,7 @@
         });
         let Some((head, _)) = head.await else {
             // The 202 may have been on its way for longer: the closing alone would leave the job to run.
-            drop(lent);
+            self.pool.end(lent);
             self.cancel_taken(addr, id).await;
             return None;
         };
@@ -87,7 +98,7 @@
 
     async fn cancel_taken(&self, addr: SocketAddr, id: &str) {
         self.hub.with(|core, _| core.counters.cancels += 1);
-        self.ask(addr, format!("DELETE /jobs/{id} HTTP/1.1\r\nHost: {addr}\r\n\r\n")).await;
+        self.ask(addr, format!("DELETE /jobs/{id} HTTP/1.1\r\nHost: {addr}\r\n\r\n"), Use::Cancel).await;
     }
 
     /// Reads one answer whole.
@@ -111,9 +122,16 @@
     }
 
     /// A small request of our own: a cancel or a probe.
-    async fn ask(&self, addr: SocketAddr, request: String) -> Option<(Head, Vec<u8>)> {
+    async fn ask(&self, addr: SocketAddr, request: String, what: Use) -> Option<(Head, Vec<u8>)> {
         let asked = async {
-            let mut lent = self.pool.take(addr).await.ok()?;
+            let mut lent = loop {
+                match self.pool.take(addr, what).await {
+                    Ok(lent) => break lent,
+                    // A cancel is owed: it waits for a descriptor. A probe is not.
+                    Err(Ending::NeverSent) if what == Use::Cancel => drop(Timer::after(AGAIN).await),
+                    Err(_) => return None,
+                }
+            };
             lent.conn.write(request.as_bytes()).await.ok()?;
             let said = self.exchange(&mut lent).await.ok()?;
             self.keep(addr, &mut Some(lent), &said.0);
@@ -154,10 +172,8 @@
                 me.handing.borrow_mut().remove(&step);
                 return me.hub.with(|core, _| core.step(step, StepNews::Ended(Ending::ConnectRefused, None)));
             };
-            let (request, mut lent) = (request(&operation, addr, left_us), None);
-            let class = me.hub.classes.borrow()[operation.class.0 as usize].name.clone();
-            let class = class.as_str();
-            let handed = async { Some(me.hand_over(addr, class, request, &mut lent).await) };
+            let mut lent = None;
+            let handed = async { Some(me.hand_over(step, addr, &operation, &mut lent).await) };
             let cancelled = async {
                 let _ = given_up.recv().await;
                 None
@@ -194,7 +210,7 @@
         let request = format!("GET /metrics/load HTTP/1.1\r\nHost: {addr}\r\n\r\n");
         let me = self.me();
         self.hub.spawn(async move {
-            let answer = me.ask(addr, request).await.filter(|(head, _)| head.status == 200);
+            let answer = me.ask(addr, request, Use::Work).await.filter(|(head, _)| head.status == 200);
             let report = answer.as_ref().map(|(_, body)| match serde_json::from_slice(body) {
                 Ok(load) => load_from_json(&load),
                 Err(_) => load_from_header(&String::from_utf8_lossy(body)),
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -58,6 +58,8 @@
     serving: Cell<bool>,
     /// The other process that listens at the same address while one replaces the other.
     pub(crate) other: Cell<Option<u32>>,
+    /// The clients' connections.
+    sockets: RefCell<Option<Rc<net::front::Sockets>>>,
     /// What is shared with other dispatchers, where anything is.
     fleet: RefCell<Option<fleet::Fleet>>,
 }
@@ -79,6 +81,12 @@
         fleet.as_ref().map(|f| if *call == crate::telemetry::Call::Tally { f.tally() } else { f.show() })
     }
 
+    /// Has a client's connection that can best be done without closed; false if there is none. Guards against idle
+    /// clients that hold all descriptors while discovery, a worker or a cancel needs one.
+    pub(crate) fn make_room(&self) -> bool {
+        self.sockets.borrow().as_ref().is_some_and(|s| s.make_room())
+    }
+
     /// When this process began, in microseconds of Unix time.
     pub(crate) fn start(&self) -> Micros {
         self.clock.base
@@ -223,6 +231,7 @@
         stopping: Cell::new(false),
         serving: Cell::new(false),
         other: Cell::new(None),
+        sockets: RefCell::new(None),
         fleet: RefCell::new(None),
     });
     if let Some(t) = config.tenants {
@@ -257,6 +266,7 @@
         };
         let (sockets, addr) = net::front::listen(&hub, config.listen, &config.limits)
             .map_err(|e| format!("listen: {}: {e}", config.listen))?;
+        *hub.sockets.borrow_mut() = Some(sockets.clone());
         info!(log, "serving"; "name" => &config.name, "listen" => %addr);
         if let Some(mgmt) = config.mgmt {
             let mgmt = net::mgmt::listen(&hub, mgmt).map_err(|e| format!("mgmt: {mgmt}: {e}"))?;
--- /dev/null
+++ b/tests/departures.rs
@@ -0,0 +1,218 @@
+//! The core alone, told the time: a client's departure falls into the same turn as all else that may begin an attempt.
+//! And the close of a connection, as a machine.
+
+use rstest::rstest;
+use std::{cell::RefCell, rc::Rc, sync::Arc};
+use streamusher::closing::Closing;
+use streamusher::core::*;
+use streamusher::interface::{Micros, WorkerId};
+
+#[derive(Default)]
+struct Desk(RefCell<Vec<Answer>>);
+
+impl Front for Desk {
+    fn answer(&self, _: u64, answer: &Answer, receipt: Receipt) {
+        receipt.written();
+        self.0.borrow_mut().push(answer.clone());
+    }
+}
+
+#[derive(Default)]
+struct Runner {
+    sent: RefCell<Vec<StepId>>,
+    cancelled: RefCell<Vec<StepId>>,
+}
+
+impl Driver for Runner {
+    fn send(&self, step: StepId, _: &Arc<Operation>, _: &Member, _: Micros) {
+        self.sent.borrow_mut().push(step);
+    }
+    fn cancel(&self, step: StepId, _: &Arc<Operation>, _: &Member) {
+        self.cancelled.borrow_mut().push(step);
+    }
+    fn probe(&self, _: WorkerId, _: &Member) {}
+}
+
+struct Site {
+    core: Core,
+    desk: Rc<Desk>,
+    runner: Rc<Runner>,
+    driver: usize,
+}
+
+/// A site of so many workers; `semantics` of its one class, and whether cancels may be sent.
+fn site(workers: usize, semantics: &str, cancel: bool) -> Site {
+    let settings = format!(
+        r#"{{"myZone": "z", "zones": ["z"], "tickUs": 5000, "familyInfo": {{"tellsStart": true}},
+        "limits": {{"maxAttempts": 4, "cancel": {cancel}, "mayDuplicate": true, "maxOpen": 100}},
+        "requestClasses": [{{"name": "c", "semantics": "{semantics}", "keyScope": "all", "windowUs": 400000,
+            "onTimeUs": 300000, "deadlineUs": 5000000}}]}}"#
+    );
+    let mut core = Core::from_settings(settings.as_bytes(), 42, 0).expect("settings");
+    let (desk, runner) = (Rc::new(Desk::default()), Rc::new(Runner::default()));
+    let driver = core.attach_driver(runner.clone());
+    let member = |n| Member { name: format!("s-{n}"), zone: "z".into(), weight: 1.0, ..Member::default() };
+    core.pool_config(driver, true, (0..workers).map(member).collect());
+    Site { core, desk, runner, driver }
+}
+
+impl Site {
+    fn submit(&mut self, now: Micros, id: &str) -> JobNo {
+        let class = self.core.class("c").unwrap();
+        let operation =
+            Operation { id: id.into(), class, slots: 1.0, left_us: 5_000_000, ..Operation::default() };
+        self.core.submit(now, operation, self.desk.clone(), 7).expect("taken")
+    }
+
+    fn gone(&mut self, now: Micros, job: JobNo) {
+        let front: Rc<dyn Front> = self.desk.clone();
+        self.core.gone(now, job, &front, 7);
+    }
+}
+
+type JobNo = streamusher::interface::JobId;
+
+/// What falls into the same turn as the departure.
+#[derive(Clone, Copy, Debug)]
+enum With {
+    Nothing,
+    Start,
+    TurnedAway,
+    Failed,
+    NotConnected,
+    Served,
+    RetryTimer,
+    Deadline,
+}
+
+/// Guards against an attempt that begins because of what came in the moment in which its client went, whichever of the two
+/// is told first; and against a leaving that counts twice, or is answered.
+#[rstest]
+fn a_departure_begins_nothing_in_its_turn(
+    #[values(
+        With::Nothing,
+        With::Start,
+        With::TurnedAway,
+        With::Failed,
+        With::NotConnected,
+        With::Served,
+        With::RetryTimer,
+        With::Deadline
+    )]
+    with: With,
+    #[values(true, false)] departure_first: bool,
+    #[values("free", "guarded", "single_shot")] semantics: &str, #[values(true, false)] cancel: bool,
+) {
+    let mut s = site(6, semantics, cancel);
+    let job = s.submit(1_000, "a1");
+    s.core.turn(1_000);
+    let first = s.runner.sent.borrow()[0];
+    let mut now = 2_000;
+    if departure_first {
+        s.gone(now, job);
+    }
+    match with {
+        With::Nothing => {}
+        With::Start => s.core.step(first, StepNews::Started),
+        With::TurnedAway => s.core.step(first, StepNews::Ended(Ending::TurnedAway, None)),
+        With::Failed => s.core.step(first, StepNews::Ended(Ending::WorkerFailed, None)),
+        With::NotConnected => s.core.step(first, StepNews::Ended(Ending::ConnectRefused, None)),
+        With::Served => s.core.step(first, StepNews::Ended(Ending::Served(Arc::from(*b"log")), None)),
+        With::RetryTimer => now = s.core.next_due().expect("a timer"),
+        With::Deadline => now = 5_000_000,
+    }
+    if !departure_first {
+        s.gone(now, job);
+    }
+    let before = s.runner.sent.borrow().len();
+    s.core.turn(now);
+    assert_eq!(s.core.may_begin(now, first), None, "its connection may come up later");
+    for later in 1..=200 {
+        s.core.turn(now + later * 50_000);
+    }
+    assert_eq!(s.runner.sent.borrow().len(), before, "an attempt for a client that has gone");
+    assert!(s.desk.0.borrow().is_empty(), "an answer to nobody: {:?}", s.desk.0.borrow());
+    assert_eq!((s.core.counters.clients_gone, s.core.owed()), (1, 0));
+    let sent = s.runner.sent.borrow();
+    let cancelled = s.runner.cancelled.borrow();
+    assert!(cancelled.iter().all(|c| sent.contains(c)), "a cancel of what no driver was given");
+}
+
+/// Guards against a waiting operation that keeps its place after its client went: nothing is left of it, and when a worker
+/// comes it gets nothing.
+#[test]
+fn a_waiting_operation_leaves_at_once() {
+    let mut s = site(0, "free", true);
+    let job = s.submit(1_000, "a1");
+    s.core.turn(1_000);
+    assert_eq!(s.core.owed(), 1);
+    s.gone(2_000, job);
+    s.core.turn(2_000);
+    assert_eq!(s.core.owed(), 0);
+    let late = Member { name: "s-1".into(), zone: "z".into(), weight: 1.0, ..Member::default() };
+    s.core.pool_config(s.driver, false, vec![late]);
+    (0..100).for_each(|n| s.core.turn(3_000 + n * 50_000));
+    assert!(s.runner.sent.borrow().is_empty());
+    assert_eq!(s.core.counters.clients_gone, 1);
+    s.submit(9_000_000, "a1"); // the id is free again
+}
+
+/// What a connection that comes up late may begin, by what became known meanwhile.
+#[rstest]
+#[case::nothing("free", None, 100_000, true)]
+#[case::the_worker_drains("free", Some((Stage::Draining, 0)), 100_000, false)]
+#[case::the_worker_is_gone("guarded", Some((Stage::Gone, 0)), 100_000, false)]
+#[case::another_life("free", Some((Stage::Ready, 50_000)), 100_000, false)]
+#[case::its_own_window_is_its_own("guarded", None, 900_000, true)]
+#[case::the_time_is_up("free", None, 4_990_000, false)]
+fn a_late_connection_asks_whether_it_may_begin(
+    #[case] semantics: &str, #[case] change: Option<(Stage, Micros)>, #[case] now: Micros, #[case] may: bool,
+) {
+    let mut s = site(1, semantics, true);
+    s.submit(1_000, "a1");
+    s.core.turn(1_000);
+    let first = s.runner.sent.borrow()[0];
+    assert_eq!(s.core.may_begin(1_000, first), Some(4_975_000));
+    if let Some((stage, since)) = change {
+        let known = Member { name: "s-0".into(), zone: "z".into(), weight: 1.0, ..Member::default() };
+        s.core.pool_config(s.driver, false, vec![Member { stage, since, ..known }]);
+        s.core.turn(50_000);
+    }
+    assert_eq!(s.core.may_begin(now, first).is_some(), may);
+}
+
+/// The window of a key counts from the attempt before, which may have run.
+#[rstest]
+#[case(Ending::BrokeSent, 399_000, true)]
+#[case(Ending::BrokeSent, 402_000, false)]
+#[case(Ending::TurnedAway, 402_000, true)]
+fn a_late_connection_keeps_to_the_window(#[case] ending: Ending, #[case] after: Micros, #[case] may: bool) {
+    let mut s = site(6, "guarded", true);
+    s.submit(1_000, "a1");
+    s.core.turn(1_000);
+    let first = s.runner.sent.borrow()[0];
+    s.core.step(first, StepNews::Ended(ending, None));
+    s.core.turn(2_000);
+    let again = *s.runner.sent.borrow().last().unwrap();
+    assert_ne!(again, first);
+    assert_eq!(s.core.may_begin(1_000 + after, again).is_some(), may);
+}
+
+use streamusher::interface::Stage;
+
+#[test]
+fn a_close_tells_its_end_and_then_reads_for_a_bounded_time_and_length() {
+    let told = Closing::in_order().told(5);
+    let Closing::Draining { until, left } = told else { panic!("{told:?}") };
+    assert!(until > 5 && left > 64 << 10);
+    assert_eq!(told.quiet(until - 1), told);
+    assert_eq!(told.quiet(until), Closing::Closed);
+    assert_eq!(told.read(0), Closing::Closed, "the other side has ended");
+    assert_eq!(told.read(left), Closing::Closed, "a flood has an end");
+    assert_eq!(told.read(1), Closing::Draining { until, left: left - 1 });
+    // To make room nothing is waited for, but what has come is read.
+    let room = Closing::at_once().told(5);
+    assert!(matches!(room.read(100), Closing::Draining { until: 5, .. }));
+    assert_eq!(room.quiet(5), Closing::Closed);
+    assert_eq!(Closing::Closed.read(1).told(1).quiet(1), Closing::Closed);
+}
