--- a/crates/fleet/src/purse.rs
+++ b/crates/fleet/src/purse.rs
@@ -72,7 +72,7 @@
     }
 
     /// The state's thread is awake, and will be again before then.
-    pub(crate) fn refresh(&self, until: Micros) {
+    pub fn refresh(&self, until: Micros) {
         self.fresh.store(until, Release);
     }
 
@@ -98,7 +98,7 @@
     }
 
     /// More is own or borrowed, the borrowed part until then: it may always grow.
-    pub(crate) fn grow(&self, own: u64, borrowed: u64, until: Micros) {
+    pub fn grow(&self, own: u64, borrowed: u64, until: Micros) {
         let set = |word: u64| {
             let w = open(word);
             debug_assert!(own >= w.own && borrowed >= w.borrowed);
@@ -110,7 +110,7 @@
 
     /// Takes away up to so many own units that are not in use; how many were taken. What is in use is covered by own
     /// units and by those borrowed, which end: own ones are taken only as far as the rest covers what is in use.
-    pub(crate) fn take_own(&self, most: u64) -> u64 {
+    pub fn take_own(&self, most: u64) -> u64 {
         let mut taken = 0;
         let less = |word: u64| {
             let mut w = open(word);
@@ -123,7 +123,7 @@
     }
 
     /// Takes away up to so many borrowed units that are not in use; how many were taken.
-    pub(crate) fn take_borrowed(&self, most: u64) -> u64 {
+    pub fn take_borrowed(&self, most: u64) -> u64 {
         let mut taken = 0;
         let less = |word: u64| {
             let mut w = open(word);
@@ -148,53 +148,3 @@
         (w.own, w.borrowed)
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use std::sync::Arc;
-
-    #[test]
-    fn borrowed_units_end_on_the_spenders_own_clock() {
-        let purse = Purse::default();
-        purse.refresh(Micros::MAX);
-        purse.grow(1, 2, 1_000);
-        assert!(purse.spend(10) && purse.spend(999));
-        assert_eq!(purse.free(999), 1);
-        assert!(!purse.spend(1_000), "the lease has ended: one own unit, and two are in use");
-        purse.give_back();
-        purse.give_back();
-        assert!(purse.spend(5_000), "the own unit has no end");
-        assert!(!purse.spend(5_000));
-        assert_eq!(purse.take_denied(), 2);
-    }
-
-    #[test]
-    fn what_is_in_use_is_not_taken() {
-        let purse = Purse::default();
-        purse.refresh(Micros::MAX);
-        purse.grow(3, 2, 1_000);
-        (0..4).for_each(|_| assert!(purse.spend(0)));
-        assert_eq!(purse.take_own(3), 0, "four are in use, and what is borrowed will end");
-        assert_eq!(purse.take_borrowed(2), 1);
-        purse.give_back();
-        purse.give_back();
-        assert_eq!(purse.take_own(3), 1);
-        assert_eq!(purse.rights(), (2, 1));
-    }
-
-    /// A spender and a taker at once: what was spent and what was taken never come to more than there was.
-    #[test]
-    fn spending_and_taking_race() {
-        for _ in 0..50 {
-            let purse = Arc::new(Purse::default());
-            purse.refresh(Micros::MAX);
-            purse.grow(1_000, 0, 0);
-            let spender = purse.clone();
-            let spent = std::thread::spawn(move || (0..2_000).filter(|_| spender.spend(0)).count() as u64);
-            let taken: u64 = (0..300).map(|_| purse.take_own(3)).sum();
-            assert_eq!(spent.join().unwrap() + taken, 1_000 - purse.free(0));
-            assert_eq!(purse.used() + taken, 1_000 - purse.free(0));
-        }
-    }
-}
