Tests: unsafe jobs after thirteen broken answers; thirty processes ready with discovery full

An unsafe job is sent again only after a whole 503 or 504 with X-Unprocessed: 1 (four attempts, then 429), and once only (502) after each half, reset, doubly framed or unreadable answer. Thirty processes serve before discovery has answered a single call.

--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use rstest::rstest;
 use rustix::net::{AddressFamily, SocketType};
 use serde_json::{json, Value};
 use std::io::{BufReader, Read, Write};
@@ -350,3 +351,61 @@
         assert!(text.starts_with("HTTP/1.1 503 "), "{text}");
     }
 }
+
+/// What a worker does with a job whose class may not be repeated, and whether that proves that it never ran.
+#[rstest]
+#[case::turned_away("HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 4\r\n\r\nbusy", false, true)]
+#[case::turned_away_late("HTTP/1.1 504 Late\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", false, true)]
+#[case::nothing("", false, false)]
+#[case::reset("", true, false)]
+#[case::half_a_head("HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nConte", false, false)]
+#[case::half_a_body("HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 4\r\n\r\nbu", false, false)]
+#[case::half_a_body_and_reset(
+    "HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 4\r\n\r\nbu",
+    true,
+    false
+)]
+#[case::a_body_to_the_end_that_is_reset("HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\n\r\nbusy", true, false)]
+#[case::half_a_chunk(
+    "HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbu",
+    false,
+    false
+)]
+#[case::two_lengths(
+    "HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 4\r\nContent-Length: 0\r\n\r\nbusy",
+    false,
+    false
+)]
+#[case::no_word_that_it_never_ran("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", false, false)]
+#[case::another_word("HTTP/1.1 503 Busy\r\nX-Unprocessed: 0\r\nContent-Length: 0\r\n\r\n", false, false)]
+#[case::no_http("busy\r\n\r\n", false, false)]
+fn an_unsafe_job_is_sent_again_only_where_it_never_ran(
+    #[case] says: &'static str, #[case] resets: bool, #[case] again: bool,
+) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let (tell, heard) = channel();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let mut reader = BufReader::new(stream.try_clone().unwrap());
+            let Some(request) = read_message(&mut reader) else { continue };
+            drop(reader);
+            tell.send(request.line).unwrap();
+            (&stream).write_all(says.as_bytes()).unwrap();
+            if resets {
+                reset(stream);
+            }
+        }
+    });
+    let mut config = config(&[]);
+    config["known"]["servers"] = many(addr, 6);
+    config["settings"]["requestClasses"][0]["semantics"] = "single_shot".into();
+    let program = Program::with(Files::new(), &config, None, &[]);
+    let text = operation("depth-log", "a1", 3_000).replace("Idempotency-Key: key-a1\r\n", "");
+    let status = ask(program.addr, &text).status();
+    let posts = heard.try_iter().filter(|l| l.starts_with("POST")).count();
+    match again {
+        true => assert_eq!((status, posts), (429, 4), "as many attempts as are allowed"),
+        false => assert_eq!((status, posts), (502, 1), "it may have run"),
+    }
+}
--- a/tests/lists.rs
+++ b/tests/lists.rs
@@ -160,3 +160,38 @@
     }
     assert!(old.sent.try_recv().is_err(), "the old discovery's list still counts");
 }
+
+/// Guards against processes that are not ready until they have a list: thirty begin at once, with discovery full, and each
+/// serves before a single call is answered.
+#[test]
+fn processes_are_ready_while_discovery_answers_nobody() {
+    let worker = Worker::start("s-1", Manner { answer: Some(TAKEN), early: &[], then: &[] });
+    let discovery = Discovery::start();
+    let (addr, site) = (discovery.addr(), config(&[&worker]));
+    let ready: Vec<Program> = std::thread::scope(|scope| {
+        let begun: Vec<_> = (0..30)
+            .map(|n| {
+                let (addr, site) = (&addr, &site);
+                scope.spawn(move || {
+                    let mut config = site.clone();
+                    config["discovery"] = addr.as_str().into();
+                    config["name"] = format!("n{n}").into();
+                    config["settings"]["balancers"] = 30.into();
+                    let program = Program::with(Files::new(), &config, None, &[]);
+                    assert_eq!(ask(program.addr, "GET /up HTTP/1.1\r\nHost: x\r\n\r\n").status(), 200);
+                    program
+                })
+            })
+            .collect();
+        begun.into_iter().map(|b| b.join().expect("ready")).collect()
+    });
+    // They serve from the list that they were given, too.
+    for (n, program) in ready.iter().enumerate() {
+        let id = format!("a{n}");
+        let mut client = connect(program.addr);
+        std::io::Write::write_all(&mut client, operation("depth-log", &id, 20_000).as_bytes()).unwrap();
+        assert!(matches!(worker.next(), Sent::Job { .. }));
+        assert_eq!(call_back(program.addr, &id, "s-1", "done"), 204);
+        assert_eq!(read_message(&mut std::io::BufReader::new(client)).expect("an answer").status(), 200);
+    }
+}
