Cold workers: unused credit is lost with time, so that a whole fleet keeps to the budget

At fault: src/balance/ranking.rs `credit_of` kept unused credit up to a whole call however small a dispatcher's part (300 parts of a tenth became 300 calls), and let it grow by the present share over all the time since the last call. Ruled out: the steady state and the start (both within the budget as it was).

Change: src/balance/ramp.rs, pure: credit past the kept part is lost a call at a time; it grows with the mean share; all parts and what is unused add up to what tips.

--- a/src/balance/fanout.rs
+++ b/src/balance/fanout.rs
@@ -118,10 +118,11 @@
         let work = self.work_of(job);
         self.work.add(work);
         let w = &self.workers[worker as usize];
-        let credit = self.credit_of(now, w) - work;
+        let part = self.part_of(now, w);
         let clear = self.set.tells_start || w.out == 0 && self.load_of(now, w) < 1.0;
         let w = &mut self.workers[worker as usize];
-        w.sent(now, credit, &self.set);
+        w.ramp.spend(now, part, work);
+        w.sent(now, &self.set);
         let attempt = Attempt { worker, life: w.life, sent: now, clear, ..Attempt::default() };
         self.jobs.entry(id).and_modify(|j| j.attempts.push(attempt));
         out.push(Action::Send { job: id, worker: WorkerId(worker) });
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -7,10 +7,12 @@
 mod admission;
 mod fanout;
 mod learning;
+pub mod ramp;
 mod ranking;
 
 use crate::interface::*;
 use crate::state::{Job, Kind, Mean, Pools, Rates, Worker};
+use ramp::Ramp;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeMap;
@@ -91,9 +93,9 @@
             Event::Started { job, attempt } => self.started(now, job, attempt),
             // A worker that tells progress is not silent.
             Event::Progress { job, attempt, .. } => {
-                let Some(job) = self.jobs.get(&job) else { return };
-                let (class, at) = (job.class, job.attempts.get(attempt as usize).map(|a| a.worker));
-                at.into_iter().for_each(|w| self.clear(now, w, class));
+                let job = self.jobs.get(&job);
+                let at = job.and_then(|j| Some((j.attempts.get(attempt as usize)?.worker, j.class)));
+                at.into_iter().for_each(|(w, class)| self.clear(now, w, class));
             }
             Event::StreamBegan { job, attempt } => self.jobs.get_mut(&job).into_iter().for_each(|job| {
                 job.streaming = true;
@@ -123,12 +125,11 @@
                 continue; // not numbered in order: the embedder's mistake, nothing can be said of it
             }
             if id == self.workers.len() || self.workers[id].entry.since != e.since {
-                // A new process: what an old one held or did wrong is void. Cold credit begins with a debt of
-                // up to a job, so that many dispatchers with little traffic do not all send their first one.
+                // A new process: what an old one held or did wrong is void.
                 let (life, slow) = self.workers.get(id).map(|w| (w.life + 1, w.slow)).unwrap_or_default();
-                let credit = (now, -self.rng.random::<f64>() * self.work.mean);
+                let ramp = Ramp::begin(now, self.present_share(now, &e), self.rng.random(), self.work.mean);
                 let charges = vec![None; self.best.len() + 1];
-                let new = Worker { life, slow, credit, charges, ..Worker::default() };
+                let new = Worker { life, slow, ramp, charges, ..Worker::default() };
                 self.workers.splice(id..self.workers.len().min(id + 1), [new]);
             }
             self.workers[id].entry = e;
--- a/src/balance/ranking.rs
+++ b/src/balance/ranking.rs
@@ -1,6 +1,6 @@
 //! Which worker: own jobs there, what is added to the count, and what forbids it. See `src/interface.rs`.
 
-use super::{open_to, Balancer, CHARGE};
+use super::{open_to, ramp::Part, Balancer, CHARGE};
 use crate::interface::*;
 use crate::state::*;
 use rand::seq::*;
@@ -14,10 +14,6 @@
 const WORTH: f64 = 5.0;
 /// A job may cost this many times what its class costs on average; a cold worker must bear that.
 const HEAVY: f64 = 3.0;
-/// Part of its present capacity that a cold worker is credited in all, from all dispatchers: room for chance.
-const TAKE_UP: f64 = 0.8;
-/// Room over a worker's usual load that a cold one is credited, for the load that warm ones turn away.
-const ROOM: f64 = 1.25;
 
 impl Balancer {
     /// Own jobs at the worker; in jobs too, its charges and, to break ties, others' load, slowness, distance.
@@ -83,6 +79,9 @@
         let known = if job.homes.is_empty() && self.set.reports_on_probe { best } else { &job.homes };
         let mut picks: Vec<u32> = known.iter().copied().filter(|&w| self.eligible(now, job, w)).collect();
         if picks.is_empty() {
+            let cold = |w: &u32| self.present_share(now, &self.workers[*w as usize].entry) < 1.0;
+            let cold = all.iter().copied().filter(|w| cold(w) && self.eligible(now, job, *w));
+            picks = cold.collect(); // those with credit are few, and stand idle
             picks.extend(all.choose_multiple(&mut self.rng, SAMPLE));
             picks.extend(near.choose_multiple(&mut self.rng, SAMPLE));
             picks.extend(best);
@@ -105,7 +104,7 @@
             && open_to(&self.set, job.open, &w.entry)
             && !job.attempts.iter().any(|a| a.worker == id && a.life == w.life)
             && (self.set.may_duplicate || !job.is_out())
-            && self.repeat_allowed(now, job, &w.entry)
+            && self.bound(job).is_none_or(|a| self.bears(now, job, a, &w.entry))
             && self.cold_room(now, job, w)
     }
 
@@ -116,21 +115,14 @@
     }
 
     fn never_ran(&self, a: &Attempt) -> bool {
-        match a.end {
-            Some(Code::DialFailed | Code::Unused) => true,
-            Some(Code::Shed) => !self.set.full_may_have_run,
-            _ => false,
-        }
-    }
-
-    pub(super) fn repeat_allowed(&self, now: Micros, job: &Job, e: &Entry) -> bool {
-        self.bound(job).is_none_or(|a| self.bears(now, &self.set.classes[job.class].repeat, a, e))
+        matches!(a.end, Some(Code::DialFailed | Code::Unused))
+            || a.end == Some(Code::Shed) && !self.set.full_may_have_run
     }
 
-    /// Whether a class bears an attempt there after, or beside, one that may have run.
-    fn bears(&self, now: Micros, repeat: &Repeat, a: &Attempt, e: &Entry) -> bool {
+    /// Whether a job's class bears an attempt there after, or beside, one that may have run.
+    fn bears(&self, now: Micros, job: &Job, a: &Attempt, e: &Entry) -> bool {
         let first = &self.workers[a.worker as usize].entry;
-        match *repeat {
+        match self.set.classes[job.class].repeat {
             Repeat::Free => true,
             Repeat::Once => false,
             Repeat::Keyed { scope, window_us } => {
@@ -144,43 +136,34 @@
     /// Whether an attempt that was decided on may still begin. Asked when its connection is there, which may
     /// be late: by then the job may be answered, the worker leaving or another life, and a window over.
     pub fn may_begin(&self, now: Micros, job: JobId, attempt: u32) -> bool {
-        let own = attempt as usize;
-        let open = |job: &&Job| !job.answered && !job.time_is_up(now);
-        let Some(job) = self.jobs.get(&job).filter(open) else { return false };
-        let waits = |a: &&Attempt| a.end.is_none() && !a.cancelled;
-        let Some(a) = job.attempts.get(own).filter(waits) else { return false };
-        let (w, repeat) = (&self.workers[a.worker as usize], &self.set.classes[job.class].repeat);
-        let mut others = job.attempts.iter().enumerate().filter(|(i, _)| *i != own).map(|(_, b)| b);
-        let bears = |b: &Attempt| self.never_ran(b) || self.bears(now, repeat, b, &w.entry);
-        w.entry.stage == Stage::Ready && w.life == a.life && others.all(bears)
+        let found = self.jobs.get(&job).and_then(|j| Some((j, j.attempts.get(attempt as usize)?)));
+        let open = |(j, a): &(&Job, &Attempt)| !j.answered && !j.time_is_up(now) && a.waits() && !a.cancelled;
+        let Some((job, a)) = found.filter(open) else { return false };
+        let w = &self.workers[a.worker as usize];
+        let mut others = job.attempts.iter().filter(|b| !std::ptr::eq(*b, a) && !self.never_ran(b));
+        w.entry.stage == Stage::Ready && w.life == a.life && others.all(|b| self.bears(now, job, b, &w.entry))
     }
 
     /// Guards a cold worker: nothing that could be too heavy for it alone, and no more than its present share
     /// of what a warm one gets from here. If all keep to that it gets a warm one's load for its capacity.
     pub(super) fn cold_room(&self, now: Micros, job: &Job, w: &Worker) -> bool {
-        let share = self.present_share(now, w);
+        let share = self.present_share(now, &w.entry);
         let bearable = share * self.set.tip_multiple * self.set.fall_us as f64;
-        share >= 1.0 || (self.work_of(job) * HEAVY <= bearable && self.credit_of(now, w) >= 0.0)
+        share >= 1.0
+            || (self.work_of(job) * HEAVY <= bearable && w.ramp.left(now, self.part_of(now, w)) >= 0.0)
     }
 
-    pub(super) fn present_share(&self, now: Micros, w: &Worker) -> f64 {
-        let warm = now.saturating_sub(w.entry.since) as f64 / self.set.warm_after_us.max(1) as f64;
-        let warm = if w.entry.since == 0 { 1.0 } else { warm.min(1.0) };
+    pub(super) fn present_share(&self, now: Micros, e: &Entry) -> f64 {
+        let warm = now.saturating_sub(e.since) as f64 / self.set.warm_after_us.max(1) as f64;
+        let warm = if e.since == 0 { 1.0 } else { warm.min(1.0) };
         self.set.start_capacity + (1.0 - self.set.start_capacity) * warm
     }
 
-    pub(super) fn credit_of(&self, now: Micros, w: &Worker) -> f64 {
-        let ready = self.pools.of(Pool::All(0)).len() as f64;
+    /// This dispatcher's part of a cold worker.
+    pub(super) fn part_of(&self, now: Micros, w: &Worker) -> Part {
         let size = if self.set.weights == Weights::Size { self.pools.size(w) } else { 1.0 };
-        // What is served from here is this one's part of a worker's usual load: over the fleet it adds up to
-        // no more than all can do, and with room for more it may grow while warm ones are full. Traffic is
-        // uneven: one with little may still take its even part of what the slots can do. Both together stay
-        // far enough below what tips the worker.
-        let even = self.slots(w) / f64::from(self.set.dispatchers.max(1)) * TAKE_UP;
-        let usual = self.rates.work / RATE_US / ready * size * ROOM;
-        let bears = (self.set.tip_multiple / (1.4 * (TAKE_UP + ROOM))).min(1.0);
-        let rate = usual.max(even) * bears * self.present_share(now, w);
-        (w.credit.1 + rate * now.saturating_sub(w.credit.0) as f64).min(self.work.mean)
+        let usual = self.rates.work / RATE_US / self.pools.of(Pool::All(0)).len() as f64 * size;
+        Part::of(&self.set, self.slots(w), self.present_share(now, &w.entry), usual, self.work.mean)
     }
 
     /// Work expected of a job: its hint, or the usual of its class; at first the aim, which is of that order.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -90,5 +90,6 @@
 pub mod telemetry;
 pub mod wire;
 
+pub use balance::ramp::{Part, Ramp};
 pub use balance::Balancer;
 pub use runtime::run;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,6 @@
 //! What a dispatcher keeps of workers and jobs: plain records. Nothing here decides; that is `src/balance/`.
 
+use crate::balance::ramp::Ramp;
 use crate::interface::*;
 use std::collections::BTreeMap;
 
@@ -21,8 +22,8 @@
     pub charges: Vec<Option<(Micros, f64)>>,
     /// Load by others, in jobs, and when that was seen.
     pub seen: Option<(Micros, f64)>,
-    /// Work that may still be sent while it is cold; below zero it waits.
-    pub credit: (Micros, f64),
+    /// What may still be sent while it is cold.
+    pub ramp: Ramp,
     pub slow: Mean,
 }
 
@@ -37,9 +38,8 @@
         }
     }
 
-    /// Counts an attempt that goes out, and the connection that it may need; keeps the credit left.
-    pub fn sent(&mut self, now: Micros, credit: f64, set: &Settings) {
-        self.credit = (now, credit);
+    /// Counts an attempt that goes out, and the connection that it may need.
+    pub fn sent(&mut self, now: Micros, set: &Settings) {
         let carried = self.carries(now, set).max(self.out + 1);
         self.out += 1;
         self.open = (now, carried.div_ceil(set.streams.max(1)));
