What comes in at its deadline or at a stop's last call is refused, not failed

A probe in `Core::turn` showed the operation: no step, taken 19 us before a stop's last call and fed after it.

Ruled out: a copy's hold (answers_before_booked 0 for it), a step cut off (it had none).

At fault: src/core/mod.rs `turn`: the decisions asked for a timer that was due at once, which was only heard in the next turn; the guard against an operation without an answer came before it and failed it, though nothing had run. Present before this work.

Change: timers due are heard once more before that guard.

Test: tests/departures.rs `an_operation_that_comes_in_at_its_deadline_is_refused`, three cases, all fail without the mend.

--- a/src/closing.rs
+++ b/src/closing.rs
@@ -3,7 +3,7 @@
 //! told the time and what was read.
 //!
 //! A close over unread bytes resets the connection, and what was last written to it may be lost with it. So the end is
-//! told first, and the rest read. [`Conn::close`] takes the connection whole: nothing that is read after the shutdown can
+//! told first, and the rest read. `Conn::close` takes the connection whole: nothing that is read after the shutdown can
 //! reach anything that would send it on.
 
 use crate::interface::Micros;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -63,6 +63,7 @@
 mod repeats;
 mod steps;
 pub mod tenants;
+mod turn;
 mod witness;
 
 pub use booking::{Account, Booking, Bookkeeper, Ended, Receipt};
@@ -76,7 +77,7 @@
 
 use crate::counters::Counters;
 use crate::interface::*;
-use crate::settings::{mark, Site};
+use crate::settings::Site;
 use crate::Balancer;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
@@ -285,120 +286,4 @@
         let attempt = self.operations.get(&job)?.steps.iter().rposition(at)? as u32;
         Some(StepId { job, attempt })
     }
-
-    /// When the next timer falls due.
-    pub fn next_due(&self) -> Option<Micros> {
-        self.timers.peek().map(|t| t.0 .0)
-    }
-
-    /// Feeds all that has come in, says `Settled`, carries out what is decided; again, while that itself
-    /// ends route steps.
-    pub fn turn(&mut self, now: Micros) {
-        while let Some(Reverse((at, _, due))) = self.timers.peek().copied() {
-            if at > now {
-                break;
-            }
-            self.timers.pop();
-            self.inputs.push(match due {
-                Due::Module(token) => Input::Timer(token),
-                Due::Deadline(job) => Input::Deadline(job),
-                Due::Held(number) => {
-                    self.overdue(number);
-                    continue;
-                }
-            });
-        }
-        let mut overdue = Vec::new();
-        while !self.inputs.is_empty() {
-            let mut out = Vec::new();
-            for input in std::mem::take(&mut self.inputs) {
-                if let Input::Deadline(job) = input {
-                    overdue.push(job);
-                }
-                self.feed(now, input, &mut out);
-            }
-            self.balancer.handle(now, Event::Settled, &mut out);
-            for action in out {
-                self.carry_out(now, action);
-            }
-        }
-        // The decisions answer by the deadline; guards against an operation left without any answer.
-        for job in overdue {
-            self.finish(now, job, Answer::Failed { late: true });
-        }
-        self.sweep();
-    }
-
-    fn at(&mut self, when: Micros, due: Due) {
-        self.timer_no += 1;
-        self.timers.push(Reverse((when, self.timer_no, due)));
-    }
-
-    fn feed(&mut self, now: Micros, input: Input, out: &mut Vec<Action>) {
-        let event = match input {
-            Input::Arrived(job) => {
-                let Some(entered) = self.operations.get_mut(&job) else { return };
-                let o = &entered.operation;
-                let taken = self.quotas.as_ref().map_or(Taken::Unbound, |q| q.take(now, o.tenant.as_deref()));
-                let quota_free = taken.free();
-                entered.right = taken.right(self.quotas.as_ref());
-                Event::Arrived(Request {
-                    job,
-                    class: o.class,
-                    tenant: o.tenant.as_deref().and_then(|t| self.site.tenants.known(t)).map(TenantId),
-                    quota_free,
-                    expires_in_us: entered.deadline.saturating_sub(now),
-                    hint_us: None,
-                    slots: o.slots,
-                    key: o.subject.as_deref().map(mark),
-                })
-            }
-            Input::Gone(job) => {
-                let Some(entered) = self.operations.get_mut(&job) else { return };
-                if entered.answered || !entered.waiting.is_empty() {
-                    return; // answered meanwhile, or a repeat has joined
-                }
-                self.close(now, job, Answer::Failed { late: false });
-                Event::ClientGone { job }
-            }
-            Input::Step(step, news) => match self.step_news(now, step, news) {
-                Some(event) => event,
-                None => return,
-            },
-            Input::List { source, complete, members } => self.list(source, complete, members),
-            Input::ListFailed => Event::ListFailed,
-            Input::Probed(worker, ok, report) => Event::Probed { worker, ok, report },
-            Input::Judged(worker, weight) => Event::Judged { worker, weight },
-            Input::Timer(token) => Event::Timer { token },
-            Input::Deadline(job) => {
-                let Some(entered) = self.operations.get(&job) else { return };
-                for attempt in (0..entered.steps.len()).filter(|&i| !entered.steps[i].ended) {
-                    let step = StepId { job, attempt: attempt as u32 };
-                    self.call_off(step);
-                    self.inputs.push(Input::Step(step, StepNews::Ended(Ending::TimedOut, None)));
-                }
-                return;
-            }
-        };
-        self.balancer.handle(now, event, out);
-    }
-
-    /// The one place that hands out final answers, once an operation.
-    fn finish(&mut self, now: Micros, job: JobId, answer: Answer) {
-        let Some(entered) = self.operations.get_mut(&job).filter(|o| !o.answered) else { return };
-        let (waiting, used) = (std::mem::take(&mut entered.waiting), entered.used(now));
-        waiting.into_iter().for_each(|waiter| self.give(now, &used, waiter, &answer));
-        self.close(now, job, answer);
-    }
-
-    /// Drops operations that are answered and have nothing out.
-    fn sweep(&mut self) {
-        self.operations.retain(|_, o| {
-            let done = o.answered && o.steps.iter().all(|s| s.ended);
-            if done {
-                self.by_id.remove(&o.operation.id);
-            }
-            !done
-        });
-    }
 }
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -157,6 +157,20 @@
     s.submit(9_000_000, "a1"); // the id is free again
 }
 
+/// Guards against an operation that comes in at its deadline, or at a stop's last call, and is failed although nothing of it
+/// has run: it is refused, and its client may ask again.
+#[rstest]
+fn an_operation_that_comes_in_at_its_deadline_is_refused(#[values(0, 1, 3)] workers: usize) {
+    let mut s = site(workers, "single_shot", true);
+    s.core.turn(900);
+    let class = s.core.class("c").unwrap();
+    let late = Operation { id: "a1".into(), class, slots: 1.0, left_us: 25_001, ..Operation::default() };
+    s.core.submit(1_000, late, s.desk.clone(), 7).expect("taken");
+    s.core.turn(1_020);
+    assert!(matches!(s.desk.0.borrow()[..], [Answer::Busy { .. }]), "{:?}", s.desk.0.borrow());
+    assert!(s.runner.sent.borrow().is_empty());
+}
+
 /// What a connection that comes up late may begin, by what became known meanwhile.
 #[rstest]
 #[case::nothing("free", None, 100_000, true)]
