--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -409,3 +409,23 @@
         false => assert_eq!((status, posts), (502, 1), "it may have run"),
     }
 }
+
+/// Guards against a dial that is waited for without end: it never comes up, so nothing has run, and even a class that may not
+/// be repeated goes to another worker.
+#[test]
+fn a_dial_that_never_comes_up_is_given_up_and_never_ran() {
+    let (slow, other) = (Slow::start(), Worker::start("s-2", SERVES));
+    let discovery = Discovery::start();
+    let mut config = patient(&[slow.line("s-1")]);
+    config["discovery"] = discovery.addr().into();
+    config["settings"]["limits"]["connectTimeoutUs"] = 400_000.into();
+    config["settings"]["requestClasses"][0]["semantics"] = "single_shot".into();
+    let program = Program::with(Files::new(), &config, None, &[&other]);
+    let mut client = connect(program.addr);
+    client.write_all(operation("depth-log", "a1", 20_000).as_bytes()).unwrap();
+    until(&program, "steps", 1);
+    let _watch =
+        discovery.watch(1, &[json!({"version": 2, "full": false, "servers": [other.line("ready")]})]);
+    assert_eq!(read_message(&mut BufReader::new(client)).unwrap().body, "log of a1");
+    assert_eq!(program.counters()["endings"]["not_connected"], 1);
+}
