A 202 in the moment in which its attempt is given up is cancelled: the ledger test's cause

Ruled out: a 202 later than 30 ms after the close (DELETE follows it), a dial for the cancel that fails (loopback, nothing refused), a departure that is not noticed (it was booked in the other runs by the same path).

At fault: src/net/route.rs `send`: a cancel takes the step out of `handing` and leaves the rest to the step's own task; that task, woken for it, polls the exchange first, and where the 202 has come by then it took the step for handed over and sent nothing. The job ran on.

Change: the task looks whether the step was still its own; if not, the 202 is answered by DELETE.

--- a/src/net/route.rs
+++ b/src/net/route.rs
@@ -184,8 +184,10 @@
                 None
             };
             let handed = future::or(handed, future::or(cancelled, never)).await;
-            me.handing.borrow_mut().remove(&step);
+            let given_up = me.handing.borrow_mut().remove(&step).is_none();
             match (handed, lent) {
+                // The 202 came in the moment in which the step was given up: it was left to this task to see to it.
+                (Some(Ok(())), _) if given_up => me.cancel_taken(addr, &operation.id).await,
                 (Some(Ok(())), _) => {}
                 (Some(Err((ending, report))), _) => {
                     me.hub.with(|core, _| core.step(step, StepNews::Ended(ending, report)))
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -429,3 +429,53 @@
     assert_eq!(read_message(&mut BufReader::new(client)).unwrap().body, "log of a1");
     assert_eq!(program.counters()["endings"]["not_connected"], 1);
 }
+
+/// Guards against a cancel that nobody sends, as the 202 comes in the moment in which the attempt is given up: the job would run
+/// on for nobody. The two are swept over each other.
+#[test]
+fn a_202_that_crosses_a_departure_leaves_no_job_running() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    let ((tell_job, jobs), (tell_cancel, cancels)) = (channel(), channel());
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (tell_job, tell_cancel) = (tell_job.clone(), tell_cancel.clone());
+            std::thread::spawn(move || {
+                stream.set_nodelay(true).unwrap();
+                let mut reader = BufReader::new(stream.try_clone().unwrap());
+                while let Some(request) = read_message(&mut reader) {
+                    if request.line.starts_with("DELETE") {
+                        tell_cancel.send(request.line).unwrap();
+                        let _ = (&stream).write_all(b"HTTP/1.1 204 No Content\r\n\r\n");
+                    } else {
+                        tell_job.send(stream.try_clone().unwrap()).unwrap();
+                    }
+                }
+            });
+        }
+    });
+    let mut config = config(&[]);
+    config["known"]["servers"] = many(addr, 1);
+    config["settings"]["requestClasses"][0]["semantics"] = "single_shot".into();
+    let program = Program::with(Files::new(), &config, None, &[]);
+    for n in 0..600u32 {
+        let mut client = connect(program.addr);
+        client.write_all(operation("depth-log", &format!("a{n}"), 60_000).as_bytes()).unwrap();
+        let mut handed = jobs.recv_timeout(LONG).expect("a job");
+        let together = std::sync::Barrier::new(2);
+        std::thread::scope(|scope| {
+            scope.spawn(|| {
+                together.wait();
+                drop(client);
+            });
+            together.wait();
+            let begun = std::time::Instant::now();
+            while begun.elapsed() < Duration::from_micros(u64::from(n % 120) * 3) {
+                std::hint::spin_loop();
+            }
+            let _ = handed.write_all(TAKEN.as_bytes());
+        });
+        let cancel = cancels.recv_timeout(LONG).unwrap_or_else(|_| panic!("no cancel of a{n}"));
+        assert_eq!(cancel, format!("DELETE /jobs/a{n} HTTP/1.1"));
+    }
+}
