Endings' tests hold on a busy machine: full queues are sure, hand-overs come one by one

Seen: beside a full load three of the tests failed in some of some fifteen runs. Causes, each the test's own: one slow dial was taken for a full queue; ten hand-overs at once need ten of nine connections; a client closed to make room before it was read did not come again. What they assert is unchanged.

--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -31,9 +31,13 @@
     fn start() -> Slow {
         let (fd, addr) = bound();
         rustix::net::listen(&fd, 0).unwrap();
-        let mut filled = Vec::new();
-        while let Ok(stream) = TcpStream::connect_timeout(&addr, Duration::from_millis(300)) {
-            filled.push(stream);
+        // Full once several dials in a row have not come up: on a busy machine one alone may just be slow.
+        let (mut filled, mut late) = (Vec::new(), 0);
+        while late < 4 {
+            match TcpStream::connect_timeout(&addr, Duration::from_millis(300)) {
+                Ok(stream) => (late, _) = (0, filled.push(stream)),
+                Err(_) => late += 1,
+            }
             assert!(filled.len() < 64, "its queue takes any number");
         }
         Slow { listener: TcpListener::from(fd), addr, filled }
@@ -288,7 +292,9 @@
     while !resting.first().is_some_and(is_closed) {
         let mut client = connect(program.addr);
         let text = operation("depth-log", &format!("a{}", resting.len()), 40);
-        assert_eq!(exchange(&mut client, &text).expect("an answer").status(), 429);
+        // One that is closed to make room before it was read comes again, as clients do.
+        let Some(answer) = exchange(&mut client, &text) else { continue };
+        assert_eq!(answer.status(), 429);
         resting.push(client);
         assert!(resting.len() < 200, "the descriptors have no end");
     }
@@ -335,12 +341,12 @@
             // Each of another subject, as those of one go to a few workers, which would look full.
             let text = operation("depth-log", &format!("a{n}"), 60_000).replace("bh-7", &format!("bh-{n}"));
             client.write_all(text.as_bytes()).unwrap();
+            // One after another: there are nine connections to workers, and each hand-over takes one for a moment.
+            assert!(matches!(worker.next(), Sent::Job { .. }));
             client
         })
         .collect();
-    for _ in &busy {
-        assert!(matches!(worker.next(), Sent::Job { .. }));
-    }
+    assert_eq!(busy.len(), 10);
     program.signal("STOP");
     let mut late: Vec<TcpStream> = (0..24).map(|_| connect(program.addr)).collect();
     for (n, client) in late.iter_mut().enumerate() {
