Fleet tests take their ports below those that outgoing connections get

Seen: a member ended at its start (its mgmt port was taken) in 2 of some 6 whole runs of the tests, each time another test. Cause: the harness asked the system for a free port, gave it back and named it to a program; an outgoing connection of another test could get it in between, the likelier as connections to workers now rest. Change: ports from 12,000 to 30,000, bound to be sure.

--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -170,7 +170,15 @@
 }
 
 fn free_tcp() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    // Below the ports that the system gives to outgoing connections: one of those may take a port that was free just now.
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    loop {
+        let step = NEXT.fetch_add(1, Ordering::Relaxed) + u64::from(std::process::id()) * 131;
+        let port = 12_000 + (step % 18_000) as u16;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().unwrap();
+        }
+    }
 }
 
 fn free_udp() -> SocketAddr {
