One dial for discovery and workers, which costs one resting client at most

`no_descriptors` also stands for a lack of ports or memory, which no client frees: all would have been closed. Not seen in a play, and not held by a test of its own: no such lack can be made here for one program. At fault: src/net/discovery.rs `watch`.

Change: `net::pool::dial`, used by both, lets one client go and tries once more. The words on how long a close lingers say what it is used for.

--- a/src/closing.rs
+++ b/src/closing.rs
@@ -8,9 +8,9 @@
 
 use crate::interface::Micros;
 
-/// How long a connection is read after its end is told, where an answer or a request was just written to it.
+/// How long a connection is read after its end is told, where an answer was just written to it.
 const LINGER_US: Micros = 1_000_000;
-/// The same where nothing was.
+/// The same where the other side has nothing to read: the connection rested, or gives an attempt up.
 const REST_US: Micros = 250_000;
 /// The most that is read of what nobody wants.
 const MOST: usize = 1 << 20;
@@ -40,7 +40,7 @@
         Closing::Telling { linger_us: LINGER_US }
     }
 
-    /// Of a connection that rests: nothing is on its way to the other side.
+    /// Of a connection that rests, or gives an attempt up: there is nothing that the other side has yet to read.
     pub fn resting() -> Closing {
         Closing::Telling { linger_us: REST_US }
     }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -3,26 +3,23 @@
 
 use super::http::{Bad, Conn};
 use super::lists::{Said, Splitter};
-use super::pool::no_descriptors;
+use super::pool::dial;
 use crate::core::{Member, PoolSource};
 use crate::interface::Stage;
 use crate::list_clock::ListClock;
 use crate::runtime::Hub;
 use async_channel::{bounded, Receiver, Sender};
-use async_io::{Async, Timer};
+use async_io::Timer;
 use futures_lite::future;
 use serde::Deserialize;
 use slog::{info, warn};
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::Future;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
-/// Time for a client's connection that gives way to close.
-const ROOM: Duration = Duration::from_millis(2);
-
 /// A list, or the changes to one.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(default)]
@@ -160,15 +157,7 @@
     }
 
     async fn watch(&self, addr: SocketAddr, lists: &Cell<u64>) -> Result<Infallible, String> {
-        let dial = async {
-            let mut dialed = Async::<TcpStream>::connect(addr).await;
-            // Fewer descriptors than were promised: clients that rest give way.
-            while dialed.as_ref().is_err_and(no_descriptors) && self.hub.make_room() {
-                Timer::after(ROOM).await;
-                dialed = Async::<TcpStream>::connect(addr).await;
-            }
-            dialed.map_err(|e| e.to_string())
-        };
+        let dial = async { dial(&self.hub, addr).await.map_err(|e| e.to_string()) };
         let mut conn = Conn::new(self.within(dial).await?);
         self.clock.borrow_mut().connected(self.hub.now());
         let query = format!(
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -19,6 +19,9 @@
 /// say of a job that runs that it never began.
 const REST: Duration = Duration::from_millis(20);
 
+/// Time for a client's connection that gives way to close.
+const ROOM: Duration = Duration::from_millis(2);
+
 /// What a connection is wanted for.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Use {
@@ -112,16 +115,7 @@
             return Err(Ending::NeverSent); // no descriptor to spare; another worker would need one too
         }
         let counted = counted(&self.open);
-        let dial = async {
-            match Async::<TcpStream>::connect(addr).await {
-                // Fewer descriptors than were promised: clients that rest give way.
-                Err(e) if no_descriptors(&e) && self.hub.make_room() => {
-                    Timer::after(Duration::from_millis(2)).await; // lets one close
-                    Async::<TcpStream>::connect(addr).await.map(Some)
-                }
-                dialed => dialed.map(Some),
-            }
-        };
+        let dial = async { dial(&self.hub, addr).await.map(Some) };
         let late = async {
             Timer::after(self.figures.connect_timeout).await;
             Ok(None)
@@ -161,6 +155,18 @@
     }
 }
 
+/// Opens a connection. Where the system gives fewer descriptors than were promised one client that rests gives way, and
+/// it is tried once more; no more than one, as memory or ports may be short too, which no client frees.
+pub(crate) async fn dial(hub: &Hub, addr: SocketAddr) -> io::Result<Async<TcpStream>> {
+    match Async::<TcpStream>::connect(addr).await {
+        Err(e) if no_descriptors(&e) && hub.make_room() => {
+            Timer::after(ROOM).await;
+            Async::<TcpStream>::connect(addr).await
+        }
+        dialed => dialed,
+    }
+}
+
 /// Out of descriptors (EMFILE, ENFILE), memory for sockets, or local ports.
 pub(crate) fn no_descriptors(e: &io::Error) -> bool {
     matches!(e.raw_os_error(), Some(23 | 24 | 12 | 105 | 99))
