Scheduler: design note, typed messages and the layout of its packages

This lays out the packages and commits the messages between them, so that separate parts can be built at once. No behaviour yet; the programs are empty.

--- /dev/null
+++ b/crates/configuration/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' configuration: checking, versions, repeated orders; the relay tree that distributes it.
--- /dev/null
+++ b/crates/coordination/src/lib.rs
@@ -0,0 +1,1 @@
+//! Epochs, witnesses, leases and primary-backup replication as pure state machines.
--- /dev/null
+++ b/crates/dataplane/src/lib.rs
@@ -0,0 +1,1 @@
+//! The data plane: the gate for clients and the agent beside each worker.
--- /dev/null
+++ b/crates/dataplane/src/main.rs
@@ -0,0 +1,3 @@
+//! Start of the program.
+
+fn main() {}
--- /dev/null
+++ b/crates/jobs/src/lib.rs
@@ -0,0 +1,1 @@
+//! The job record: steps, tasks, attempts, due times; pure, told the time.
--- /dev/null
+++ b/crates/placement/src/lib.rs
@@ -0,0 +1,1 @@
+//! Which worker runs which task: room, queued copies, ranking, gangs, preemption; pure.
--- /dev/null
+++ b/crates/protocol/src/heartbeat.rs
@@ -0,0 +1,145 @@
+//! What a worker reports in its heartbeats and is answered (`Instances.Heartbeat` and `Instances.Deregister`).
+
+use crate::task::{RunEnd, TaskId};
+use crate::Millis;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// Path of a heartbeat, before the worker's id.
+pub const HEARTBEAT_PATH: &str = "/streamusher/Instances.Heartbeat/";
+/// Path of a worker's last word, before its id.
+pub const DEREGISTER_PATH: &str = "/streamusher/Instances.Deregister/";
+
+/// Amounts of a worker's room, or of what a task takes of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Resources {
+    /// Thousandths of a processor core.
+    #[serde(default)]
+    pub cpu: u64,
+    /// Megabytes of memory.
+    #[serde(default)]
+    pub mem_mb: u64,
+    /// Accelerators.
+    #[serde(default)]
+    pub gpu: u64,
+}
+
+impl Resources {
+    /// Whether all of `wanted` fits into this.
+    pub fn covers(&self, wanted: &Resources) -> bool {
+        self.cpu >= wanted.cpu && self.mem_mb >= wanted.mem_mb && self.gpu >= wanted.gpu
+    }
+
+    /// The sum of both.
+    pub fn plus(&self, other: &Resources) -> Resources {
+        Resources {
+            cpu: self.cpu.saturating_add(other.cpu),
+            mem_mb: self.mem_mb.saturating_add(other.mem_mb),
+            gpu: self.gpu.saturating_add(other.gpu),
+        }
+    }
+
+    /// What is left after `other` is taken away; never below zero.
+    pub fn minus(&self, other: &Resources) -> Resources {
+        Resources {
+            cpu: self.cpu.saturating_sub(other.cpu),
+            mem_mb: self.mem_mb.saturating_sub(other.mem_mb),
+            gpu: self.gpu.saturating_sub(other.gpu),
+        }
+    }
+}
+
+/// Whether a worker takes new work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum WorkerState {
+    /// It takes work.
+    #[default]
+    Ready,
+    /// It will leave and takes none.
+    Draining,
+}
+
+/// A run at work: task, run, checkpoint, percent done.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RunningTask(pub TaskId, pub u32, pub Arc<str>, pub f64);
+
+/// A run that has ended: number in the worker's list, task, run, how, checkpoint.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FinishedRun(pub u64, pub TaskId, pub u32, pub RunEnd, pub Arc<str>);
+
+/// A worker's heartbeat.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The service whose tasks it runs.
+    pub service: Arc<str>,
+    /// Where it listens; only its own machine may call it.
+    #[serde(default)]
+    pub address: Arc<str>,
+    /// Its zone.
+    #[serde(default)]
+    pub zone: Arc<str>,
+    /// Version of its software.
+    #[serde(default)]
+    pub version: Arc<str>,
+    /// Tasks at once, as it says itself.
+    #[serde(default)]
+    pub slots: u32,
+    /// Whether it takes work.
+    #[serde(default)]
+    pub state: WorkerState,
+    /// How much longer it stays slow from its start.
+    #[serde(default)]
+    pub warmup_left_ms: Millis,
+    /// Its whole room.
+    #[serde(default)]
+    pub capacity: Resources,
+    /// Its kind and its rack.
+    #[serde(default)]
+    pub labels: Vec<Arc<str>>,
+    /// Its own steady clock.
+    #[serde(default)]
+    pub clock_ms: Millis,
+    /// Rises with each call.
+    pub sequence: u64,
+    /// While it drains: how long it is still there, at least.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub remaining_ms: Option<Millis>,
+    /// Runs at work.
+    #[serde(default)]
+    pub running: Vec<RunningTask>,
+    /// Runs that have ended and were not acknowledged yet.
+    #[serde(default)]
+    pub finished: Vec<FinishedRun>,
+}
+
+/// A run to start: task, run, spec, checkpoint to continue from.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartOrder(pub TaskId, pub u32, pub Arc<str>, pub Arc<str>);
+
+/// A run to stop: task, run.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct StopOrder(pub TaskId, pub u32);
+
+/// The answer to a heartbeat.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeartbeatAnswer {
+    /// How long runs are held, counted from the sending of the heartbeat; without it nothing is held on or started.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hold_ms: Option<Millis>,
+    /// Ends up to this number are taken note of and may be forgotten.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub last_seen: Option<u64>,
+    /// The epoch of the primary that orders; a worker does nothing for a lower one than it has seen.
+    #[serde(default)]
+    pub fence_token: u64,
+    /// Runs to start.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub start: Vec<StartOrder>,
+    /// Runs to stop.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub stop: Vec<StopOrder>,
+    /// When the next heartbeat is wanted.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<Millis>,
+}
--- /dev/null
+++ b/crates/scheduler/src/lib.rs
@@ -0,0 +1,1 @@
+//! Jobs, placement and worker leases joined into the primary's state machine; pure, told the time.
