--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -1,1 +1,16 @@
-//! The job record: steps, tasks, attempts, due times; pure, told the time.
+//! The job record: which jobs are known, which of their tasks may run now, where they run and how often they failed.
+//!
+//! [`JobBook`] is a state machine without I/O. It is told the time and what happened, and hands out through
+//! [`JobBook::take_changes`] the writes to the replicated state, the units that became ready or were taken back, and
+//! the runs to stop. The book holds for every task that at most one run of it is assigned at any time, that run
+//! numbers rise and never repeat, that a step waits for the steps it depends on, and that attempts are limited.
+
+mod book;
+mod changes;
+mod error;
+mod terms;
+
+pub use book::{Cancelled, JobBook, Submitted};
+pub use changes::{AssignedRun, Changes, StartedRun};
+pub use error::{RecordError, SubmitError};
+pub use terms::{QueueTerms, Settings};
--- /dev/null
+++ b/crates/jobs/src/terms.rs
@@ -0,0 +1,31 @@
+//! What the record is told of its deployment and of its queues.
+
+use std::sync::Arc;
+use streamusher_protocol::Millis;
+
+/// Bounds of the deployment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// How long an ended job's state can be asked for, in milliseconds.
+    pub status_ms: Millis,
+    /// How far ahead of its time an iteration may start, in milliseconds. Iterations are released at their time and
+    /// not before, so that the whole allowance is left for the difference between clocks.
+    pub early_ms: Millis,
+}
+
+/// What the configuration says of a queue, as far as its jobs need it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct QueueTerms {
+    /// The route's name.
+    pub queue: Arc<str>,
+    /// Whose workers run the tasks.
+    pub service: Arc<str>,
+    /// 0 comes first.
+    pub priority: u32,
+    /// Runs of a task, or of a gang, that may end failed.
+    pub max_attempts: u32,
+    /// Factor of the objective on the job's longest chain of work.
+    pub stretch: f64,
+    /// Part of the objective of a job's latency, in milliseconds.
+    pub target_latency_ms: Millis,
+}
