--- /dev/null
+++ b/crates/placement/src/types.rs
@@ -0,0 +1,114 @@
+//! What crosses the border of this package: settings, workers, what is held, decisions.
+
+use std::sync::Arc;
+use streamusher_protocol::heartbeat::Resources;
+use streamusher_protocol::task::{RunEnd, TaskId};
+use streamusher_protocol::unit::{UnitId, WorkerId};
+use streamusher_protocol::Millis;
+
+/// What the operators' pages fix.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Seed of the random choices.
+    pub random_seed: u64,
+    /// A task away from its rack runs this many times as long.
+    pub far_x: f64,
+    /// The longest that a stop takes.
+    pub stop_ms: Millis,
+    /// Work between two checkpoints.
+    pub save_ms: Millis,
+    /// What continuing from a checkpoint takes.
+    pub restore_ms: Millis,
+}
+
+/// A worker as its heartbeats describe it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WorkerInfo {
+    /// Its identifier, new for each start.
+    pub id: WorkerId,
+    /// The service whose units it runs.
+    pub service: Arc<str>,
+    /// Its zone.
+    pub zone: Arc<str>,
+    /// Its labels: the kind, then the rack.
+    pub labels: Vec<Arc<str>>,
+    /// Its whole room.
+    pub capacity: Resources,
+    /// Whether it takes new work.
+    pub open: bool,
+}
+
+/// What is known of a run that takes room.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Held {
+    /// The unit that it belongs to.
+    pub unit: UnitId,
+    /// What it takes.
+    pub resources: Resources,
+    /// The service that it runs for.
+    pub service: Arc<str>,
+    /// 0 comes first.
+    pub priority: u32,
+    /// It writes checkpoints.
+    pub checkpoints: bool,
+    /// It runs until its job is cancelled.
+    pub long_running: bool,
+    /// It is a member of a gang.
+    pub gang: bool,
+    /// Guess of its run time.
+    pub estimated_ms: Millis,
+}
+
+/// How a run gave its room back.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Release {
+    /// Its worker listed its end.
+    Ended {
+        /// How it ended.
+        how: RunEnd,
+        /// How long it ran.
+        ran_ms: Millis,
+    },
+    /// Its worker is gone.
+    Lost,
+    /// It was withdrawn before it began.
+    Withdrawn,
+    /// It was stopped because it made no progress.
+    StoodStill,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// Start all tasks of a unit; their room is taken already.
+    Start {
+        /// The unit.
+        unit: UnitId,
+        /// Each of its tasks with its worker.
+        on: Vec<(TaskId, WorkerId)>,
+    },
+    /// Stop a run so that a unit of higher priority gets its room; call `stopping` when the stop is ordered.
+    Preempt {
+        /// The task whose run is to be stopped.
+        task: TaskId,
+        /// Where it runs.
+        worker: WorkerId,
+    },
+}
+
+/// A worker as operators see it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WorkerStatus {
+    /// The worker.
+    pub info: WorkerInfo,
+    /// Room that is taken: running, ordered and stopping.
+    pub used: Resources,
+    /// Runs that take room.
+    pub runs: usize,
+    /// Copies in its queue.
+    pub queued: usize,
+    /// What its failures add to its rank, in tasks.
+    pub charge: f64,
+    /// Run time here over the usual.
+    pub slowness: f64,
+}
