--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -48,8 +48,14 @@
 
     /// A worker is new, or what it says of itself has changed.
     pub fn worker(&mut self, _now: Millis, info: WorkerInfo) {
-        let new = Worker { info: info.clone(), used: Resources::default(), runs: BTreeMap::new() };
-        self.workers.entry(info.id.clone()).or_insert(new).info = info;
+        let id = info.id.clone();
+        match self.workers.get_mut(&id) {
+            Some(worker) => worker.info = info,
+            None => {
+                let worker = Worker { info, used: Resources::default(), runs: BTreeMap::new() };
+                self.workers.insert(id, worker);
+            }
+        }
     }
 
     /// A worker is gone, with all that took room there.
