Node: settings, one-thread runtime, HTTP both ways, clocks, signals, logs, options

Every process of the scheduler needs the same plumbing on one thread within the platform's limits. Adds crates/node: settings (figment; errors name key, value and remedy), whole-body HTTP/1.1 server and client on hyper (graceful close; failed calls told apart by whether they may have been carried out), clocks, signals through pipes, logforth behind the log facade, command lines.

--- /dev/null
+++ b/crates/node/src/http/mod.rs
@@ -0,0 +1,19 @@
+//! HTTP/1.1 with whole bodies, on both sides, on one thread.
+
+mod answers;
+mod client;
+mod server;
+mod sockets;
+mod stream;
+
+pub use answers::{empty, json, parse_json, text, BodyError};
+pub use client::{CallError, Client, ClientLimits};
+pub use server::{Server, ServerHandle, ServerLimits};
+
+use bytes::Bytes;
+
+/// A request with its whole body.
+pub type Call = ::http::Request<Bytes>;
+
+/// An answer with its whole body.
+pub type Answer = ::http::Response<Bytes>;
--- /dev/null
+++ b/crates/node/src/http/stream.rs
@@ -0,0 +1,82 @@
+//! What hyper needs of the event loop: a byte stream and a timer.
+
+use hyper::rt::{ReadBufCursor, Sleep, Timer};
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::task::{ready, Context, Poll};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// A TCP connection as hyper reads and writes it.
+pub(super) struct Stream(pub(super) TcpStream);
+
+impl hyper::rt::Read for Stream {
+    fn poll_read(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>, mut cursor: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        // Zeroed, so that no unsafe code is needed; the buffers are small.
+        let mut chunk = [0_u8; CHUNK];
+        let wanted = cursor.remaining().min(CHUNK);
+        let mut buffer = ReadBuf::new(&mut chunk[..wanted]);
+        ready!(Pin::new(&mut self.0).poll_read(context, &mut buffer))?;
+        cursor.put_slice(buffer.filled());
+        Poll::Ready(Ok(()))
+    }
+}
+
+/// Bytes taken by one read: hyper's own first buffer.
+const CHUNK: usize = 8_192;
+
+impl hyper::rt::Write for Stream {
+    fn poll_write(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_shutdown(context)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>, parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write_vectored(context, parts)
+    }
+}
+
+/// The event loop's timer.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LoopTimer;
+
+impl Timer for LoopTimer {
+    fn sleep(&self, duration: Duration) -> Pin<Box<dyn Sleep>> {
+        self.sleep_until(Instant::now() + duration)
+    }
+
+    fn sleep_until(&self, deadline: Instant) -> Pin<Box<dyn Sleep>> {
+        Box::pin(LoopSleep(Box::pin(tokio::time::sleep_until(deadline.into()))))
+    }
+}
+
+struct LoopSleep(Pin<Box<tokio::time::Sleep>>);
+
+impl Future for LoopSleep {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        self.0.as_mut().poll(context)
+    }
+}
+
+impl Sleep for LoopSleep {}
