--- /dev/null
+++ b/crates/configuration/src/order.rs
@@ -0,0 +1,116 @@
+//! Stable names of orders, and the record of those that were taken: a repeated order is acknowledged again.
+
+use crate::digest::sha256;
+use crate::error::RecordError;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap};
+use std::fmt::Write as _;
+use std::sync::Arc;
+use streamusher_protocol::store::Write;
+
+/// Prefix of the keys of orders that were taken.
+pub const ORDER_PREFIX: &str = "order/";
+
+/// Orders kept; the oldest are dropped. A day has hundreds of changes, and repeats follow within minutes.
+pub const MOST_ORDERS: usize = 4_096;
+
+/// Bytes of the digest in a name: 128 bits never collide by chance, and keys stay short.
+const NAME_BYTES: usize = 16;
+
+/// The two kinds of change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderKind {
+    /// A whole configuration.
+    Replace,
+    /// A change of named items.
+    Update,
+}
+
+/// The key of an order's record: the same for the same kind, base version and body, on every machine and for ever.
+pub fn order_key(kind: OrderKind, base: u64, body: &str) -> Arc<str> {
+    let mut message = Vec::with_capacity(body.len() + 9);
+    message.push(match kind {
+        OrderKind::Replace => b'r',
+        OrderKind::Update => b'u',
+    });
+    message.extend_from_slice(&base.to_be_bytes());
+    message.extend_from_slice(body.as_bytes());
+    let mut key = String::from(ORDER_PREFIX);
+    for byte in &sha256(&message)[..NAME_BYTES] {
+        // Writing to a text cannot fail.
+        let _ = write!(key, "{byte:02x}");
+    }
+    key.into()
+}
+
+/// An order that was taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TakenOrder {
+    /// The version that it made.
+    pub version: u64,
+    /// The version on which it built.
+    pub base: u64,
+    /// Length of its body, in bytes.
+    pub length: u64,
+}
+
+/// The orders that were taken, by key and by the version that they made.
+#[derive(Clone, Debug, Default)]
+pub struct TakenOrders {
+    by_key: HashMap<Arc<str>, TakenOrder>,
+    by_version: BTreeMap<u64, Arc<str>>,
+}
+
+impl TakenOrders {
+    /// How many are kept.
+    pub fn len(&self) -> usize {
+        self.by_key.len()
+    }
+
+    /// Whether none is kept.
+    pub fn is_empty(&self) -> bool {
+        self.by_key.is_empty()
+    }
+
+    /// The newest of them.
+    pub fn newest(&self) -> Option<(&Arc<str>, u64)> {
+        self.by_version.last_key_value().map(|(version, key)| (key, *version))
+    }
+
+    /// The version that this order has made, if it was taken.
+    pub fn find(&self, key: &str, base: u64, body: &str) -> Option<u64> {
+        let taken = self.by_key.get(key)?;
+        let same = taken.base == base && taken.length == body.len() as u64;
+        same.then_some(taken.version)
+    }
+
+    /// Keeps an order; returns what to write for it and for those that are dropped.
+    pub fn take(&mut self, key: Arc<str>, order: TakenOrder) -> Vec<Write> {
+        let TakenOrder { version, base, length } = order;
+        let value = format!(r#"{{"version":{version},"base":{base},"length":{length}}}"#);
+        let mut writes = vec![Write::set(key.clone(), value)];
+        self.insert(key, order);
+        while self.by_version.len() > MOST_ORDERS {
+            let Some((_, oldest)) = self.by_version.pop_first() else { break };
+            self.by_key.remove(&oldest);
+            writes.push(Write::remove(oldest));
+        }
+        writes
+    }
+
+    /// Takes over a stored record.
+    ///
+    /// # Errors
+    /// [`RecordError::Damaged`] where it cannot be read.
+    pub fn recover(&mut self, key: Arc<str>, value: &str) -> Result<(), RecordError> {
+        let order = serde_json::from_str(value)
+            .map_err(|error| RecordError::Damaged { key: key.to_string(), cause: error.to_string() })?;
+        self.insert(key, order);
+        Ok(())
+    }
+
+    fn insert(&mut self, key: Arc<str>, order: TakenOrder) {
+        self.by_version.insert(order.version, key.clone());
+        self.by_key.insert(key, order);
+    }
+}
