Scheduler: the primary's state machine joins jobs, placement, configuration and leases

Agents' reports, leases, orders by revision, clients' and operators' calls, recovery from the replicated state, moves from workers that leave and from tasks that stand still. Room is freed only by a proven end.

--- /dev/null
+++ b/crates/scheduler/src/clients.rs
@@ -0,0 +1,104 @@
+//! Clients' calls, as gates pass them on.
+
+use crate::event::{Reply, RequestId};
+use crate::scheduler::Scheduler;
+use std::sync::Arc;
+use streamusher_jobs::{Cancelled, QueueTerms};
+use streamusher_protocol::config::Route;
+use streamusher_protocol::internal::{ClientCall, ClientMethod, ClientReply};
+use streamusher_protocol::job::{JobRequest, JobStatus, QueueStatus};
+use streamusher_protocol::task::JobId;
+use streamusher_protocol::{Millis, Now};
+
+/// When to come back while there is no configuration.
+const UNCONFIGURED_RETRY_MS: Millis = 500;
+
+impl Scheduler {
+    /// Answers a client's call at once; the caller releases the answer when it is committed.
+    pub(crate) fn client(&mut self, now: Now, request: RequestId, call: ClientCall) {
+        let reply = self.client_reply(now, &call);
+        self.reply(request, Reply::Client(reply));
+    }
+
+    fn client_reply(&mut self, now: Now, call: &ClientCall) -> ClientReply {
+        if self.configuration.current().is_none() {
+            return ClientReply {
+                retry_after_ms: Some(UNCONFIGURED_RETRY_MS),
+                ..problem(503, "no configuration yet")
+            };
+        }
+        let Some((route, rest)) = self.configuration.routes().lookup(&call.host, &call.path) else {
+            return problem(404, "no queue has this host and path");
+        };
+        let (terms, rest) = (terms_of(route), rest.to_owned());
+        if rest.is_empty() {
+            return self.queue_reply(call.method, &terms);
+        }
+        match rest.parse::<JobId>() {
+            Err(error) => problem(400, &error.to_string()),
+            Ok(id) => self.job_reply(now, call, &id, &terms),
+        }
+    }
+
+    fn queue_reply(&self, method: ClientMethod, terms: &QueueTerms) -> ClientReply {
+        match method {
+            ClientMethod::Get => json(200, &QueueStatus { waiting: self.jobs.waiting(&terms.queue) }),
+            _ => problem(405, "a queue can only be read; name a job by its 16 hexadecimal digits"),
+        }
+    }
+
+    fn job_reply(&mut self, now: Now, call: &ClientCall, id: &JobId, terms: &QueueTerms) -> ClientReply {
+        match call.method {
+            ClientMethod::Get => self.show(id),
+            ClientMethod::Delete => self.cancel(now, id),
+            ClientMethod::Post => self.submit(now, id, &call.body, terms),
+        }
+    }
+
+    fn show(&self, id: &JobId) -> ClientReply {
+        match self.jobs.status(id) {
+            Some(state) => json(200, &JobStatus { state }),
+            None => problem(410, "no such job"),
+        }
+    }
+
+    fn cancel(&mut self, now: Now, id: &JobId) -> ClientReply {
+        match self.jobs.cancel(now, id) {
+            Cancelled::Unknown => problem(410, "no such job"),
+            _ => self.show(id),
+        }
+    }
+
+    fn submit(&mut self, now: Now, id: &JobId, body: &str, terms: &QueueTerms) -> ClientReply {
+        let job: JobRequest = match serde_json::from_str(body) {
+            Ok(job) => job,
+            Err(error) => return problem(400, &format!("the job cannot be read: {error}")),
+        };
+        match self.jobs.submit(now, id, job, terms) {
+            Ok(_) => self.show(id),
+            Err(error) => problem(400, &error.to_string()),
+        }
+    }
+}
+
+/// What the job record needs of a queue.
+pub(crate) fn terms_of(route: &Route) -> QueueTerms {
+    QueueTerms {
+        queue: route.name.clone(),
+        service: route.service.clone(),
+        priority: route.priority,
+        max_attempts: route.max_attempts,
+        stretch: route.stretch,
+        target_latency_ms: route.target_latency_ms,
+    }
+}
+
+fn json<T: serde::Serialize>(status: u16, body: &T) -> ClientReply {
+    let body = serde_json::to_string(body).unwrap_or_default();
+    ClientReply { status, body: body.into(), retry_after_ms: None }
+}
+
+fn problem(status: u16, text: &str) -> ClientReply {
+    let body: Arc<str> = serde_json::json!({ "error": text }).to_string().into();
+    ClientReply { status, body, retry_after_ms: None }
+}
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -1,1 +1,26 @@
-//! Jobs, placement and worker leases joined into the primary's state machine; pure, told the time.
+//! The primary's state machine: job record, placement, configuration and worker leases joined.
+//!
+//! It performs no I/O and is told the time. Each event yields [`Effects`]: changes of the replicated state, and replies
+//! that may leave only when all changes up to them are committed and the primary's lease is valid. That rule is the
+//! caller's; with it nothing that is told outside can be lost, and nothing is ordered twice.
+//!
+//! - [`event`]: what comes in and goes out.
+//! - `runs`: the runs that take room at workers, from the order to the proven end.
+//! - `workers`: workers and the agents beside them: reports, leases, orders.
+//! - `clients`, `operators`: the calls of clients and operators.
+//! - `watch`: what happens by time alone: leases that end, tasks that stand still, workers that leave.
+
+mod clients;
+pub mod event;
+mod operators;
+mod orders;
+mod recovery;
+mod reports;
+mod runs;
+mod scheduler;
+mod watch;
+mod workers;
+
+pub use event::{Effects, Event, OperatorOrder, OperatorReply, OrderKind, Reply, RequestId};
+pub use recovery::RecoverError;
+pub use scheduler::{Bounds, Scheduler, Settings};
--- /dev/null
+++ b/crates/scheduler/src/recovery.rs
@@ -0,0 +1,124 @@
+//! A new primary's start: from the replicated state, and from what agents will tell.
+
+use crate::event::Effects;
+use crate::runs::{Phase, Run, Runs};
+use crate::scheduler::{Scheduler, Settings};
+use crate::workers::Worker;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use streamusher_configuration::ConfigurationStore;
+use streamusher_jobs::{AssignedRun, JobBook};
+use streamusher_placement::{Held, Placement};
+use streamusher_protocol::{Millis, Now};
+
+/// The replicated state cannot be read.
+#[derive(Debug, thiserror::Error)]
+pub enum RecoverError {
+    /// A job or task.
+    #[error("job record: {0}")]
+    Jobs(#[from] streamusher_jobs::RecordError),
+    /// The configuration.
+    #[error("configuration: {0}")]
+    Configuration(#[from] streamusher_configuration::RecordError),
+}
+
+impl Scheduler {
+    /// Takes over. Leases granted by a former primary last `hold_max_ms` from now at most.
+    pub fn recover(
+        settings: Settings, epoch: u64, now: Now, state: impl IntoIterator<Item = (Arc<str>, Arc<str>)>,
+    ) -> Result<Scheduler, RecoverError> {
+        let records: Vec<(Arc<str>, Arc<str>)> = state.into_iter().collect();
+        let of = |prefixes: &'static [&'static str]| {
+            let wanted = move |key: &str| prefixes.iter().any(|prefix| key.starts_with(prefix));
+            records.iter().filter(move |(key, _)| wanted(key)).cloned()
+        };
+        let jobs = JobBook::recover(job_settings(&settings), now, of(&["job/", "task/"]))?;
+        let configuration = ConfigurationStore::recover(of(&["config/", "order/"]))?;
+        let mut scheduler = Scheduler {
+            settings,
+            epoch,
+            jobs,
+            placement: Placement::new(placement_settings(&settings)),
+            configuration,
+            runs: Runs::default(),
+            workers: BTreeMap::new(),
+            agents: BTreeMap::new(),
+            dead: Vec::new(),
+            waiting: BTreeMap::new(),
+            next_watch: now.steady,
+            effects: Effects::default(),
+        };
+        scheduler.adopt_workers(now.steady, of(&["worker/"]));
+        scheduler.adopt_runs(now.steady);
+        Ok(scheduler)
+    }
+
+    /// Workers that ran something: which machine they are on is known, all else is told by their agents.
+    fn adopt_workers(&mut self, now: Millis, records: impl Iterator<Item = (Arc<str>, Arc<str>)>) {
+        let lease_until = now + self.settings.bounds.hold_max_ms;
+        for (key, value) in records {
+            let Some(id) = key.strip_prefix("worker/") else { continue };
+            let Ok(agent) = serde_json::from_str::<Arc<str>>(&value) else { continue };
+            let worker = Worker { agent: Some(agent), silent: true, ..Worker::new(lease_until) };
+            self.workers.insert(id.into(), worker);
+        }
+    }
+
+    fn adopt_runs(&mut self, now: Millis) {
+        let lease_until = now + self.settings.bounds.hold_max_ms;
+        for assigned in self.jobs.assigned() {
+            let worker = assigned.worker.clone();
+            if !self.workers.contains_key(&worker) {
+                self.workers.insert(worker.clone(), Worker::new(lease_until));
+            }
+            self.placement.occupy(now, &assigned.run.task, &worker, held(&assigned));
+            if assigned.stopping {
+                self.placement.stopping(&assigned.run.task, &worker);
+            }
+            let run = Run {
+                worker,
+                phase: Phase::Ordered,
+                spec: assigned.spec,
+                checkpoint: assigned.checkpoint,
+                withdrawn: None,
+                stopping: assigned.stopping,
+                estimated_ms: assigned.estimated_ms,
+                long_running: assigned.long_running,
+                gang: assigned.gang,
+                since: now,
+                percent: 0.0,
+                moved_at: now,
+                missing: 0,
+                stood_still: false,
+            };
+            self.runs.insert(assigned.run, run);
+        }
+    }
+}
+
+fn held(assigned: &AssignedRun) -> Held {
+    Held {
+        unit: assigned.unit.clone(),
+        resources: assigned.resources,
+        service: assigned.service.clone(),
+        priority: assigned.priority,
+        checkpoints: assigned.checkpoints,
+        long_running: assigned.long_running,
+        gang: assigned.gang,
+        estimated_ms: assigned.estimated_ms,
+    }
+}
+
+fn job_settings(settings: &Settings) -> streamusher_jobs::Settings {
+    streamusher_jobs::Settings { status_ms: settings.bounds.status_ms, early_ms: settings.bounds.early_ms }
+}
+
+fn placement_settings(settings: &Settings) -> streamusher_placement::Settings {
+    streamusher_placement::Settings {
+        random_seed: settings.random_seed,
+        far_x: settings.bounds.far_x,
+        stop_ms: settings.bounds.stop_ms,
+        save_ms: settings.bounds.save_ms,
+        restore_ms: settings.bounds.restore_ms,
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/reports.rs
@@ -0,0 +1,209 @@
+//! Agents' calls: what they report of their workers, and which runs that proves to be over.
+
+use crate::event::RequestId;
+use crate::runs::Phase;
+use crate::scheduler::Scheduler;
+use crate::workers::{Agent, Parked, Worker};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use streamusher_placement::Release;
+use streamusher_protocol::heartbeat::{RunningTask, StopOrder};
+use streamusher_protocol::internal::{AgentSync, WorkerReport};
+use streamusher_protocol::task::{RunEnd, RunId};
+use streamusher_protocol::unit::WorkerId;
+use streamusher_protocol::{Millis, Now};
+
+/// The longest time for which an agent's call is kept, whatever it asks for.
+const MOST_WAIT_MS: Millis = 1_000;
+/// Successors of workers are remembered for so many.
+const MOST_DEAD: usize = 1_000;
+/// A run that so many reports in a row do not contain, though it was seen before, is over.
+const MISSING_REPORTS: u8 = 3;
+/// A list of ends this long may be cut.
+const CUT_LIST: usize = 500;
+/// Heartbeats that a worker may miss before it is given no more work.
+const MISSED_HEARTBEATS: f64 = 2.0;
+
+impl Scheduler {
+    /// An agent reports and waits for orders.
+    pub(crate) fn agent(&mut self, now: Now, request: RequestId, sync: AgentSync) {
+        let agent = self.agents.entry(sync.agent.clone()).or_default();
+        let is_late = agent.boot == sync.boot && sync.sequence <= agent.sequence;
+        if is_late {
+            self.answer_now(request, &sync.agent);
+            return;
+        }
+        self.end_former_call(&sync.agent);
+        self.note_call(now.steady, &sync);
+        if let Some(report) = &sync.worker {
+            self.report(now, &sync.agent, report);
+        }
+        let agent = self.agents.entry(sync.agent.clone()).or_default();
+        let until = now.steady + sync.wait_ms.min(MOST_WAIT_MS);
+        agent.parked = Some(Parked { request, until });
+    }
+
+    fn end_former_call(&mut self, name: &Arc<str>) {
+        let parked = self.agents.get_mut(name).and_then(|agent| agent.parked.take());
+        if let Some(parked) = parked {
+            self.answer_now(parked.request, name);
+        }
+    }
+
+    fn note_call(&mut self, now: Millis, sync: &AgentSync) {
+        let epoch = self.epoch;
+        let agent = self.agents.entry(sync.agent.clone()).or_default();
+        if agent.boot != sync.boot {
+            let revision = agent.revision;
+            *agent = Agent { worker: agent.worker.take(), revision, ..Agent::default() };
+            agent.boot = sync.boot;
+            agent.dirty = true;
+        }
+        agent.sequence = sync.sequence;
+        agent.heard_at = now;
+        agent.confirmed = if sync.epoch == epoch { sync.revision } else { 0 };
+    }
+
+    fn report(&mut self, now: Now, name: &Arc<str>, report: &WorkerReport) {
+        let id: WorkerId = report.instance.clone();
+        if self.dead.contains(&id) {
+            return;
+        }
+        self.supersede(now, name, &id);
+        let lease_until = now.steady + self.settings.bounds.hold_max_ms;
+        let worker = self.workers.entry(id.clone()).or_insert_with(|| Worker::new(lease_until));
+        worker.lease_until = lease_until;
+        if report.sequence < worker.sequence {
+            return;
+        }
+        let is_newer = report.sequence > worker.sequence;
+        worker.sequence = report.sequence;
+        worker.agent = Some(name.clone());
+        let silent_after = self.settings.bounds.heartbeat_ms as f64 * MISSED_HEARTBEATS;
+        worker.silent = report.silent_ms as f64 > silent_after;
+        let changed = worker.describe(now.steady, report);
+        if changed || worker.open != worker.takes_work() {
+            self.tell_placement(now.steady, &id);
+        }
+        self.note_ends(now, &id, report);
+        self.note_running(now, &id, report);
+        self.note_absent(now, &id, report, is_newer);
+        if report.gone {
+            self.lose_runs(now, &id);
+        }
+    }
+
+    /// A machine has one worker: another instance there proves that the former one is dead.
+    fn supersede(&mut self, now: Now, name: &Arc<str>, id: &WorkerId) {
+        let Some(agent) = self.agents.get_mut(name) else { return };
+        if agent.worker.as_ref() == Some(id) {
+            return;
+        }
+        agent.worker = Some(id.clone());
+        agent.dirty = true;
+        let of_agent = |w: &Worker| w.agent.as_ref() == Some(name);
+        let former = self.workers.iter().filter(|(other, w)| *other != id && of_agent(w));
+        let former: Vec<WorkerId> = former.map(|(other, _)| other.clone()).collect();
+        for other in former {
+            self.bury(now, &other);
+        }
+    }
+
+    /// A worker is dead for good.
+    pub(crate) fn bury(&mut self, now: Now, id: &WorkerId) {
+        log::info!("worker {id} is dead: another one runs on its machine, or it left");
+        self.drop_worker(now, id);
+        self.dead.push(id.clone());
+        if self.dead.len() > MOST_DEAD {
+            self.dead.remove(0);
+        }
+    }
+
+    fn note_ends(&mut self, now: Now, worker: &WorkerId, report: &WorkerReport) {
+        let noted = self.workers.get(worker).map_or(0, |w| w.last_seen);
+        let mut newest = noted;
+        for end in report.finished.iter().filter(|end| end.0 > noted) {
+            newest = newest.max(end.0);
+            let id = RunId { task: end.1.clone(), run: end.2 };
+            self.note_end(now, worker, &id, end.3, &end.4);
+        }
+        if let Some(w) = self.workers.get_mut(worker) {
+            w.last_seen = newest;
+        }
+        if newest > noted {
+            self.touch(worker);
+        }
+    }
+
+    fn note_end(&mut self, now: Now, worker: &WorkerId, id: &RunId, how: RunEnd, checkpoint: &str) {
+        let known = self.runs.get(id).filter(|run| run.worker == *worker);
+        let Some(run) = known else { return };
+        let ran_ms = now.steady.saturating_sub(run.since);
+        let release = if run.stood_still { Release::StoodStill } else { Release::Ended { how, ran_ms } };
+        self.jobs.ended(now, id, how, checkpoint);
+        self.free(now.steady, id, release);
+    }
+
+    fn note_running(&mut self, now: Now, worker: &WorkerId, report: &WorkerReport) {
+        let mut strays = Vec::new();
+        for RunningTask(task, number, checkpoint, percent) in &report.running {
+            let id = RunId { task: task.clone(), run: *number };
+            match self.runs.get_mut(&id).filter(|run| run.worker == *worker) {
+                None => strays.push(StopOrder(task.clone(), *number)),
+                Some(run) => {
+                    run.missing = 0;
+                    if run.phase == Phase::Ordered {
+                        run.phase = Phase::Running;
+                        run.since = now.steady;
+                        run.moved_at = now.steady;
+                    }
+                    if *percent > run.percent {
+                        run.percent = *percent;
+                        run.moved_at = now.steady;
+                        self.placement.progress(now.steady, task, worker, *percent);
+                    }
+                    if !checkpoint.is_empty() {
+                        self.jobs.checkpointed(&id, checkpoint);
+                    }
+                }
+            }
+        }
+        if let Some(w) = self.workers.get_mut(worker) {
+            if w.strays != strays {
+                w.strays = strays;
+                self.touch(worker);
+            }
+        }
+    }
+
+    /// Runs that the report does not contain: withdrawn before they began, or over.
+    fn note_absent(&mut self, now: Now, worker: &WorkerId, report: &WorkerReport, is_newer: bool) {
+        let running = report.running.iter().map(|r| (&r.0, r.1));
+        let finished = report.finished.iter().map(|f| (&f.1, f.2));
+        let offered = report.offered.iter().map(|o| (&o.task, o.run));
+        let present: BTreeSet<_> = running.chain(finished).chain(offered).collect();
+        let agent = self.workers.get(worker).and_then(|w| w.agent.as_ref());
+        let confirmed = agent.and_then(|a| self.agents.get(a)).map_or(0, |a| a.confirmed);
+        for id in self.runs.ids_at(worker) {
+            if present.contains(&(&id.task, id.run)) {
+                continue;
+            }
+            let Some(run) = self.runs.get_mut(&id) else { continue };
+            match run.phase {
+                Phase::Ordered if run.withdrawn.is_some_and(|revision| confirmed >= revision) => {
+                    self.jobs.withdrawn(now, &id);
+                    self.free(now.steady, &id, Release::Withdrawn);
+                }
+                Phase::Ordered => {}
+                Phase::Running if !is_newer || report.finished.len() >= CUT_LIST => {}
+                Phase::Running => {
+                    run.missing = run.missing.saturating_add(1);
+                    if run.missing >= MISSING_REPORTS {
+                        self.jobs.lost(now, &id);
+                        self.free(now.steady, &id, Release::Lost);
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/scheduler.rs
@@ -0,0 +1,251 @@
+//! The scheduler itself: takes events, joins the parts, gives out effects.
+
+use crate::event::{Effects, Event, Reply, RequestId};
+use crate::runs::{Phase, Run, Runs};
+use crate::workers::{Agent, Worker};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use streamusher_configuration::ConfigurationStore;
+use streamusher_jobs::JobBook;
+use streamusher_placement::{Decision, Placement, Release, WorkerInfo};
+use streamusher_protocol::store::Write;
+use streamusher_protocol::task::{RunId, TaskId};
+use streamusher_protocol::unit::{Unit, UnitId, WorkerId};
+use streamusher_protocol::{Millis, Now};
+
+/// Bounds of the deployment, from the settings file.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// The longest hold of a run without contact.
+    pub hold_max_ms: Millis,
+    /// How long a stop takes at most.
+    pub stop_ms: Millis,
+    /// How long a gang's member waits for the others.
+    pub gang_ms: Millis,
+    /// How long an ended job's state is kept.
+    pub status_ms: Millis,
+    /// How much too early a timed start may come.
+    pub early_ms: Millis,
+    /// Factor on a task's time away from its data.
+    pub far_x: f64,
+    /// Work between two checkpoints.
+    pub save_ms: Millis,
+    /// Time to continue from a checkpoint.
+    pub restore_ms: Millis,
+    /// How long a worker that drains may still be given work.
+    pub drain_ms: Millis,
+    /// Between two heartbeats of an idle worker.
+    pub heartbeat_ms: Millis,
+}
+
+/// What a scheduler is told at its start.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Bounds of the deployment.
+    pub bounds: Bounds,
+    /// For random choices.
+    pub random_seed: u64,
+}
+
+/// The primary's state machine.
+pub struct Scheduler {
+    pub(crate) settings: Settings,
+    pub(crate) epoch: u64,
+    pub(crate) jobs: JobBook,
+    pub(crate) placement: Placement,
+    pub(crate) configuration: ConfigurationStore,
+    pub(crate) runs: Runs,
+    pub(crate) workers: BTreeMap<WorkerId, Worker>,
+    pub(crate) agents: BTreeMap<Arc<str>, Agent>,
+    /// Workers whose successor on the same machine was seen, newest last.
+    pub(crate) dead: Vec<WorkerId>,
+    /// Units that wait for placement, as placement forgets them at the claim.
+    pub(crate) waiting: BTreeMap<UnitId, Unit>,
+    pub(crate) next_watch: Millis,
+    pub(crate) effects: Effects,
+}
+
+impl Scheduler {
+    /// Takes one event.
+    pub fn handle(&mut self, now: Now, event: Event) -> Effects {
+        match event {
+            Event::Client { request, call } => self.client(now, request, call),
+            Event::Agent { request, sync } => self.agent(now, request, sync),
+            Event::Operator { request, order } => self.operator(request, order),
+            Event::Abandoned { request } => self.abandoned(request),
+            Event::Tick => self.watch(now),
+        }
+        self.settle(now);
+        self.answer_agents(now);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// State for operators.
+    pub fn status(&self) -> serde_json::Value {
+        let workers: Vec<_> = self
+            .workers
+            .iter()
+            .map(|(id, worker)| {
+                serde_json::json!({
+                    "id": id, "agent": worker.agent, "service": worker.service, "zone": worker.zone,
+                    "open": worker.open, "gone": worker.gone, "silent": worker.silent,
+                    "runs": self.runs.at(id).count(),
+                })
+            })
+            .collect();
+        serde_json::json!({
+            "epoch": self.epoch,
+            "configuration": self.configuration.current().map(|c| c.version),
+            "runs": self.runs.len(),
+            "waiting": self.waiting.len(),
+            "workers": workers,
+        })
+    }
+
+    pub(crate) fn reply(&mut self, request: RequestId, reply: Reply) {
+        self.effects.replies.push((request, reply));
+    }
+
+    pub(crate) fn write(&mut self, writes: impl IntoIterator<Item = Write>) {
+        self.effects.writes.extend(writes);
+    }
+
+    /// Moves changes between job record and placement until nothing changes any more.
+    pub(crate) fn settle(&mut self, now: Now) {
+        loop {
+            self.take_job_changes(now);
+            let decisions = self.placement.place(now.steady);
+            if decisions.is_empty() {
+                break;
+            }
+            for decision in decisions {
+                self.carry_out(now, decision);
+            }
+        }
+    }
+
+    fn take_job_changes(&mut self, now: Now) {
+        let changes = self.jobs.take_changes();
+        self.write(changes.writes);
+        for unit in changes.revoked {
+            self.waiting.remove(&unit);
+            self.placement.withdraw(&unit);
+        }
+        for unit in changes.ready {
+            self.waiting.insert(unit.id.clone(), unit.clone());
+            self.placement.enqueue(now.steady, unit);
+        }
+        for run in changes.stop {
+            self.stop_run(&run);
+        }
+    }
+
+    fn carry_out(&mut self, now: Now, decision: Decision) {
+        match decision {
+            Decision::Start { unit, on } => self.begin(now, &unit, &on),
+            Decision::Preempt { task, worker } => {
+                if let Some(run) = self.runs.of_task(&task, &worker) {
+                    log::info!("preempt {task} at {worker}");
+                    self.stop_run(&run);
+                }
+            }
+        }
+    }
+
+    fn begin(&mut self, now: Now, id: &UnitId, on: &[(TaskId, WorkerId)]) {
+        let Some(unit) = self.waiting.remove(id) else { return };
+        for started in self.jobs.begin(now, id, on) {
+            self.remember_agent_of(&started.worker);
+            let run = Run {
+                worker: started.worker.clone(),
+                phase: Phase::Ordered,
+                spec: started.spec,
+                checkpoint: started.checkpoint,
+                withdrawn: None,
+                stopping: false,
+                estimated_ms: unit.estimated_ms,
+                long_running: unit.long_running,
+                gang: unit.id.index.is_none(),
+                since: now.steady,
+                percent: 0.0,
+                moved_at: now.steady,
+                missing: 0,
+                stood_still: false,
+            };
+            self.runs.insert(started.run, run);
+            self.touch(&started.worker);
+        }
+    }
+
+    /// Has a run stopped, or withdrawn where it has not begun yet. Its room stays taken until its end is proven.
+    pub(crate) fn stop_run(&mut self, id: &RunId) {
+        let Some(run) = self.runs.get_mut(id) else { return };
+        if run.stopping {
+            return;
+        }
+        run.stopping = true;
+        let worker = run.worker.clone();
+        let agent = self.workers.get(&worker).and_then(|w| w.agent.clone());
+        let revision = agent.and_then(|a| self.agents.get(&a)).map_or(0, |a| a.revision);
+        run.withdrawn = Some(revision + 1);
+        self.placement.stopping(&id.task, &worker);
+        self.touch(&worker);
+    }
+
+    /// A run is over: its room is free.
+    pub(crate) fn free(&mut self, now: Millis, id: &RunId, how: Release) {
+        if let Some(run) = self.runs.remove(id) {
+            self.placement.release(now, &id.task, &run.worker, how);
+            self.touch(&run.worker);
+        }
+    }
+
+    /// All runs of a worker are over without a listed end.
+    pub(crate) fn lose_runs(&mut self, now: Now, worker: &WorkerId) {
+        for id in self.runs.ids_at(worker) {
+            self.jobs.lost(now, &id);
+            self.free(now.steady, &id, Release::Lost);
+        }
+    }
+
+    /// Nothing runs at a worker any more, and nothing that was ordered there will.
+    pub(crate) fn drop_worker(&mut self, now: Now, id: &WorkerId) {
+        self.lose_runs(now, id);
+        self.workers.remove(id);
+        self.placement.worker_gone(now.steady, id);
+        self.write([Write::remove(format!("worker/{id}"))]);
+    }
+
+    /// The orders for a worker's agent must be made anew.
+    pub(crate) fn touch(&mut self, worker: &WorkerId) {
+        let agent = self.workers.get(worker).and_then(|w| w.agent.as_ref());
+        if let Some(agent) = agent.and_then(|name| self.agents.get_mut(name)) {
+            agent.dirty = true;
+        }
+    }
+
+    /// Tells placement what is known of a worker.
+    pub(crate) fn tell_placement(&mut self, now: Millis, id: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.open = worker.takes_work();
+        let info = WorkerInfo {
+            id: id.clone(),
+            service: worker.service.clone(),
+            zone: worker.zone.clone(),
+            labels: worker.labels.clone(),
+            capacity: worker.capacity,
+            open: worker.open,
+        };
+        self.placement.worker(now, info);
+    }
+
+    /// The machine of each worker that runs something is replicated: a successor there proves that it is dead.
+    fn remember_agent_of(&mut self, worker: &WorkerId) {
+        let first = self.runs.at(worker).next().is_none();
+        let agent = self.workers.get(worker).and_then(|w| w.agent.clone());
+        if let (true, Some(agent)) = (first, agent) {
+            let value = serde_json::Value::from(&*agent).to_string();
+            self.write([Write::set(format!("worker/{worker}"), value)]);
+        }
+    }
+}
