Job record: steps, runs, attempts, gangs, due times and recovery

Need: the scheduler needs the record behind its agreed interface. Change: the state machine with its stored forms; stories for steps, iterations, cancels and new terms.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -7,7 +7,18 @@
 
 mod book;
 mod changes;
+mod check;
+mod due;
+mod effects;
+mod entry;
 mod error;
+mod job;
+mod plan;
+mod record;
+mod recover;
+mod runs;
+mod steps;
+mod stored;
 mod terms;
 
 pub use book::{Cancelled, JobBook, Submitted};
--- /dev/null
+++ b/crates/jobs/src/plan.rs
@@ -0,0 +1,51 @@
+//! What stays the same for all iterations of a job: its request and the order of its steps.
+
+use streamusher_protocol::job::{JobRequest, StepRequest};
+use streamusher_protocol::Millis;
+
+/// A request with its dependencies turned round, so that the end of a step finds what waits for it.
+#[derive(Debug)]
+pub(crate) struct Plan {
+    /// The request, as it was taken.
+    pub request: JobRequest,
+    /// For each step, the steps that depend on it.
+    pub dependents: Vec<Vec<u32>>,
+    /// For each step, on how many distinct steps it depends.
+    pub blockers: Vec<u32>,
+    /// Tasks of one iteration.
+    pub tasks: u64,
+}
+
+impl Plan {
+    /// A plan for a checked request; a dependency that names no earlier step is ignored.
+    pub fn new(request: JobRequest) -> Plan {
+        let mut dependents = vec![Vec::new(); request.steps.len()];
+        let mut blockers = Vec::with_capacity(request.steps.len());
+        for (index, step) in request.steps.iter().enumerate() {
+            let mut on: Vec<usize> = step.depends_on.iter().map(|&d| d as usize).collect();
+            on.sort_unstable();
+            on.dedup();
+            on.retain(|&d| d < index);
+            blockers.push(on.len() as u32);
+            on.iter().for_each(|&d| dependents[d].push(index as u32));
+        }
+        let tasks = request.steps.iter().map(|s| u64::from(s.count)).sum();
+        Plan { request, dependents, blockers, tasks }
+    }
+
+    /// How many iterations there are.
+    pub fn iterations(&self) -> u32 {
+        self.request.repeat_count.max(1)
+    }
+
+    /// When an iteration is due, in milliseconds since 1970.
+    pub fn due_at(&self, iteration: u32) -> Millis {
+        let later = u64::from(iteration).saturating_mul(self.request.interval_ms);
+        self.request.start_at_ms.saturating_add(later)
+    }
+
+    /// A step's request.
+    pub fn step(&self, step: u32) -> Option<&StepRequest> {
+        self.request.steps.get(step as usize)
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/recover.rs
@@ -0,0 +1,54 @@
+//! The record rebuilt from the replicated state.
+
+use crate::book::JobBook;
+use crate::check::check;
+use crate::entry::Entry;
+use crate::error::RecordError;
+use crate::job::Job;
+use crate::record::{self, JobRecord, Key, TaskRecord};
+use crate::terms::Settings;
+use std::sync::Arc;
+use streamusher_protocol::task::{JobId, TaskId};
+use streamusher_protocol::Now;
+
+/// Rebuilds the record; nothing is left to be written by that.
+pub(crate) fn recover(
+    settings: Settings, now: Now, records: impl Iterator<Item = (Arc<str>, Arc<str>)>,
+) -> Result<JobBook, RecordError> {
+    let mut book = JobBook::new(settings);
+    let mut tasks = Vec::new();
+    for (key, value) in records {
+        match Key::parse(&key)? {
+            Key::Job(id) => {
+                let record: JobRecord = record::read(&key, &value)?;
+                let entry = restored_entry(&id, record);
+                let entry = entry.map_err(|reason| RecordError::Value { key, reason })?;
+                book.insert_restored(now, id, entry);
+            }
+            Key::Task(id) => tasks.push((id, record::read::<TaskRecord>(&key, &value)?)),
+        }
+    }
+    tasks.sort_unstable_by(|a, b| a.0.cmp(&b.0));
+    for (task, record) in tasks {
+        restore_task(&mut book, now, &task, record)?;
+    }
+    book.resume_all(now);
+    Ok(book)
+}
+
+fn restored_entry(id: &JobId, record: JobRecord) -> Result<Entry, String> {
+    let JobRecord { queue, state, open } = record;
+    match (state, open) {
+        (state, Some(open)) => {
+            check(&open.request).map_err(|e| e.to_string())?;
+            Ok(Entry::Kept(Box::new(Job::restore(id.clone(), queue, state, open))))
+        }
+        (Some(state), None) => Ok(Entry::Ended { queue, state }),
+        (None, None) => Err("neither state nor open is there".into()),
+    }
+}
+
+fn restore_task(book: &mut JobBook, now: Now, task: &TaskId, record: TaskRecord) -> Result<(), RecordError> {
+    let restored = book.kept_mut(&task.job).is_some_and(|job| job.restore_task(now, task, record));
+    restored.then_some(()).ok_or_else(|| RecordError::Orphan(record::task_key(task).into()))
+}
