--- a/crates/jobs/src/error.rs
+++ b/crates/jobs/src/error.rs
@@ -24,7 +24,7 @@
     #[error("steps[{0}].count is 0: send at least 1")]
     NoTasks(usize),
     /// The job has too many tasks at one time.
-    #[error("steps[].count add up to {found} tasks: split the job, at most {most} are taken")]
+    #[error("steps[].count add up to {found} tasks: send at most {most}, as several jobs")]
     TooManyTasks {
         /// Tasks found.
         found: u64,
