--- /dev/null
+++ b/crates/controlplane/src/driver.rs
@@ -0,0 +1,343 @@
+//! The primary's rule of release, as a pure state machine that joins replication and scheduler.
+//!
+//! A reply rests on the appends made up to its own event. It is released when they are committed and the lease is valid
+//! at that moment. A primary that is deposed before answers what surely did nothing with [`Answer::NotPrimary`], and a
+//! call that may come into force all the same with [`Answer::Unknown`].
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use streamusher_coordination::{Coordinator, DiskChange, Input, Message, Output, StateMap};
+use streamusher_protocol::internal::{AgentSync, ClientCall, ClientMethod, ClusterView};
+use streamusher_protocol::store::Write;
+use streamusher_protocol::{Millis, Now};
+use streamusher_scheduler::{
+    Effects, Event, OperatorOrder, OrderKind, RecoverError, Reply, RequestId, Scheduler, Settings,
+};
+
+/// What the driver needs of replication.
+pub trait Replication {
+    /// Takes an input.
+    fn handle(&mut self, now: Millis, input: Input) -> Vec<Output>;
+    /// Appends writes and gives their sequence.
+    fn append(&mut self, now: Millis, writes: Vec<Write>) -> (u64, Vec<Output>);
+    /// Whether replies may be released now.
+    fn may_act(&self, now: Millis) -> bool;
+    /// Sequence of the newest append.
+    fn appended(&self) -> u64;
+    /// Sequence up to which appends are committed.
+    fn committed(&self) -> u64;
+    /// The state to recover from.
+    fn state(&self) -> StateMap;
+    /// What is known of the control plane.
+    fn view(&self, now: Millis) -> ClusterView;
+}
+
+/// What the driver needs of the scheduler.
+pub trait StateMachine: Sized {
+    /// Recovers from the replicated state, as the primary of `epoch`.
+    ///
+    /// # Errors
+    /// The state can't be read.
+    fn recover(settings: &Settings, epoch: u64, now: Now, state: StateMap) -> Result<Self, RecoverError>;
+    /// Takes an event.
+    fn handle(&mut self, now: Now, event: Event) -> Effects;
+}
+
+/// A call from outside.
+#[derive(Clone, Debug)]
+pub enum Call {
+    /// Of a gate, for a client.
+    Client(ClientCall),
+    /// Of an agent.
+    Agent(AgentSync),
+    /// Of an operator.
+    Operator(OperatorOrder),
+}
+
+/// How a call ends.
+#[derive(Clone, Debug)]
+pub enum Answer {
+    /// As the scheduler says; committed.
+    Reply(Reply),
+    /// Nothing was done.
+    NotPrimary(ClusterView),
+    /// It may come into force, or may not.
+    Unknown,
+}
+
+/// What the program has to do.
+#[derive(Debug)]
+pub enum Action {
+    /// Send a message to a core machine; it may be lost.
+    Send {
+        /// Internal `ip:port` of the receiver.
+        to: Arc<str>,
+        /// The message.
+        message: Message,
+    },
+    /// Change the disk, and answer with [`Input::Persisted`] or [`Input::PersistFailed`].
+    Persist {
+        /// Names the change.
+        ticket: u64,
+        /// The change.
+        change: DiskChange,
+    },
+    /// Answer a call.
+    Answer {
+        /// The call.
+        request: RequestId,
+        /// The answer.
+        answer: Answer,
+    },
+}
+
+/// A call that was handed to the scheduler and is not answered yet.
+struct Outstanding {
+    /// Whether it asks for a change.
+    mutating: bool,
+    /// It changed nothing, and its reply says so.
+    refused: bool,
+    /// The epoch that its agent knows.
+    agent_epoch: Option<u64>,
+}
+
+struct Held {
+    /// Commits that the reply rests on.
+    sequence: u64,
+    request: RequestId,
+    reply: Reply,
+}
+
+/// One core machine: replication, and the scheduler while this is the primary.
+pub struct Driver<R = Coordinator, S = Scheduler> {
+    settings: Settings,
+    replication: R,
+    scheduler: Option<S>,
+    next_request: RequestId,
+    outstanding: BTreeMap<RequestId, Outstanding>,
+    held: VecDeque<Held>,
+    actions: Vec<Action>,
+}
+
+impl<R: Replication, S: StateMachine> Driver<R, S> {
+    /// A machine that is not primary yet.
+    pub fn new(settings: Settings, replication: R) -> Driver<R, S> {
+        Driver {
+            settings,
+            replication,
+            scheduler: None,
+            next_request: 1,
+            outstanding: BTreeMap::new(),
+            held: VecDeque::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes a call; its number comes back in [`Action::Answer`], perhaps at once.
+    pub fn call(&mut self, now: Now, call: Call) -> (RequestId, Vec<Action>) {
+        let request = self.next_request;
+        self.next_request += 1;
+        if self.scheduler.is_none() || !self.replication.may_act(now.steady) {
+            let answer = Answer::NotPrimary(self.replication.view(now.steady));
+            self.actions.push(Action::Answer { request, answer });
+            return (request, std::mem::take(&mut self.actions));
+        }
+        self.outstanding.insert(request, Outstanding::of(&call));
+        let event = match call {
+            Call::Client(call) => Event::Client { request, call },
+            Call::Agent(sync) => Event::Agent { request, sync },
+            Call::Operator(order) => Event::Operator { request, order },
+        };
+        self.run(now, event, Some(request));
+        (request, std::mem::take(&mut self.actions))
+    }
+
+    /// The caller has left.
+    pub fn abandon(&mut self, now: Now, request: RequestId) -> Vec<Action> {
+        if self.outstanding.remove(&request).is_some() {
+            self.run(now, Event::Abandoned { request }, None);
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Takes an input of replication.
+    pub fn input(&mut self, now: Now, input: Input) -> Vec<Action> {
+        let outputs = self.replication.handle(now.steady, input);
+        self.follow(now, outputs);
+        self.release(now);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Time has passed; wanted about every 20 ms.
+    pub fn tick(&mut self, now: Now) -> Vec<Action> {
+        let outputs = self.replication.handle(now.steady, Input::Tick);
+        self.follow(now, outputs);
+        if self.replication.may_act(now.steady) {
+            self.run(now, Event::Tick, None);
+        }
+        self.release(now);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// The replication, for its status.
+    pub fn replication(&self) -> &R {
+        &self.replication
+    }
+
+    /// The scheduler, while this is the primary.
+    pub fn scheduler(&self) -> Option<&S> {
+        self.scheduler.as_ref()
+    }
+
+    /// Calls handed to the scheduler and not answered yet.
+    pub fn outstanding(&self) -> usize {
+        self.outstanding.len()
+    }
+
+    fn run(&mut self, now: Now, event: Event, cause: Option<RequestId>) {
+        let Some(scheduler) = &mut self.scheduler else { return };
+        let Effects { writes, replies } = scheduler.handle(now, event);
+        let wrote = !writes.is_empty();
+        let mut outputs = Vec::new();
+        if wrote {
+            outputs = self.replication.append(now.steady, writes).1;
+        }
+        let sequence = self.replication.appended();
+        for (request, reply) in replies {
+            let may_refuse = !(wrote && cause == Some(request));
+            self.hold(sequence, request, reply, may_refuse);
+        }
+        self.follow(now, outputs);
+        self.release(now);
+    }
+
+    fn hold(&mut self, sequence: u64, request: RequestId, reply: Reply, may_refuse: bool) {
+        let Some(outstanding) = self.outstanding.get_mut(&request) else { return };
+        outstanding.refused = may_refuse && is_refusal(&reply);
+        self.held.push_back(Held { sequence, request, reply });
+    }
+
+    fn follow(&mut self, now: Now, outputs: Vec<Output>) {
+        for output in outputs {
+            match output {
+                Output::Send { to, message } => self.actions.push(Action::Send { to, message }),
+                Output::Persist { ticket, change } => self.actions.push(Action::Persist { ticket, change }),
+                Output::Committed { .. } => self.release(now),
+                Output::Elected { epoch } => self.take_office(now, epoch),
+                Output::Deposed => self.leave_office(now),
+            }
+        }
+    }
+
+    fn take_office(&mut self, now: Now, epoch: u64) {
+        self.leave_office(now);
+        log::info!("primary from epoch {epoch} on");
+        match S::recover(&self.settings, epoch, now, self.replication.state()) {
+            Ok(scheduler) => self.scheduler = Some(scheduler),
+            Err(error) => log::error!("epoch {epoch}: the state can't be recovered: {error}"),
+        }
+    }
+
+    fn leave_office(&mut self, now: Now) {
+        if self.scheduler.take().is_some() {
+            log::info!("no longer primary; {} calls are answered so", self.outstanding.len());
+        }
+        self.held.clear();
+        let view = self.replication.view(now.steady);
+        for (request, outstanding) in std::mem::take(&mut self.outstanding) {
+            let answer = match outstanding.mutating && !outstanding.refused {
+                true => Answer::Unknown,
+                false => Answer::NotPrimary(view.clone()),
+            };
+            self.actions.push(Action::Answer { request, answer });
+        }
+    }
+
+    fn release(&mut self, now: Now) {
+        if self.held.is_empty() || !self.replication.may_act(now.steady) {
+            return;
+        }
+        let committed = self.replication.committed();
+        while self.held.front().is_some_and(|held| held.sequence <= committed) {
+            let Some(held) = self.held.pop_front() else { return };
+            self.answer(now, held);
+        }
+    }
+
+    fn answer(&mut self, now: Now, held: Held) {
+        let Some(outstanding) = self.outstanding.remove(&held.request) else { return };
+        let mut reply = held.reply;
+        if let Reply::Agent(orders) = &mut reply {
+            // An agent that knows an older epoch may know older members.
+            let is_behind = outstanding.agent_epoch.is_some_and(|epoch| epoch < orders.epoch);
+            if is_behind && orders.view.is_none() {
+                orders.view = Some(self.replication.view(now.steady));
+            }
+        }
+        self.actions.push(Action::Answer { request: held.request, answer: Answer::Reply(reply) });
+    }
+}
+
+impl Outstanding {
+    fn of(call: &Call) -> Outstanding {
+        let mutating = match call {
+            Call::Client(call) => call.method != ClientMethod::Get,
+            Call::Agent(_) => false,
+            Call::Operator(order) => order.kind != OrderKind::Read,
+        };
+        let agent_epoch = match call {
+            Call::Agent(sync) => Some(sync.epoch),
+            _ => None,
+        };
+        Outstanding { mutating, refused: false, agent_epoch }
+    }
+}
+
+/// Whether the reply says that nothing was changed.
+fn is_refusal(reply: &Reply) -> bool {
+    match reply {
+        Reply::Client(reply) => !(200..300).contains(&reply.status),
+        Reply::Operator(reply) => !(200..300).contains(&reply.status),
+        Reply::Agent(_) => false,
+    }
+}
+
+impl Replication for Coordinator {
+    fn handle(&mut self, now: Millis, input: Input) -> Vec<Output> {
+        Coordinator::handle(self, now, input)
+    }
+
+    fn append(&mut self, now: Millis, writes: Vec<Write>) -> (u64, Vec<Output>) {
+        Coordinator::append(self, now, writes)
+    }
+
+    fn may_act(&self, now: Millis) -> bool {
+        Coordinator::may_act(self, now)
+    }
+
+    fn appended(&self) -> u64 {
+        Coordinator::appended(self)
+    }
+
+    fn committed(&self) -> u64 {
+        Coordinator::committed(self)
+    }
+
+    fn state(&self) -> StateMap {
+        Coordinator::state(self)
+    }
+
+    fn view(&self, now: Millis) -> ClusterView {
+        Coordinator::view(self, now)
+    }
+}
+
+impl StateMachine for Scheduler {
+    fn recover(settings: &Settings, epoch: u64, now: Now, state: StateMap) -> Result<Self, RecoverError> {
+        Scheduler::recover(*settings, epoch, now, state)
+    }
+
+    fn handle(&mut self, now: Now, event: Event) -> Effects {
+        Scheduler::handle(self, now, event)
+    }
+}
--- /dev/null
+++ b/crates/controlplane/src/internal.rs
@@ -0,0 +1,52 @@
+//! The internal interface: core machines, agents and gates.
+
+use crate::driver::{Answer as Outcome, Call};
+use crate::machine::Machine;
+use crate::peers::Envelope;
+use http::{Method, StatusCode};
+use serde::de::DeserializeOwned;
+use streamusher_node::http::{empty, json, parse_json, text, Answer, Call as HttpCall};
+use streamusher_protocol::internal::{
+    NotPrimary, AGENT_SYNC_PATH, CLIENT_CALL_PATH, CLUSTER_PATH, CORE_PATH, STATUS_PATH,
+};
+use streamusher_scheduler::Reply;
+
+/// Answers a call on the internal port.
+pub async fn answer(machine: Machine, call: HttpCall) -> Answer {
+    match (call.method(), call.uri().path()) {
+        (&Method::POST, CORE_PATH) => core_messages(&machine, &call),
+        (&Method::POST, AGENT_SYNC_PATH) => pass_on(&machine, &call, Call::Agent).await,
+        (&Method::POST, CLIENT_CALL_PATH) => pass_on(&machine, &call, Call::Client).await,
+        (&Method::GET, CLUSTER_PATH) => json(StatusCode::OK, &machine.view()),
+        (&Method::GET, STATUS_PATH) => json(StatusCode::OK, &machine.status()),
+        (_, path) => {
+            text(StatusCode::NOT_FOUND, format!("nothing is served at {path} on the internal port\n"))
+        }
+    }
+}
+
+fn core_messages(machine: &Machine, call: &HttpCall) -> Answer {
+    match parse_json::<Envelope>(call.body()) {
+        Ok(envelope) => {
+            machine.received(&envelope.from, envelope.messages);
+            empty(StatusCode::NO_CONTENT)
+        }
+        Err(error) => text(StatusCode::BAD_REQUEST, format!("{error}\n")),
+    }
+}
+
+async fn pass_on<T: DeserializeOwned>(
+    machine: &Machine, call: &HttpCall, of_body: impl FnOnce(T) -> Call,
+) -> Answer {
+    let call = match parse_json::<T>(call.body()) {
+        Ok(body) => of_body(body),
+        Err(error) => return text(StatusCode::BAD_REQUEST, format!("{error}\n")),
+    };
+    match machine.call(call).await {
+        Outcome::Reply(Reply::Agent(orders)) => json(StatusCode::OK, &orders),
+        Outcome::Reply(Reply::Client(reply)) => json(StatusCode::OK, &reply),
+        Outcome::Reply(Reply::Operator(_)) => text(StatusCode::INTERNAL_SERVER_ERROR, "not an operator\n"),
+        Outcome::NotPrimary(view) => json(StatusCode::MISDIRECTED_REQUEST, &NotPrimary { view }),
+        Outcome::Unknown => text(StatusCode::GATEWAY_TIMEOUT, "outcome unknown: repeat the call\n"),
+    }
+}
--- a/crates/controlplane/src/lib.rs
+++ b/crates/controlplane/src/lib.rs
@@ -1,1 +1,18 @@
-//! The control plane: primary, backups and witnesses on the core machines.
+//! The control plane: primary, replicas and witnesses on the core machines.
+//!
+//! - [`driver`]: the rule by which replies leave, joining replication and scheduler; pure.
+//! - [`store`], [`disk`]: what is kept on disk, and the thread that writes it.
+//! - [`machine`]: the driver with its queues, shared by the servers.
+//! - [`peers`], [`internal`], [`operators`]: messages between core machines, and both servers' answers.
+//! - [`parameters`], [`options`], [`program`]: settings, command line, and the process.
+
+pub mod disk;
+pub mod driver;
+pub mod internal;
+pub mod machine;
+pub mod operators;
+pub mod options;
+pub mod parameters;
+pub mod peers;
+pub mod program;
+pub mod store;
--- /dev/null
+++ b/crates/controlplane/src/machine.rs
@@ -0,0 +1,138 @@
+//! One core machine at work: the driver, and the queues that its actions go to.
+
+use crate::disk::Disk;
+use crate::driver::{Action, Answer, Call, Driver};
+use crate::peers::Peers;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use streamusher_coordination::{Coordinator, Input, Message};
+use streamusher_node::clock;
+use streamusher_protocol::internal::ClusterView;
+use streamusher_scheduler::{RequestId, Scheduler};
+use tokio::sync::oneshot;
+
+/// The machine, shared by its servers and its loop. Each borrow ends before anything is waited for.
+#[derive(Clone)]
+pub struct Machine {
+    shared: Rc<RefCell<Shared>>,
+}
+
+struct Shared {
+    driver: Driver<Coordinator, Scheduler>,
+    callers: HashMap<RequestId, oneshot::Sender<Answer>>,
+    peers: Peers,
+    disk: Disk,
+}
+
+impl Machine {
+    /// Joins the parts.
+    pub fn new(driver: Driver<Coordinator, Scheduler>, peers: Peers, disk: Disk) -> Machine {
+        let shared = Shared { driver, callers: HashMap::new(), peers, disk };
+        Machine { shared: Rc::new(RefCell::new(shared)) }
+    }
+
+    /// Makes a call and waits for its answer. Dropping it tells the scheduler that the caller has left.
+    pub async fn call(&self, call: Call) -> Answer {
+        let (answered, answer) = oneshot::channel();
+        let request = self.shared.borrow_mut().call(call, answered);
+        let mut caller = Caller { machine: self, request: Some(request) };
+        let answer = answer.await;
+        caller.request = None;
+        answer.unwrap_or(Answer::Unknown)
+    }
+
+    /// Takes an input of replication.
+    pub fn input(&self, input: Input) {
+        self.shared.borrow_mut().input(input);
+    }
+
+    /// Takes messages of another core machine.
+    pub fn received(&self, from: &Arc<str>, messages: Vec<Message>) {
+        let mut shared = self.shared.borrow_mut();
+        for message in messages {
+            shared.input(Input::Received { from: from.clone(), message });
+        }
+    }
+
+    /// Time has passed.
+    pub fn tick(&self) {
+        let mut shared = self.shared.borrow_mut();
+        let actions = shared.driver.tick(clock::now());
+        shared.perform(actions);
+    }
+
+    /// What is known of the control plane.
+    pub fn view(&self) -> ClusterView {
+        self.shared.borrow().driver.replication().view(clock::steady())
+    }
+
+    /// Whether nothing is lost when the process ends now, after [`Input::Leave`].
+    pub fn may_leave(&self) -> bool {
+        self.shared.borrow().driver.replication().may_leave()
+    }
+
+    /// Status for operators.
+    pub fn status(&self) -> serde_json::Value {
+        let shared = self.shared.borrow();
+        let now = clock::steady();
+        serde_json::json!({
+            "core": shared.driver.replication().status(now),
+            "calls": shared.driver.outstanding(),
+            "scheduler": shared.driver.scheduler().map(Scheduler::status),
+        })
+    }
+
+    fn abandon(&self, request: RequestId) {
+        let mut shared = self.shared.borrow_mut();
+        shared.callers.remove(&request);
+        let actions = shared.driver.abandon(clock::now(), request);
+        shared.perform(actions);
+    }
+}
+
+impl Shared {
+    fn call(&mut self, call: Call, answered: oneshot::Sender<Answer>) -> RequestId {
+        let (request, actions) = self.driver.call(clock::now(), call);
+        self.callers.insert(request, answered);
+        self.perform(actions);
+        request
+    }
+
+    fn input(&mut self, input: Input) {
+        let actions = self.driver.input(clock::now(), input);
+        self.perform(actions);
+    }
+
+    fn perform(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { to, message } => self.peers.send(&to, message),
+                Action::Persist { ticket, change } => self.disk.persist(ticket, change),
+                Action::Answer { request, answer } => self.answer(request, answer),
+            }
+        }
+    }
+
+    fn answer(&mut self, request: RequestId, answer: Answer) {
+        if let Some(caller) = self.callers.remove(&request) {
+            // A caller that has left needs no answer.
+            let _ = caller.send(answer);
+        }
+    }
+}
+
+/// Tells that the caller has left, if it is dropped before the answer.
+struct Caller<'a> {
+    machine: &'a Machine,
+    request: Option<RequestId>,
+}
+
+impl Drop for Caller<'_> {
+    fn drop(&mut self) {
+        if let Some(request) = self.request {
+            self.machine.abandon(request);
+        }
+    }
+}
--- /dev/null
+++ b/crates/controlplane/src/store/folders.rs
@@ -0,0 +1,80 @@
+//! The store's folders: made, synced, and removed as a whole.
+
+use std::fs::{self, File};
+use std::io;
+use std::path::Path;
+
+/// The store's folder under `data_dir`.
+pub const FOLDER: &str = "control";
+/// Where a damaged store is moved before it is removed, so that a half-removed one is never opened.
+pub const DISCARDED: &str = "control.discarded";
+
+/// The file that fjall syncs once the rest of a new database is there.
+const COMPLETE_MARKER: &str = "version";
+const JOURNAL_EXTENSION: &str = "jnl";
+
+/// Makes `data_dir`, and removes what an interrupted run left: a discarded store, and one that was not yet complete
+/// (nothing was ever stored in it).
+///
+/// # Errors
+/// The disk refuses, or a complete store has lost its journal.
+pub(super) fn prepare(data_dir: &Path) -> io::Result<()> {
+    fs::create_dir_all(data_dir)?;
+    remove_if_there(&data_dir.join(DISCARDED))?;
+    let folder = data_dir.join(FOLDER);
+    if !folder.try_exists()? {
+        return Ok(());
+    }
+    if !folder.join(COMPLETE_MARKER).try_exists()? {
+        return remove_if_there(&folder);
+    }
+    match has_journal(&folder)? {
+        true => Ok(()),
+        // The database would begin a new journal in silence, and so go back in time.
+        false => Err(io::Error::new(io::ErrorKind::NotFound, "the journal is missing")),
+    }
+}
+
+/// Moves the store away under a synced name and removes it.
+pub(super) fn discard(data_dir: &Path) -> io::Result<()> {
+    let away = data_dir.join(DISCARDED);
+    remove_if_there(&away)?;
+    let folder = data_dir.join(FOLDER);
+    if folder.try_exists()? {
+        fs::rename(&folder, &away)?;
+        sync(data_dir)?;
+    }
+    remove_if_there(&away)
+}
+
+/// Syncs `data_dir` and every folder below it, so that all names in them last.
+pub(super) fn sync_all(data_dir: &Path) -> io::Result<()> {
+    for entry in fs::read_dir(data_dir)? {
+        let entry = entry?;
+        if entry.file_type()?.is_dir() {
+            sync_all(&entry.path())?;
+        }
+    }
+    sync(data_dir)
+}
+
+fn sync(folder: &Path) -> io::Result<()> {
+    File::open(folder)?.sync_all()
+}
+
+fn has_journal(folder: &Path) -> io::Result<bool> {
+    for entry in fs::read_dir(folder)? {
+        let path = entry?.path();
+        if path.extension().is_some_and(|extension| extension == JOURNAL_EXTENSION) {
+            return Ok(true);
+        }
+    }
+    Ok(false)
+}
+
+fn remove_if_there(folder: &Path) -> io::Result<()> {
+    match fs::remove_dir_all(folder) {
+        Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
+        _ => Ok(()),
+    }
+}
