--- /dev/null
+++ b/crates/jobs/src/answers.rs
@@ -0,0 +1,23 @@
+//! Answers to what clients ask of the record.
+
+use streamusher_protocol::job::JobState;
+
+/// What became of a job that was handed in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Submitted {
+    /// It is new.
+    New,
+    /// Its identifier is known already; nothing changed.
+    Known,
+}
+
+/// What became of an order to cancel.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cancelled {
+    /// It is cancelled now.
+    Now,
+    /// It had ended before.
+    Already(JobState),
+    /// There is no such job.
+    Unknown,
+}
--- a/crates/jobs/src/book.rs
+++ b/crates/jobs/src/book.rs
@@ -1,5 +1,6 @@
 //! The record of all jobs.
 
+use crate::answers::{Cancelled, Submitted};
 use crate::changes::{AssignedRun, Changes, StartedRun};
 use crate::check::check;
 use crate::effects::Effects;
@@ -18,26 +19,6 @@
 use streamusher_protocol::unit::{Unit, UnitId, WorkerId};
 use streamusher_protocol::{Millis, Now};
 
-/// What became of a job that was handed in.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Submitted {
-    /// It is new.
-    New,
-    /// Its identifier is known already; nothing changed.
-    Known,
-}
-
-/// What became of an order to cancel.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Cancelled {
-    /// It is cancelled now.
-    Now,
-    /// It had ended before.
-    Already(JobState),
-    /// There is no such job.
-    Unknown,
-}
-
 /// The record of all jobs.
 #[derive(Debug)]
 pub struct JobBook {
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -2,13 +2,15 @@
 
 use crate::check::MOST_TASKS;
 use crate::effects::Effects;
+use crate::pause::restart_pause;
+use crate::place::unit_id;
 use crate::plan::Plan;
-use crate::steps::{Iteration, Member, Phase, Step, UnitState};
+use crate::steps::{Iteration, Phase, Step};
 use crate::terms::QueueTerms;
 use std::collections::{BTreeMap, BTreeSet};
 use streamusher_protocol::job::JobState;
 use streamusher_protocol::task::{JobId, RunId, TaskId};
-use streamusher_protocol::unit::{StepId, Unit, UnitId};
+use streamusher_protocol::unit::{Unit, UnitId};
 use streamusher_protocol::{Millis, Now};
 
 /// A job that has not ended, or of which runs are left.
@@ -69,19 +71,6 @@
     }
 }
 
-/// A task's place in its job.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Place {
-    /// The iteration.
-    pub iteration: u32,
-    /// The step.
-    pub step: usize,
-    /// The unit within the step.
-    pub unit: usize,
-    /// The task within the step.
-    pub member: usize,
-}
-
 impl Job {
     /// A job that was just handed in.
     pub fn new(id: JobId, terms: QueueTerms, plan: Plan, submitted: Millis) -> Job {
@@ -246,67 +235,6 @@
             avoid: state.avoid.clone(),
         })
     }
-
-    /// Where a task stands.
-    pub fn place(&self, task: &TaskId) -> Option<Place> {
-        let step = self.step_at(task.iteration, task.step as usize)?;
-        let member = task.index as usize;
-        if member >= step.members.len() {
-            return None;
-        }
-        let unit = step.unit_of(member);
-        Some(Place { iteration: task.iteration, step: task.step as usize, unit, member })
-    }
-
-    /// Where a run stands that is recorded as assigned.
-    pub fn place_of_run(&self, run: &RunId) -> Option<Place> {
-        let place = self.place(&run.task)?;
-        let step = self.step_at(place.iteration, place.step)?;
-        let is_assigned = step.members[place.member].worker.is_some();
-        (is_assigned && step.units[place.unit].run == run.run).then_some(place)
-    }
-
-    /// A step of an iteration that is not over.
-    pub fn step_at(&self, iteration: u32, step: usize) -> Option<&Step> {
-        self.iterations.get(&iteration)?.steps.get(step)
-    }
-
-    /// The same, to change it.
-    pub fn step_mut(&mut self, iteration: u32, step: usize) -> Option<&mut Step> {
-        self.iterations.get_mut(&iteration)?.steps.get_mut(step)
-    }
-
-    /// A unit.
-    pub fn unit_mut(&mut self, iteration: u32, step: usize, unit: usize) -> Option<&mut UnitState> {
-        self.step_mut(iteration, step)?.units.get_mut(unit)
-    }
-
-    /// A task's unit and its own state.
-    pub fn state_of(&self, place: Place) -> Option<(&UnitState, &Member)> {
-        let step = self.step_at(place.iteration, place.step)?;
-        Some((step.units.get(place.unit)?, step.members.get(place.member)?))
-    }
-
-    /// Whether a step's tasks run until the job is cancelled.
-    pub fn lasts(&self, step: usize) -> bool {
-        self.plan.request.steps.get(step).is_some_and(|s| s.long_running)
-    }
-
-    /// A unit's identifier.
-    pub fn unit_id(&self, iteration: u32, step: usize, unit: usize) -> UnitId {
-        let gang = self.plan.request.steps.get(step).is_some_and(|s| s.gang);
-        unit_id(&self.id, iteration, step, unit, gang)
-    }
-
-    /// A task's identifier.
-    pub fn task_id(&self, iteration: u32, step: usize, member: usize) -> TaskId {
-        TaskId { job: self.id.clone(), iteration, step: step as u32, index: member as u32 }
-    }
-}
-
-fn unit_id(job: &JobId, iteration: u32, step: usize, unit: usize, gang: bool) -> UnitId {
-    let index = if gang { None } else { Some(unit as u32) };
-    UnitId { step: StepId { job: job.clone(), iteration, step: step as u32 }, index }
 }
 
 /// Takes back what waits and stops what runs of a step.
@@ -330,19 +258,3 @@
         }
     }
 }
-
-/// Failures in a row after which a restart waits for the first time.
-const FAILURES_WITHOUT_PAUSE: u32 = 1;
-/// The first pause; doubled with each further failure.
-const FIRST_PAUSE_MS: Millis = 100;
-/// The longest pause: a task that lasts earns by being at work, so it is tried often.
-const LONGEST_PAUSE_MS: Millis = 2_000;
-
-/// How long a task that lasts waits before it is started again, after so many failures in a row.
-fn restart_pause(failed: u32) -> Millis {
-    if failed <= FAILURES_WITHOUT_PAUSE {
-        return 0;
-    }
-    let doublings = (failed - FAILURES_WITHOUT_PAUSE - 1).min(8);
-    (FIRST_PAUSE_MS << doublings).min(LONGEST_PAUSE_MS)
-}
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -5,6 +5,8 @@
 //! the runs to stop. The book holds for every task that at most one run of it is assigned at any time, that run
 //! numbers rise and never repeat, that a step waits for the steps it depends on, and that attempts are limited.
 
+mod answers;
+mod assigned;
 mod book;
 mod changes;
 mod check;
@@ -13,6 +15,8 @@
 mod entry;
 mod error;
 mod job;
+mod pause;
+mod place;
 mod plan;
 mod record;
 mod recover;
@@ -21,7 +25,8 @@
 mod stored;
 mod terms;
 
-pub use book::{Cancelled, JobBook, Submitted};
+pub use answers::{Cancelled, Submitted};
+pub use book::JobBook;
 pub use changes::{AssignedRun, Changes, StartedRun};
 pub use error::{RecordError, SubmitError};
 pub use terms::{QueueTerms, Settings};
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -73,6 +73,9 @@
     /// The newest checkpoint.
     #[serde(default, skip_serializing_if = "str::is_empty")]
     pub checkpoint: Arc<str>,
+    /// What the newest run was started with, where that is no longer the newest checkpoint.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub started_from: Option<Arc<str>>,
     /// Workers to avoid.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub avoid: Vec<WorkerId>,
--- a/crates/jobs/src/runs.rs
+++ b/crates/jobs/src/runs.rs
@@ -1,9 +1,10 @@
 //! Runs of a job's tasks: how they begin, and what follows from how they end.
 
-use crate::changes::{AssignedRun, StartedRun};
+use crate::changes::StartedRun;
 use crate::effects::Effects;
-use crate::job::{Job, Place};
-use crate::steps::{Phase, Step};
+use crate::job::Job;
+use crate::place::Place;
+use crate::steps::{Iteration, Phase, Step};
 use std::sync::Arc;
 use streamusher_protocol::job::JobState;
 use streamusher_protocol::task::{RunEnd, RunId, TaskId};
@@ -209,7 +210,7 @@
 
     /// Forgets an iteration that is done and of which no run is left; the job's record says so instead.
     fn drop_if_over(&mut self, iteration: u32, fx: &mut Effects) {
-        let is_over = |i: &crate::steps::Iteration| i.open_steps == 0 && i.assigned == 0;
+        let is_over = |i: &Iteration| i.open_steps == 0 && i.assigned == 0;
         if !self.iterations.get(&iteration).is_some_and(is_over) {
             return;
         }
@@ -241,42 +242,6 @@
             fx.tasks.insert(self.task_id(place.iteration, place.step, first));
         }
     }
-
-    /// Adds all runs that occupy a worker.
-    pub fn add_assigned(&self, list: &mut Vec<AssignedRun>) {
-        if self.assigned == 0 {
-            return;
-        }
-        for (&iteration, content) in self.iterations.iter().filter(|(_, i)| i.assigned > 0) {
-            for (index, step) in content.steps.iter().enumerate() {
-                for member in 0..step.members.len() {
-                    list.extend(self.assigned_run(iteration, index, step, member));
-                }
-            }
-        }
-    }
-
-    fn assigned_run(&self, iteration: u32, index: usize, step: &Step, member: usize) -> Option<AssignedRun> {
-        let request = self.plan.request.steps.get(index)?;
-        let holder = &step.members[member];
-        let unit = step.unit_of(member);
-        let state = &step.units[unit];
-        Some(AssignedRun {
-            worker: holder.worker.clone()?,
-            run: RunId { task: self.task_id(iteration, index, member), run: state.run },
-            resources: request.resources,
-            priority: self.terms.priority,
-            unit: self.unit_id(iteration, index, unit),
-            service: self.terms.service.clone(),
-            spec: self.plan.request.spec.clone(),
-            checkpoint: state.started_from.clone(),
-            estimated_ms: request.estimated_ms,
-            checkpoints: request.checkpoints,
-            long_running: request.long_running,
-            gang: request.gang,
-            stopping: holder.stopping || self.end.is_some(),
-        })
-    }
 }
 
 fn next_run(step: &Step, id: &UnitId, unit: usize) -> Option<u32> {
--- a/crates/jobs/src/stored.rs
+++ b/crates/jobs/src/stored.rs
@@ -48,6 +48,8 @@
             record.counted = unit.counted;
             record.checkpoint = unit.checkpoint.clone();
             record.avoid = unit.avoid.clone();
+            let has_moved = unit.assigned > 0 && unit.started_from != unit.checkpoint;
+            record.started_from = has_moved.then(|| unit.started_from.clone());
         }
         Some(record)
     }
@@ -97,7 +99,7 @@
             unit.phase = if record.done { Phase::Done } else { unit.phase };
             unit.failed = record.failed;
             unit.counted = record.counted;
-            unit.started_from = record.checkpoint.clone();
+            unit.started_from = record.started_from.unwrap_or_else(|| record.checkpoint.clone());
             unit.checkpoint = record.checkpoint;
             unit.avoid = record.avoid;
         }
--- a/crates/jobs/tests/common/mod.rs
+++ b/crates/jobs/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod oracle;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use streamusher_jobs::{Changes, JobBook, QueueTerms, Settings, StartedRun};
--- a/crates/jobs/tests/runs.rs
+++ b/crates/jobs/tests/runs.rs
@@ -32,11 +32,11 @@
     let id = unit(1, 0, 0, Some(0));
     let (own, other) = ((task(1, 0, 0, 0), "w0".into()), (task(1, 0, 0, 1), "w1".into()));
     assert!(world.book.begin(world.now, &id, &[]).is_empty());
-    assert!(world.book.begin(world.now, &id, &[other.clone()]).is_empty());
+    assert!(world.book.begin(world.now, &id, std::slice::from_ref(&other)).is_empty());
     assert!(world.book.begin(world.now, &id, &[own.clone(), other]).is_empty());
-    assert!(world.book.begin(world.now, &unit(1, 0, 0, None), &[own.clone()]).is_empty());
-    assert!(world.book.begin(world.now, &unit(1, 0, 9, Some(0)), &[own.clone()]).is_empty());
-    assert!(world.book.begin(world.now, &unit(2, 0, 0, Some(0)), &[own.clone()]).is_empty());
+    assert!(world.book.begin(world.now, &unit(1, 0, 0, None), std::slice::from_ref(&own)).is_empty());
+    assert!(world.book.begin(world.now, &unit(1, 0, 9, Some(0)), std::slice::from_ref(&own)).is_empty());
+    assert!(world.book.begin(world.now, &unit(2, 0, 0, Some(0)), std::slice::from_ref(&own)).is_empty());
     assert_eq!(world.book.begin(world.now, &id, &[own]).len(), 1);
 }
 
