Data plane: agent state machine, gate and agent processes, link to the primary

Clients and workers need processes beside them that hand calls to the primary and grant holds from its leases. Adds the agent (pure; syncs, holds, offered starts, silent and departed workers), CoreFinder (pure) and CoreLink, the gate with readiness and an end without losses, and streamusher-data with its commands.

--- /dev/null
+++ b/crates/dataplane/src/core/link.rs
@@ -0,0 +1,219 @@
+//! The finder at work: questions to core machines, and calls to the primary.
+
+use super::CoreFinder;
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::StatusCode;
+use serde::Serialize;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use streamusher_node::clock;
+use streamusher_node::http::{parse_json, Answer, Call, CallError, Client};
+use streamusher_protocol::internal::{ClusterView, CoreAddress, NotPrimary, CLUSTER_PATH};
+use streamusher_protocol::Millis;
+use tokio::sync::Notify;
+
+/// How long a question may take.
+const QUESTION_DEADLINE: Duration = Duration::from_millis(400);
+
+/// A process to call: its address, and the client that does.
+#[derive(Clone)]
+pub struct Target {
+    address: Arc<str>,
+    client: Client,
+}
+
+impl Target {
+    /// Its internal address.
+    pub fn address(&self) -> &Arc<str> {
+        &self.address
+    }
+}
+
+/// What came of a call to the primary.
+#[derive(Debug)]
+pub enum Outcome {
+    /// It answered; any status but 421.
+    Answered(Answer),
+    /// Nothing was done: it is not the primary, or no byte reached it.
+    NotDone,
+    /// It may have been carried out.
+    Unknown,
+}
+
+/// Follows the primary; clones share what is known.
+#[derive(Clone)]
+pub struct CoreLink {
+    shared: Rc<Shared>,
+}
+
+struct Shared {
+    finder: RefCell<CoreFinder>,
+    clients: RefCell<BTreeMap<Arc<str>, Client>>,
+    changed: Notify,
+}
+
+impl CoreLink {
+    /// A link that knows the seeds; [`CoreLink::run`] makes it find the primary.
+    pub fn new(seeds: Vec<CoreAddress>, seed: u64) -> CoreLink {
+        let shared = Shared {
+            finder: RefCell::new(CoreFinder::new(seeds, seed)),
+            clients: RefCell::default(),
+            changed: Notify::new(),
+        };
+        CoreLink { shared: Rc::new(shared) }
+    }
+
+    /// Asks whenever the finder has questions. Never ends; within a `LocalSet`.
+    pub async fn run(&self) {
+        loop {
+            let changed = self.shared.changed.notified();
+            let now = clock::steady();
+            let (questions, due_at) = {
+                let mut finder = self.shared.finder.borrow_mut();
+                (finder.questions(now), finder.due_at())
+            };
+            for address in questions {
+                let link = self.clone();
+                tokio::task::spawn_local(async move { link.ask(address).await });
+            }
+            // At least a millisecond: a round that had no one to ask is due again at once otherwise.
+            let pause = Duration::from_millis(due_at.saturating_sub(now).max(1));
+            tokio::select! {
+                () = changed => {}
+                () = tokio::time::sleep(pause) => {}
+            }
+        }
+    }
+
+    /// The primary, where one is known.
+    pub fn primary(&self) -> Option<Target> {
+        let address = self.shared.finder.borrow().primary().map(|primary| Arc::clone(&primary.internal))?;
+        self.target(&address)
+    }
+
+    /// Waits for a primary, at most until `deadline`.
+    pub async fn wait_for_primary(&self, deadline: tokio::time::Instant) -> Option<Target> {
+        let found = async {
+            loop {
+                let changed = self.shared.changed.notified();
+                if let Some(target) = self.primary() {
+                    return target;
+                }
+                changed.await;
+            }
+        };
+        tokio::time::timeout_at(deadline, found).await.ok()
+    }
+
+    /// Whether a primary is known that answered within `span`.
+    pub fn is_fresh(&self, span: Millis) -> bool {
+        self.shared.finder.borrow().is_fresh(clock::steady(), span)
+    }
+
+    /// Replaces the seeds.
+    pub fn set_seeds(&self, seeds: Vec<CoreAddress>) {
+        self.change(|finder, _now| finder.set_seeds(seeds));
+    }
+
+    /// What is known, for operators.
+    pub fn view(&self) -> ClusterView {
+        let finder = self.shared.finder.borrow();
+        ClusterView {
+            epoch: finder.epoch(),
+            primary: finder.primary().cloned(),
+            members: finder.members().to_vec(),
+        }
+    }
+
+    /// Takes a view that came with an answer from `target`.
+    pub fn learn(&self, target: &Target, view: &ClusterView) {
+        self.change(|finder, now| finder.learn(now, &target.address, view));
+    }
+
+    /// Posts `body` to `target` and notes what that says of the primary.
+    pub async fn post<T: Serialize>(
+        &self, target: &Target, path: &str, body: &T, deadline: Duration,
+    ) -> Outcome {
+        let Ok(call) = post_call(path, body) else { return Outcome::NotDone };
+        match target.client.call(call, deadline).await {
+            Ok(answer) if answer.status() == StatusCode::MISDIRECTED_REQUEST => {
+                let refusal = parse_json::<NotPrimary>(answer.body()).unwrap_or_default();
+                self.change(|finder, now| finder.refused(now, &target.address, &refusal.view));
+                Outcome::NotDone
+            }
+            Ok(answer) => {
+                self.succeeded(&target.address);
+                Outcome::Answered(answer)
+            }
+            Err(error) => {
+                log::debug!("call to {}: {error}", target.address);
+                self.change(|finder, now| finder.failed(now, &target.address));
+                match error {
+                    CallError::NotSent(_) => Outcome::NotDone,
+                    CallError::Unknown(_) => Outcome::Unknown,
+                }
+            }
+        }
+    }
+
+    async fn ask(&self, address: Arc<str>) {
+        let view = match self.target(&address) {
+            Some(target) => question(&target.client).await,
+            None => None,
+        };
+        self.change(|finder, now| match view {
+            Some(view) => finder.learn(now, &address, &view),
+            None => finder.failed(now, &address),
+        });
+    }
+
+    /// Notes an answer of the primary. Wakes no one unless it was doubted: this is the usual case.
+    fn succeeded(&self, address: &str) {
+        let was_known = self.shared.finder.borrow().primary().is_some();
+        self.shared.finder.borrow_mut().succeeded(clock::steady(), address);
+        if !was_known {
+            self.shared.changed.notify_waiters();
+        }
+    }
+
+    fn change(&self, change: impl FnOnce(&mut CoreFinder, Millis)) {
+        change(&mut self.shared.finder.borrow_mut(), clock::steady());
+        self.forget_clients();
+        self.shared.changed.notify_waiters();
+    }
+
+    fn target(&self, address: &Arc<str>) -> Option<Target> {
+        let mut clients = self.shared.clients.borrow_mut();
+        if let Some(client) = clients.get(address) {
+            return Some(Target { address: Arc::clone(address), client: client.clone() });
+        }
+        let client = Client::new(address.parse::<SocketAddr>().ok()?);
+        clients.insert(Arc::clone(address), client.clone());
+        Some(Target { address: Arc::clone(address), client })
+    }
+
+    /// Clients of machines that are no longer known are dropped with their connections.
+    fn forget_clients(&self) {
+        let finder = self.shared.finder.borrow();
+        self.shared.clients.borrow_mut().retain(|address, _| finder.knows(address));
+    }
+}
+
+fn post_call<T: Serialize>(path: &str, body: &T) -> Result<Call, http::Error> {
+    let body = serde_json::to_vec(body).unwrap_or_default();
+    http::Request::post(path).header(CONTENT_TYPE, "application/json").body(Bytes::from(body))
+}
+
+async fn question(client: &Client) -> Option<ClusterView> {
+    let call = http::Request::get(CLUSTER_PATH).body(Bytes::new()).ok()?;
+    let answer = client.call(call, QUESTION_DEADLINE).await.ok()?;
+    if !answer.status().is_success() {
+        return None;
+    }
+    parse_json(answer.body()).ok()
+}
--- /dev/null
+++ b/crates/dataplane/src/gate/mod.rs
@@ -0,0 +1,9 @@
+//! The gate: takes clients' calls and passes them to the primary.
+
+mod passing;
+mod program;
+mod request;
+
+pub use passing::pass;
+pub use program::{check, run, Gate};
+pub use request::{read, Refusal, DEADLINE_HEADER};
--- /dev/null
+++ b/crates/dataplane/src/gate/program.rs
@@ -0,0 +1,214 @@
+//! The gate as a process: its listeners, its readiness, and its end.
+
+use super::passing;
+use crate::core::CoreLink;
+use crate::process;
+use http::{Method, StatusCode};
+use serde::Serialize;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use streamusher_node::http::{text, Answer, Call, ServerHandle, ServerLimits};
+use streamusher_node::settings::{self, Settings};
+use streamusher_node::signals::{Signal, Signals};
+use streamusher_protocol::config::Limits;
+use streamusher_protocol::internal::{ClusterView, GATE_PORT_OFFSET};
+use streamusher_protocol::Millis;
+
+/// What the platform asks each second.
+pub const READINESS_PATH: &str = "/streamusher/readiness";
+
+/// The gate is ready while its primary answered within this span.
+const FRESH_MS: Millis = 1_500;
+
+/// From SIGTERM on: the platform misses two of its checks, one a second, and sends no new clients.
+const LEAVE_AFTER: Duration = Duration::from_millis(2_000);
+
+/// From SIGTERM on: clients that were sent before the second miss have arrived.
+const CLOSE_AFTER: Duration = Duration::from_millis(3_500);
+
+/// Kept of `grace_s` for the end itself.
+const BEFORE_KILL: Duration = Duration::from_millis(500);
+
+/// Descriptors that are not for clients: the platform's 200, and this process's own calls and listeners.
+const OWN_DESCRIPTORS: u64 = 300;
+
+/// The platform's question: nothing but a head.
+const READINESS_LIMITS: ServerLimits = ServerLimits {
+    max_body: 1_024,
+    max_header: 8_192,
+    body_timeout: Duration::from_secs(2),
+    idle_timeout: Duration::from_secs(30),
+    max_connections: 32,
+};
+
+/// Checks that the settings are those of a gate.
+///
+/// # Errors
+/// The message names key, value and remedy.
+pub fn check(settings: &Settings) -> Result<(), String> {
+    if !settings.serves("front") {
+        return Err(format!(
+            "key serves = {:?}: run the gate in a role that serves \"front\"",
+            settings.serves
+        ));
+    }
+    if settings.listen.front.is_none() {
+        return Err("key listen.front is missing: give the address that clients call".to_owned());
+    }
+    if settings.listen.ready.is_none() {
+        return Err(
+            "key listen.ready is missing: give the address that the platform asks for readiness".to_owned()
+        );
+    }
+    Ok(())
+}
+
+/// Runs the gate until SIGTERM, and then until its clients are served.
+///
+/// # Errors
+/// The settings are not a gate's, an address can't be bound, or signals can't be heard.
+pub async fn run(settings: Settings) -> anyhow::Result<()> {
+    check(&settings).map_err(anyhow::Error::msg)?;
+    let missing = || anyhow::anyhow!("no listen.front or listen.ready");
+    let mut signals = Signals::new()?;
+    let front = process::bind(settings.listen.front.ok_or_else(missing)?, client_limits(&settings)).await?;
+    let ready = process::bind(settings.listen.ready.ok_or_else(missing)?, READINESS_LIMITS).await?;
+    let gate = Gate::new(&settings);
+    gate.start(settings.internal_address(GATE_PORT_OFFSET));
+    let asked = gate.clone();
+    tokio::task::spawn_local(ready.run(move |call| std::future::ready(asked.readiness(&call))));
+    let handle = front.handle();
+    let serving = gate.clone();
+    let served = tokio::task::spawn_local(front.run(move |call| serving.clone().answer(call)));
+    while signals.next().await? == Signal::Reload {
+        gate.reload();
+    }
+    gate.leave();
+    close(&handle, Duration::from_millis(settings.bounds.grace_ms()), served).await;
+    Ok(())
+}
+
+/// Leaves without losing a request; ends before `grace` is over.
+async fn close(handle: &ServerHandle, grace: Duration, served: tokio::task::JoinHandle<()>) {
+    let end = grace.saturating_sub(BEFORE_KILL);
+    let close_after = CLOSE_AFTER.min(end / 2);
+    let leave_after = LEAVE_AFTER.min(close_after / 2);
+    tokio::time::sleep(leave_after).await;
+    handle.leave();
+    tokio::time::sleep(close_after.saturating_sub(leave_after)).await;
+    handle.close();
+    if !process::at_most(end.saturating_sub(close_after), served).await {
+        log::warn!("ended with requests under way: they took longer than the grace");
+    }
+}
+
+fn client_limits(settings: &Settings) -> ServerLimits {
+    let limits = Limits::default();
+    let max_connections = settings.limits.max_fds.saturating_sub(OWN_DESCRIPTORS).max(16);
+    ServerLimits {
+        max_body: limits.max_body_bytes as usize,
+        max_header: limits.max_header_bytes as usize,
+        body_timeout: Duration::from_millis(limits.header_timeout_ms),
+        idle_timeout: Duration::from_millis(limits.idle_timeout_ms),
+        max_connections: max_connections as usize,
+    }
+}
+
+/// The gate's shared state; clones share it.
+#[derive(Clone)]
+pub struct Gate {
+    shared: Rc<Shared>,
+}
+
+struct Shared {
+    link: CoreLink,
+    leaving: Cell<bool>,
+    passed: Cell<u64>,
+    refused: Cell<u64>,
+}
+
+#[derive(Serialize)]
+struct Status {
+    role: &'static str,
+    ready: bool,
+    leaving: bool,
+    passed: u64,
+    refused: u64,
+    control_plane: ClusterView,
+}
+
+impl Gate {
+    /// A gate that knows the settings' seeds; [`Gate::start`] makes it work.
+    pub fn new(settings: &Settings) -> Gate {
+        let link = CoreLink::new(settings.core_addresses_of_seeds(), process::random_number());
+        Gate {
+            shared: Rc::new(Shared {
+                link,
+                leaving: Cell::default(),
+                passed: Cell::default(),
+                refused: Cell::default(),
+            }),
+        }
+    }
+
+    /// Begins to look for the primary; serves the status at `status_address`.
+    pub fn start(&self, status_address: std::net::SocketAddr) {
+        let link = self.shared.link.clone();
+        tokio::task::spawn_local(async move { link.run().await });
+        let gate = self.clone();
+        tokio::task::spawn_local(process::serve_status(status_address, move || gate.status()));
+    }
+
+    /// The link to the control plane.
+    pub fn link(&self) -> &CoreLink {
+        &self.shared.link
+    }
+
+    /// Answers a client.
+    pub async fn answer(self, call: Call) -> Answer {
+        let answer = passing::pass(&self.shared.link, &call).await;
+        let refused = answer.status().is_server_error();
+        let counter = if refused { &self.shared.refused } else { &self.shared.passed };
+        counter.set(counter.get().saturating_add(1));
+        answer
+    }
+
+    /// Answers the platform's question whether clients may be sent here.
+    pub fn readiness(&self, call: &Call) -> Answer {
+        if call.method() != Method::GET || call.uri().path() != READINESS_PATH {
+            return text(StatusCode::NOT_FOUND, format!("only GET {READINESS_PATH} is here\n"));
+        }
+        match self.is_ready() {
+            true => text(StatusCode::OK, "ready\n"),
+            false => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        }
+    }
+
+    /// From now on the gate is not ready.
+    pub fn leave(&self) {
+        self.shared.leaving.set(true);
+    }
+
+    fn is_ready(&self) -> bool {
+        !self.shared.leaving.get() && self.shared.link.is_fresh(FRESH_MS)
+    }
+
+    fn reload(&self) {
+        match settings::load() {
+            Ok(settings) => self.shared.link.set_seeds(settings.core_addresses_of_seeds()),
+            Err(error) => log::warn!("the settings stay as they were: {error}"),
+        }
+    }
+
+    fn status(&self) -> Status {
+        Status {
+            role: "gate",
+            ready: self.is_ready(),
+            leaving: self.shared.leaving.get(),
+            passed: self.shared.passed.get(),
+            refused: self.shared.refused.get(),
+            control_plane: self.shared.link.view(),
+        }
+    }
+}
--- a/crates/dataplane/src/lib.rs
+++ b/crates/dataplane/src/lib.rs
@@ -1,1 +1,12 @@
 //! The data plane: the gate for clients and the agent beside each worker.
+//!
+//! - [`agent`]: the agent's state machine; told the time, without I/O.
+//! - [`agent_program`]: the agent as a process.
+//! - [`core`]: finding and following the control plane's primary.
+//! - [`gate`]: the gate as a process.
+
+pub mod agent;
+pub mod agent_program;
+pub mod core;
+pub mod gate;
+pub mod process;
--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -33,7 +33,7 @@
     fn default() -> ClientLimits {
         ClientLimits {
             max_calls: 32,
-            max_idle: 4,
+            max_idle: 8,
             max_body: 8 << 20,
             // A machine that is up answers in a round trip; a dead one says nothing.
             connect_timeout: Duration::from_millis(300),
