Placement: queued copies, ranking, claims, gangs, preemption, headroom, learning

Need: which worker runs which unit, with no worker ever filled beyond its room. Change: copies of a unit wait at several workers and the first with room claims it; ranking by own counts, with distance, speed and failures added; room kept for gangs, large and urgent units; stops priced by lost work; room kept free for urgent demand; charges that fade.

--- /dev/null
+++ b/crates/placement/src/claim.rs
@@ -0,0 +1,137 @@
+//! The claim: a worker with room takes the first copy that fits, and the other copies are withdrawn.
+
+use crate::amounts::{amounts, times};
+use crate::copies::ANYWHERE_MS;
+use crate::placement::{held_of, Placement};
+use crate::queue::{Key, Slot, Waiting};
+use crate::room::Worker;
+use crate::run::Run;
+use crate::service::Service;
+use crate::types::Decision;
+use std::collections::BTreeMap;
+use streamusher_protocol::heartbeat::Resources;
+use streamusher_protocol::task::TaskId;
+use streamusher_protocol::Millis;
+
+/// Copies that are looked at in one queue; further ones are found when their unit is looked at again.
+const LOOKED_AT: usize = 32;
+
+impl Placement {
+    /// Whether a single task may start at a worker now.
+    pub(crate) fn admits(&self, now: Millis, key: Key, waiting: &Waiting, slot: Slot) -> bool {
+        let unit = &waiting.unit;
+        let Some(worker) = self.workers.get(slot).filter(|worker| worker.info.open) else { return false };
+        if !worker.free().covers(&unit.resources) || !spreads(worker, waiting) {
+            return false;
+        }
+        let Some(service) = self.services.get(&unit.service) else { return false };
+        if self.takes_any(now, waiting, service) {
+            return true;
+        }
+        worker.runs.len() < service.most_runs(now, worker)
+            && worker.fits(now, key, &unit.resources, self.expected_ms(now, unit, worker, service))
+            && leaves_headroom(worker, service, unit.priority, &unit.resources)
+    }
+
+    /// A unit that has waited long in a service with much free room takes any room that there is.
+    pub(crate) fn takes_any(&self, now: Millis, waiting: &Waiting, service: &Service) -> bool {
+        waiting.waited(now) >= ANYWHERE_MS && service.is_lightly_used()
+    }
+
+    /// Lets the workers with changes take what fits, up to a place in the order.
+    pub(crate) fn scan_changed(&mut self, now: Millis, until: Option<Key>, out: &mut Vec<Decision>) {
+        let slots: Vec<Slot> = self.dirty.iter().copied().collect();
+        slots.into_iter().for_each(|slot| self.scan(now, slot, until, out));
+    }
+
+    fn scan(&mut self, now: Millis, slot: Slot, until: Option<Key>, out: &mut Vec<Decision>) {
+        loop {
+            let Some(worker) = self.workers.get(slot).filter(|worker| worker.info.open) else { return };
+            let in_order = |key: &&Key| until.is_none_or(|until| **key < until);
+            let keys: Vec<Key> = worker.queue.iter().take_while(in_order).take(LOOKED_AT).copied().collect();
+            let before = out.len();
+            keys.into_iter().for_each(|key| self.claim(now, key, slot, out));
+            if out.len() == before {
+                return;
+            }
+        }
+    }
+
+    /// Starts a waiting task at a worker if it may.
+    pub(crate) fn claim(&mut self, now: Millis, key: Key, slot: Slot, out: &mut Vec<Decision>) {
+        let Some(waiting) = self.queue.get(key).filter(|waiting| !waiting.is_gang()) else { return };
+        if !self.admits(now, key, waiting, slot) {
+            return;
+        }
+        let on = waiting.unit.tasks.iter().map(|task| (task.clone(), slot)).collect();
+        self.start(now, key, on, out);
+    }
+
+    /// Withdraws all copies of a unit and takes room for its tasks.
+    pub(crate) fn start(&mut self, now: Millis, key: Key, on: Vec<(TaskId, Slot)>, out: &mut Vec<Decision>) {
+        if !self.has_room_for(key, &on) {
+            return;
+        }
+        let Some(waiting) = self.taken_from_queue(key, &on) else { return };
+        let mut placed = Vec::with_capacity(on.len());
+        for (task, slot) in on {
+            let run = Run::new(now, held_of(&waiting.unit));
+            let Some(worker) = self.workers.get_mut(slot) else { continue };
+            let id = worker.info.id.clone();
+            if worker.take(&task, run) {
+                self.count_used(&waiting.unit.service, &waiting.unit.resources, 1.0);
+            }
+            self.refile(slot);
+            placed.push((task, id));
+        }
+        out.push(Decision::Start { unit: waiting.unit.id, on: placed });
+    }
+
+    /// The last check before room is taken, whoever chose the workers: no worker is filled beyond its room.
+    fn has_room_for(&self, key: Key, on: &[(TaskId, Slot)]) -> bool {
+        let Some(waiting) = self.queue.get(key) else { return false };
+        let mut counts: BTreeMap<Slot, u64> = BTreeMap::new();
+        on.iter().for_each(|(_, slot)| *counts.entry(*slot).or_insert(0) += 1);
+        counts.into_iter().all(|(slot, count)| {
+            let asked = times(&waiting.unit.resources, count);
+            self.workers.get(slot).is_some_and(|worker| worker.free().covers(&asked))
+        })
+    }
+
+    #[cfg(not(feature = "mutant-claim"))]
+    fn taken_from_queue(&mut self, key: Key, _on: &[(TaskId, Slot)]) -> Option<Waiting> {
+        self.drop_waiting(key)
+    }
+
+    /// Fault for the tests to find: the copies at other workers stay.
+    #[cfg(feature = "mutant-claim")]
+    fn taken_from_queue(&mut self, key: Key, on: &[(TaskId, Slot)]) -> Option<Waiting> {
+        let waiting = self.queue.get(key)?.clone();
+        if waiting.copies.len() <= 1 {
+            return self.drop_waiting(key);
+        }
+        for (_, slot) in on {
+            let worker = self.workers.get_mut(*slot)?;
+            worker.remove_copy(key, &waiting.unit.resources);
+        }
+        Some(waiting)
+    }
+}
+
+/// Whether `anti_affinity` lets one more of the step's tasks onto a worker.
+fn spreads(worker: &Worker, waiting: &Waiting) -> bool {
+    let most = waiting.unit.anti_affinity;
+    most == 0 || worker.count_of(&waiting.unit.id.step) < most
+}
+
+/// Whether what is kept free for more urgent priorities stays free. A worker without such work takes one task.
+fn leaves_headroom(worker: &Worker, service: &Service, priority: u32, asked: &Resources) -> bool {
+    let capacity = amounts(&worker.info.capacity);
+    let asked = amounts(asked);
+    service.headroom.against(priority).all(|(urgent, shares)| {
+        let below = worker.used_below(*urgent);
+        let used = amounts(&below);
+        let fits = |kind: usize| used[kind] + asked[kind] <= capacity[kind] * (1.0 - shares[kind]);
+        below == Resources::default() || (0..3).all(fits)
+    })
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -1,6 +1,27 @@
 //! Which worker runs which task: room, queued copies, ranking, gangs, preemption; pure.
+//!
+//! The caller tells [`Placement`] of workers, runs and units, and asks for decisions; it is told the time and
+//! draws random numbers from a seed, so the same events give the same decisions.
+//!
+//! - `room`, `run`: what takes a worker's room, how long still, and what stopping it would lose.
+//! - `queue`, `copies`, `ranking`, `claim`: copies of a unit wait at several workers, the first with room claims it.
+//! - `gather`, `gang`, `preempt`: room for all members at once, and for what is urgent.
+//! - `headroom`, `learning`: room kept for urgent work; workers that fail or are slow.
 
+mod amounts;
+mod claim;
+mod copies;
+mod gang;
+mod gather;
+mod headroom;
+mod learning;
 mod placement;
+mod preempt;
+mod queue;
+mod ranking;
+mod room;
+mod run;
+mod service;
 mod types;
 
 pub use placement::Placement;
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -1,145 +1,335 @@
 //! The entry points: events in, decisions out.
 
+use crate::amounts::{amounts, dominant_share};
+use crate::queue::{Key, Queue, Slot, Waiting};
+use crate::room::{Worker, Workers};
+use crate::run::Run;
+use crate::service::Service;
 use crate::types::{Decision, Held, Release, Settings, WorkerInfo, WorkerStatus};
-use std::collections::{BTreeMap, HashMap};
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use streamusher_protocol::heartbeat::Resources;
-use streamusher_protocol::task::TaskId;
-use streamusher_protocol::unit::{StepId, Unit, UnitId, WorkerId};
+use streamusher_protocol::task::{RunEnd, TaskId};
+use streamusher_protocol::unit::{Unit, UnitId, WorkerId};
 use streamusher_protocol::Millis;
 
+/// Units looked at again in one call; the others follow in the next.
+const MOST_DUE: usize = 64;
+/// Gangs of a service that are tried when room comes free.
+const GANGS_TRIED: usize = 8;
+/// Highest load that is filed, in thousandths.
+const HIGHEST_FILED: f64 = 1e6;
+
 /// Decides which worker runs which unit.
+///
+/// Copies of a unit wait in the queues of several workers. The first worker with room takes the unit, and the
+/// other copies are withdrawn in the same step. Room is taken when a start is decided and given back by
+/// [`Placement::release`] only, so a worker is never filled beyond its capacity.
 #[derive(Debug)]
 pub struct Placement {
-    _settings: Settings,
-    workers: BTreeMap<WorkerId, Worker>,
-    waiting: BTreeMap<(u32, u64, UnitId), Unit>,
-    keys: HashMap<UnitId, (u32, u64)>,
-}
-
-#[derive(Debug)]
-struct Worker {
-    info: WorkerInfo,
-    used: Resources,
-    runs: BTreeMap<TaskId, Held>,
-}
-
-impl Worker {
-    fn bears(&self, unit: &Unit, step: &StepId) -> bool {
-        let free = self.info.capacity.minus(&self.used);
-        let same = self.runs.values().filter(|held| &held.unit.step == step).count();
-        self.info.open
-            && self.info.service == unit.service
-            && unit.node_selector.as_ref().is_none_or(|label| self.info.labels.contains(label))
-            && (unit.anti_affinity == 0 || same < unit.anti_affinity as usize)
-            && free.covers(&unit.resources)
-    }
+    pub(crate) settings: Settings,
+    pub(crate) rng: Pcg32,
+    pub(crate) workers: Workers,
+    pub(crate) services: BTreeMap<Arc<str>, Service>,
+    pub(crate) queue: Queue,
+    /// Workers whose room or queue has changed.
+    pub(crate) dirty: BTreeSet<Slot>,
+    /// Units that came since the last call.
+    fresh: BTreeSet<Key>,
+    /// Services in which room came free.
+    freed: BTreeSet<Arc<str>>,
+    /// The latest time that was told.
+    now: Millis,
 }
 
 impl Placement {
     /// An empty placement.
     pub fn new(settings: Settings) -> Placement {
         Placement {
-            _settings: settings,
-            workers: BTreeMap::new(),
-            waiting: BTreeMap::new(),
-            keys: HashMap::new(),
+            rng: Pcg32::seed_from_u64(settings.random_seed),
+            settings,
+            workers: Workers::default(),
+            services: BTreeMap::new(),
+            queue: Queue::default(),
+            dirty: BTreeSet::new(),
+            fresh: BTreeSet::new(),
+            freed: BTreeSet::new(),
+            now: 0,
         }
     }
 
     /// A worker is new, or what it says of itself has changed.
     pub fn worker(&mut self, _now: Millis, info: WorkerInfo) {
-        let id = info.id.clone();
-        match self.workers.get_mut(&id) {
-            Some(worker) => worker.info = info,
-            None => {
-                let worker = Worker { info, used: Resources::default(), runs: BTreeMap::new() };
-                self.workers.insert(id, worker);
+        let known = self.workers.slot_of(&info.id);
+        let same = |slot| self.workers.get(slot).is_some_and(|worker| worker.info == info);
+        if known.is_some_and(same) {
+            return;
+        }
+        let slot = match known {
+            Some(slot) => slot,
+            None => self.workers.add(Worker::new(info.clone())),
+        };
+        let Some(worker) = self.workers.get_mut(slot) else { return };
+        if known.is_some() {
+            if let Some(service) = self.services.get_mut(&worker.info.service) {
+                service.remove(slot, worker);
             }
         }
+        worker.info = info;
+        worker.filed_load = filed_load(worker);
+        self.services.entry(worker.info.service.clone()).or_default().add(slot, worker);
+        self.freed.insert(worker.info.service.clone());
+        self.dirty.insert(slot);
     }
 
     /// A worker is gone, with all that took room there.
-    pub fn worker_gone(&mut self, _now: Millis, id: &WorkerId) {
-        self.workers.remove(id);
+    pub fn worker_gone(&mut self, now: Millis, id: &WorkerId) {
+        let Some(slot) = self.workers.slot_of(id) else { return };
+        let Some(worker) = self.workers.remove(slot) else { return };
+        if let Some(service) = self.services.get_mut(&worker.info.service) {
+            service.remove(slot, &worker);
+            service.change_charges(now, -worker.charge.at(now));
+        }
+        self.dirty.remove(&slot);
+        worker.runs.values().for_each(|run| self.forget_run(now, &run.held));
+        for key in &worker.queue {
+            if let Some(waiting) = self.queue.get_mut(*key) {
+                waiting.copies.retain(|copy| *copy != slot);
+            }
+        }
+        for kept in &worker.reservations {
+            if let Some(waiting) = self.queue.get_mut(kept.key) {
+                waiting.reserved.retain(|reserved| *reserved != slot);
+                waiting.reserved_until = 0;
+            }
+        }
     }
 
     /// A run is known to take room at a worker. `place` does this itself for what it starts.
-    pub fn occupy(&mut self, _now: Millis, task: &TaskId, worker: &WorkerId, held: Held) {
-        let Some(found) = self.workers.get_mut(worker) else { return };
-        if found.runs.contains_key(task) {
+    ///
+    /// A worker that is not known yet is kept as one that takes no new work until `worker` tells of it.
+    pub fn occupy(&mut self, now: Millis, task: &TaskId, worker: &WorkerId, held: Held) {
+        if self.workers.slot_of(worker).is_none() {
+            self.worker(now, unknown_worker(worker, &held.service));
+        }
+        let Some(slot) = self.workers.slot_of(worker) else { return };
+        let Some(found) = self.workers.get_mut(slot) else { return };
+        if !found.take(task, Run::new(now, held.clone())) {
             return;
         }
-        found.used = found.used.plus(&held.resources);
-        found.runs.insert(task.clone(), held);
+        self.count_used(&held.service, &held.resources, 1.0);
+        self.note_demand(now, &held, 1.0);
+        self.refile(slot);
     }
 
-    /// A run gives its room back.
-    pub fn release(&mut self, _now: Millis, task: &TaskId, worker: &WorkerId, _how: Release) {
-        let Some(found) = self.workers.get_mut(worker) else { return };
-        let Some(held) = found.runs.remove(task) else { return };
-        found.used = found.used.minus(&held.resources);
+    /// A run gives its room back; how it ended is learnt from.
+    pub fn release(&mut self, now: Millis, task: &TaskId, worker: &WorkerId, how: Release) {
+        let Some(slot) = self.workers.slot_of(worker) else { return };
+        let Some(found) = self.workers.get_mut(slot) else { return };
+        let Some(run) = found.give_back(task) else { return };
+        self.forget_run(now, &run.held);
+        self.learn(now, slot, &run.held, how);
+        self.refile(slot);
+        self.dirty.insert(slot);
+        self.freed.insert(run.held.service);
     }
 
     /// A run was told to stop: it still takes its room, and is never preempted again.
-    pub fn stopping(&mut self, _task: &TaskId, _worker: &WorkerId) {}
+    pub fn stopping(&mut self, task: &TaskId, worker: &WorkerId) {
+        let Some(slot) = self.workers.slot_of(worker) else { return };
+        if let Some(found) = self.workers.get_mut(slot) {
+            found.stop(task);
+        }
+    }
 
-    /// A run has done this share of its work.
-    pub fn progress(&mut self, _now: Millis, _task: &TaskId, _worker: &WorkerId, _percent: f64) {}
+    /// A run has done this share of its work, in percent.
+    pub fn progress(&mut self, now: Millis, task: &TaskId, worker: &WorkerId, percent: f64) {
+        let Some(slot) = self.workers.slot_of(worker) else { return };
+        let Some(found) = self.workers.get_mut(slot) else { return };
+        let Some(run) = found.runs.get_mut(task) else { return };
+        let Some(ratio) = run.progress(now, percent) else { return };
+        found.speed.learn(now, ratio);
+        if let Some(service) = self.services.get_mut(&found.info.service) {
+            service.speed.learn(now, ratio);
+        }
+    }
 
     /// A unit's turn has come. The same unit again replaces what was known of it.
-    pub fn enqueue(&mut self, _now: Millis, unit: Unit) {
+    pub fn enqueue(&mut self, now: Millis, unit: Unit) {
+        self.now = self.now.max(now);
         self.withdraw(&unit.id);
-        self.keys.insert(unit.id.clone(), (unit.priority, unit.order));
-        self.waiting.insert((unit.priority, unit.order, unit.id.clone()), unit);
+        let service = self.services.entry(unit.service.clone()).or_default();
+        if counts_as_demand(unit.id.index.is_none(), unit.long_running) {
+            service.headroom.change(now, unit.priority, amounts(&unit.resources), 1.0);
+        }
+        let gang_of = unit.service.clone();
+        let key = self.queue.add(now, unit);
+        let is_gang = self.queue.get(key).is_some_and(Waiting::is_gang);
+        if let Some(service) = self.services.get_mut(&gang_of).filter(|_| is_gang) {
+            service.gangs.insert(key);
+        }
+        self.fresh.insert(key);
     }
 
     /// A unit is no longer to be started.
     pub fn withdraw(&mut self, unit: &UnitId) {
-        if let Some((priority, order)) = self.keys.remove(unit) {
-            self.waiting.remove(&(priority, order, unit.clone()));
-        }
+        let Some(key) = self.queue.key_of(unit) else { return };
+        let Some(waiting) = self.drop_waiting(key) else { return };
+        self.note_demand(self.now, &held_of(&waiting.unit), -1.0);
     }
 
-    /// What can be started or preempted now. Cheap when nothing has changed.
+    /// What can be started or preempted now. Cheap when nothing has changed and nothing is due.
     pub fn place(&mut self, now: Millis) -> Vec<Decision> {
-        let units: Vec<Unit> = self.waiting.values().cloned().collect();
-        units.iter().filter_map(|unit| self.start(now, unit)).collect()
+        self.now = self.now.max(now);
+        let unchanged = self.fresh.is_empty() && self.dirty.is_empty() && self.freed.is_empty();
+        if unchanged && !self.queue.is_due(now) {
+            return Vec::new();
+        }
+        self.services.values_mut().for_each(|service| service.settle(now));
+        let mut looked_at = std::mem::take(&mut self.fresh);
+        looked_at.extend(self.queue.take_due(now, MOST_DUE));
+        let (gangs, singles): (BTreeSet<Key>, BTreeSet<Key>) =
+            looked_at.into_iter().partition(|key| self.queue.get(*key).is_some_and(Waiting::is_gang));
+        let gangs = self.with_gangs_of_freed(gangs);
+        let mut out = Vec::new();
+        gangs.iter().chain(&singles).for_each(|key| self.note_share(now, *key));
+        singles.iter().for_each(|key| self.spread(now, *key));
+        for key in gangs {
+            self.scan_changed(now, Some(key), &mut out);
+            self.try_gang(now, key, &mut out);
+        }
+        self.scan_changed(now, None, &mut out);
+        self.dirty.clear();
+        singles.into_iter().for_each(|key| self.relieve(now, key, &mut out));
+        out
     }
 
-    fn start(&mut self, now: Millis, unit: &Unit) -> Option<Decision> {
-        let mut on: Vec<(TaskId, WorkerId)> = Vec::new();
-        for task in &unit.tasks {
-            let found = self.workers.values().find(|worker| worker.bears(unit, &unit.id.step));
-            let Some(worker) = found.map(|worker| worker.info.id.clone()) else {
-                on.iter().for_each(|(task, worker)| self.release(now, task, worker, Release::Withdrawn));
-                return None;
-            };
-            self.occupy(now, task, &worker, held(unit));
-            on.push((task.clone(), worker));
+    fn note_share(&mut self, now: Millis, key: Key) {
+        let Some(waiting) = self.queue.get(key) else { return };
+        let Some(service) = self.services.get_mut(&waiting.unit.service) else { return };
+        let some = service.all.members.first().and_then(|slot| self.workers.get(*slot));
+        if let Some(worker) = some {
+            let share = dominant_share(&waiting.unit.resources, &worker.info.capacity);
+            service.note_share(now, share);
         }
-        self.withdraw(&unit.id);
-        Some(Decision::Start { unit: unit.id.clone(), on })
+    }
+
+    fn with_gangs_of_freed(&mut self, mut gangs: BTreeSet<Key>) -> BTreeSet<Key> {
+        for name in std::mem::take(&mut self.freed) {
+            let Some(service) = self.services.get(&name) else { continue };
+            gangs.extend(service.gangs.iter().take(GANGS_TRIED));
+        }
+        gangs
     }
 
     /// How many units wait.
     pub fn waiting(&self) -> usize {
-        self.waiting.len()
+        self.queue.len()
     }
 
     /// Every worker, as operators see it.
     pub fn workers(&self) -> impl Iterator<Item = WorkerStatus> + '_ {
-        self.workers.values().map(|worker| WorkerStatus {
-            info: worker.info.clone(),
-            used: worker.used,
-            runs: worker.runs.len(),
-            queued: 0,
-            charge: 0.0,
-            slowness: 1.0,
+        self.workers.iter().map(move |(_, worker)| {
+            let usual = self.services.get(&worker.info.service).map(|service| service.speed);
+            WorkerStatus {
+                info: worker.info.clone(),
+                used: worker.used,
+                runs: worker.runs.len(),
+                queued: worker.queue.len(),
+                charge: worker.charge.at(self.now),
+                slowness: usual.map_or(1.0, |usual| worker.speed.slowness(self.now, &usual)),
+            }
         })
     }
+
+    /// Takes a unit out of all queues, with the room that is kept for it.
+    pub(crate) fn drop_waiting(&mut self, key: Key) -> Option<Waiting> {
+        self.withdraw_copies(key);
+        self.unreserve(key);
+        self.fresh.remove(&key);
+        let waiting = self.queue.remove(key)?;
+        if let Some(service) = self.services.get_mut(&waiting.unit.service) {
+            service.gangs.remove(&key);
+        }
+        Some(waiting)
+    }
+
+    pub(crate) fn count_used(&mut self, service: &str, resources: &Resources, sign: f64) {
+        if let Some(service) = self.services.get_mut(service) {
+            service.count_used(resources, sign);
+        }
+    }
+
+    /// Files a worker under its present load.
+    pub(crate) fn refile(&mut self, slot: Slot) {
+        let Some(worker) = self.workers.get_mut(slot) else { return };
+        let load = filed_load(worker);
+        let before = std::mem::replace(&mut worker.filed_load, load);
+        if before == worker.filed_load {
+            return;
+        }
+        if let Some(service) = self.services.get_mut(&worker.info.service) {
+            service.file(slot, worker, before);
+        }
+    }
+
+    fn forget_run(&mut self, now: Millis, held: &Held) {
+        self.count_used(&held.service, &held.resources, -1.0);
+        self.note_demand(now, held, -1.0);
+    }
+
+    fn note_demand(&mut self, now: Millis, held: &Held, sign: f64) {
+        if !counts_as_demand(held.gang, held.long_running) {
+            return;
+        }
+        if let Some(service) = self.services.get_mut(&held.service) {
+            service.headroom.change(now, held.priority, amounts(&held.resources), sign);
+        }
+    }
+
+    fn learn(&mut self, now: Millis, slot: Slot, held: &Held, how: Release) {
+        let Some(worker) = self.workers.get_mut(slot) else { return };
+        let change = worker.charge.learn(now, how);
+        if let Some(service) = self.services.get_mut(&worker.info.service) {
+            service.change_charges(now, change);
+        }
+        let Release::Ended { how: RunEnd::Done, ran_ms } = how else { return };
+        // A run that continued from a checkpoint did not run its whole time.
+        let tells_speed = held.estimated_ms > 0 && !held.checkpoints && !held.long_running;
+        let ratio = tells_speed.then(|| ran_ms.max(1) as f64 / held.estimated_ms as f64);
+        if let Some(ratio) = ratio {
+            worker.speed.learn(now, ratio);
+        }
+        if let Some(service) = self.services.get_mut(&held.service).filter(|_| !held.long_running) {
+            service.learn_run(now, ran_ms, ratio);
+        }
+    }
+}
+
+/// Gangs and tasks that last take their room for long: keeping as much free again would be of no use.
+fn counts_as_demand(gang: bool, long_running: bool) -> bool {
+    !gang && !long_running
+}
+
+fn filed_load(worker: &Worker) -> u32 {
+    (worker.load() * 1000.0).clamp(0.0, HIGHEST_FILED) as u32
+}
+
+fn unknown_worker(id: &WorkerId, service: &Arc<str>) -> WorkerInfo {
+    WorkerInfo {
+        id: id.clone(),
+        service: service.clone(),
+        zone: "".into(),
+        labels: Vec::new(),
+        capacity: Resources::default(),
+        open: false,
+    }
 }
 
-fn held(unit: &Unit) -> Held {
+/// What is known of the runs of a unit.
+pub(crate) fn held_of(unit: &Unit) -> Held {
     Held {
         unit: unit.id.clone(),
         resources: unit.resources,
--- /dev/null
+++ b/crates/placement/src/room.rs
@@ -0,0 +1,208 @@
+//! One worker: its room, what takes it, what it is kept for, and its queue of copies.
+
+use crate::amounts::{dominant_share, times};
+use crate::learning::{Charge, Speed};
+use crate::queue::{Key, Slot};
+use crate::run::Run;
+use crate::types::WorkerInfo;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use streamusher_protocol::heartbeat::Resources;
+use streamusher_protocol::task::TaskId;
+use streamusher_protocol::unit::{StepId, WorkerId};
+use streamusher_protocol::Millis;
+
+/// Room kept at a worker for a unit that waits.
+#[derive(Clone, Debug)]
+pub(crate) struct Reservation {
+    pub key: Key,
+    pub resources: Resources,
+    /// When the room is expected to be there: what ends before may use it.
+    pub ready_at: Millis,
+    pub until: Millis,
+}
+
+/// One worker.
+#[derive(Debug)]
+pub(crate) struct Worker {
+    pub info: WorkerInfo,
+    /// Room taken by what runs, is ordered or is stopping.
+    pub used: Resources,
+    pub runs: BTreeMap<TaskId, Run>,
+    /// Room taken, by priority.
+    by_priority: BTreeMap<u32, Resources>,
+    /// Tasks here, by step.
+    steps: HashMap<StepId, u32>,
+    /// Copies that wait here.
+    pub queue: BTreeSet<Key>,
+    /// What the copies ask for.
+    pub queued: Resources,
+    pub reservations: Vec<Reservation>,
+    pub charge: Charge,
+    pub speed: Speed,
+    /// Its load as filed in the service's lists.
+    pub filed_load: u32,
+}
+
+impl Worker {
+    pub fn new(info: WorkerInfo) -> Worker {
+        Worker {
+            info,
+            used: Resources::default(),
+            runs: BTreeMap::new(),
+            by_priority: BTreeMap::new(),
+            steps: HashMap::new(),
+            queue: BTreeSet::new(),
+            queued: Resources::default(),
+            reservations: Vec::new(),
+            charge: Charge::default(),
+            speed: Speed::default(),
+            filed_load: 0,
+        }
+    }
+
+    /// Takes room for a run; false if the task has room here already.
+    pub fn take(&mut self, task: &TaskId, run: Run) -> bool {
+        if self.runs.contains_key(task) {
+            return false;
+        }
+        self.used = self.used.plus(&run.held.resources);
+        let same = self.by_priority.entry(run.held.priority).or_default();
+        *same = same.plus(&run.held.resources);
+        *self.steps.entry(run.held.unit.step.clone()).or_insert(0) += 1;
+        self.runs.insert(task.clone(), run);
+        true
+    }
+
+    /// Gives a run's room back.
+    pub fn give_back(&mut self, task: &TaskId) -> Option<Run> {
+        let run = self.runs.remove(task)?;
+        let counted = !(cfg!(feature = "mutant-stopping-room") && run.stopping);
+        if counted {
+            self.used = self.used.minus(&run.held.resources);
+        }
+        if let Some(same) = self.by_priority.get_mut(&run.held.priority) {
+            *same = same.minus(&run.held.resources);
+        }
+        if let Some(count) = self.steps.get_mut(&run.held.unit.step) {
+            *count -= 1;
+            if *count == 0 {
+                self.steps.remove(&run.held.unit.step);
+            }
+        }
+        Some(run)
+    }
+
+    /// Notes that a run was told to stop.
+    pub fn stop(&mut self, task: &TaskId) {
+        let Some(run) = self.runs.get_mut(task).filter(|run| !run.stopping) else { return };
+        run.stopping = true;
+        if cfg!(feature = "mutant-stopping-room") {
+            self.used = self.used.minus(&run.held.resources);
+        }
+    }
+
+    pub fn free(&self) -> Resources {
+        self.info.capacity.minus(&self.used)
+    }
+
+    /// Whether a task fits without delaying what room is kept for.
+    pub fn fits(&self, now: Millis, key: Key, asked: &Resources, expected_ms: f64) -> bool {
+        let free = self.free();
+        if !free.covers(asked) {
+            return false;
+        }
+        let ends_at = now as f64 + expected_ms;
+        let in_the_way =
+            |kept: &&Reservation| kept.key < key && kept.until > now && ends_at > kept.ready_at as f64;
+        let delayed = self.reservations.iter().filter(in_the_way);
+        delayed.fold(free, |free, kept| free.minus(&kept.resources)).covers(asked)
+    }
+
+    /// Tasks of a step that have room here.
+    pub fn count_of(&self, step: &StepId) -> u32 {
+        self.steps.get(step).copied().unwrap_or(0)
+    }
+
+    /// Room taken by what is less urgent than the priority.
+    pub fn used_below(&self, priority: u32) -> Resources {
+        let below = self.by_priority.range(priority.saturating_add(1)..);
+        below.fold(Resources::default(), |sum, (_, used)| sum.plus(used))
+    }
+
+    /// Share of the room that is taken, and asked for by copies that wait.
+    pub fn load(&self) -> f64 {
+        dominant_share(&self.used.plus(&self.queued), &self.info.capacity)
+    }
+
+    pub fn has_label(&self, label: &str) -> bool {
+        self.info.labels.iter().any(|own| &**own == label)
+    }
+
+    pub fn add_copy(&mut self, key: Key, asked: &Resources) -> bool {
+        let new = self.queue.insert(key);
+        if new {
+            self.queued = self.queued.plus(asked);
+        }
+        new
+    }
+
+    pub fn remove_copy(&mut self, key: Key, asked: &Resources) {
+        if self.queue.remove(&key) {
+            self.queued = self.queued.minus(asked);
+        }
+    }
+
+    pub fn unreserve(&mut self, key: Key) {
+        self.reservations.retain(|kept| kept.key != key);
+    }
+
+    pub fn reserve(&mut self, key: Key, asked: &Resources, members: u32, ready_at: Millis, until: Millis) {
+        self.unreserve(key);
+        let resources = times(asked, u64::from(members));
+        self.reservations.push(Reservation { key, resources, ready_at, until });
+    }
+}
+
+/// All workers, by index.
+#[derive(Debug, Default)]
+pub(crate) struct Workers {
+    slots: Vec<Option<Worker>>,
+    free: Vec<Slot>,
+    by_id: HashMap<WorkerId, Slot>,
+}
+
+impl Workers {
+    pub fn slot_of(&self, id: &str) -> Option<Slot> {
+        self.by_id.get(id).copied()
+    }
+
+    pub fn get(&self, slot: Slot) -> Option<&Worker> {
+        self.slots.get(slot as usize)?.as_ref()
+    }
+
+    pub fn get_mut(&mut self, slot: Slot) -> Option<&mut Worker> {
+        self.slots.get_mut(slot as usize)?.as_mut()
+    }
+
+    pub fn add(&mut self, worker: Worker) -> Slot {
+        let slot = self.free.pop().unwrap_or(self.slots.len() as Slot);
+        self.by_id.insert(worker.info.id.clone(), slot);
+        match self.slots.get_mut(slot as usize) {
+            Some(place) => *place = Some(worker),
+            None => self.slots.push(Some(worker)),
+        }
+        slot
+    }
+
+    pub fn remove(&mut self, slot: Slot) -> Option<Worker> {
+        let worker = self.slots.get_mut(slot as usize)?.take()?;
+        self.by_id.remove(&worker.info.id);
+        self.free.push(slot);
+        Some(worker)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (Slot, &Worker)> {
+        let slots = self.slots.iter().enumerate();
+        slots.filter_map(|(slot, worker)| Some((slot as Slot, worker.as_ref()?)))
+    }
+}
--- /dev/null
+++ b/crates/placement/tests/urgency.rs
@@ -0,0 +1,238 @@
+//! Gangs, preemption, room kept for urgent work.
+
+mod common;
+
+use common::*;
+use rstest::rstest;
+use streamusher_placement::WorkerInfo;
+use streamusher_protocol::task::RunEnd;
+use streamusher_protocol::unit::Unit;
+
+#[test]
+fn given_room_for_some_members_when_a_gang_waits_then_none_is_started() {
+    let mut cluster = Cluster::new(1, [worker("w1", 2_000, "r1"), worker("w2", 2_000, "r1")]);
+    cluster.enqueue(unit(1, 1_000, 1));
+    cluster.place();
+    cluster.enqueue(gang(2, 4, 1_000, 1));
+    assert!(cluster.run_for(4_000).is_empty());
+    let at: std::sync::Arc<str> = cluster.where_is(1).unwrap().into();
+    cluster.end(&task(1), &at, RunEnd::Done);
+    assert_eq!(cluster.place().len(), 4, "all members in one decision");
+}
+
+#[test]
+fn given_two_racks_when_a_gang_wants_one_then_all_members_are_on_one() {
+    let workers = [("w1", "r1"), ("w2", "r2"), ("w3", "r2"), ("w4", "r1")];
+    let mut cluster = Cluster::new(1, workers.map(|(id, rack)| worker(id, 2_000, rack)));
+    cluster.enqueue(unit(1, 1_500, 1));
+    cluster.place();
+    cluster.enqueue(Unit { same_rack: true, ..gang(2, 4, 1_000, 1) });
+    let started = cluster.place();
+    let racks: Vec<_> = started.iter().map(|(_, at)| cluster.workers[at].labels[1].clone()).collect();
+    assert_eq!(racks.len(), 4);
+    assert!(racks.iter().all(|rack| *rack == racks[0]), "{racks:?}");
+}
+
+#[test]
+fn given_racks_that_are_too_small_when_a_gang_wants_one_then_it_takes_several() {
+    let mut cluster = Cluster::new(1, [worker("w1", 1_000, "r1"), worker("w2", 1_000, "r2")]);
+    cluster.enqueue(Unit { same_rack: true, ..gang(1, 2, 1_000, 1) });
+    assert_eq!(cluster.place().len(), 2);
+}
+
+#[test]
+fn given_a_busy_rack_when_a_gang_has_waited_as_long_as_distance_costs_then_it_takes_several() {
+    let workers = [("w1", "r1"), ("w2", "r1"), ("w3", "r2"), ("w4", "r2")];
+    let mut cluster = Cluster::new(1, workers.map(|(id, rack)| worker(id, 1_000, rack)));
+    for number in [1, 2] {
+        let rack = if number == 1 { "r1" } else { "r2" };
+        let pinned = Unit { node_selector: Some(rack.into()), ..unit(number, 1_000, 1) };
+        cluster.enqueue(Unit { estimated_ms: 30_000, ..pinned });
+    }
+    assert_eq!(cluster.place().len(), 2);
+    cluster.enqueue(Unit { same_rack: true, ..gang(3, 2, 1_000, 1) });
+    assert!(cluster.place().is_empty());
+    assert_eq!(cluster.run_for(1_000).len(), 2);
+}
+
+#[test]
+fn given_a_limit_per_worker_when_a_gang_is_placed_then_it_holds_for_its_members() {
+    let mut cluster = Cluster::new(1, ["w1", "w2", "w3"].map(|id| worker(id, 9_000, "r1")));
+    cluster.enqueue(Unit { anti_affinity: 1, ..gang(1, 3, 1_000, 1) });
+    cluster.enqueue(Unit { anti_affinity: 1, ..gang(2, 4, 1_000, 1) });
+    assert_eq!(cluster.run_for(3_000).len(), 3, "the gang of four has too few workers");
+}
+
+#[test]
+fn given_a_full_service_when_an_urgent_task_comes_then_the_cheapest_is_stopped_once() {
+    let mut cluster = Cluster::new(1, [worker("w1", 2_000, "r1"), worker("w2", 2_000, "r1")]);
+    for number in 1..=4 {
+        let checkpoints = number == 3;
+        cluster.enqueue(Unit { checkpoints, estimated_ms: 20_000, ..unit(number, 1_000, 2) });
+    }
+    cluster.place();
+    cluster.run_for(5_000);
+    cluster.enqueue(unit(9, 1_000, 0));
+    cluster.run_for(STOP_MS);
+    assert_eq!(cluster.preempted, [task(3)], "the one that saves");
+    let at: std::sync::Arc<str> = cluster.where_is(3).unwrap().into();
+    cluster.end(&task(3), &at, RunEnd::Stopped);
+    assert_eq!(cluster.place(), [(task(9), at)]);
+}
+
+#[test]
+fn given_room_made_for_an_urgent_task_when_a_lesser_one_waits_too_then_it_does_not_get_it() {
+    let mut cluster = Cluster::new(1, [worker("w1", 1_000, "r1")]);
+    cluster.enqueue(Unit { estimated_ms: 20_000, ..unit(1, 1_000, 2) });
+    cluster.place();
+    cluster.enqueue(unit(2, 500, 2));
+    cluster.run_for(100);
+    cluster.enqueue(unit(3, 1_000, 0));
+    cluster.run_for(200);
+    assert_eq!(cluster.preempted, [task(1)]);
+    cluster.end(&task(1), &"w1".into(), RunEnd::Stopped);
+    assert_eq!(cluster.place(), [(task(3), "w1".into())]);
+}
+
+#[rstest]
+#[case::equal_priority(2, 2, false)]
+#[case::lower_priority(2, 1, false)]
+#[case::gang_for_less_than_the_most_urgent(1, 2, true)]
+fn given_what_may_not_be_stopped_when_a_task_is_stuck_then_nothing_is_stopped(
+    #[case] wants: u32, #[case] runs: u32, #[case] as_gang: bool,
+) {
+    let mut cluster = Cluster::new(1, [worker("w1", 2_000, "r1")]);
+    let running = if as_gang { gang(1, 2, 1_000, runs) } else { unit(1, 2_000, runs) };
+    cluster.enqueue(Unit { estimated_ms: 60_000, checkpoints: true, ..running });
+    cluster.place();
+    cluster.enqueue(unit(2, 1_000, wants));
+    cluster.run_for(5_000);
+    assert!(cluster.preempted.is_empty());
+}
+
+#[test]
+fn given_only_gangs_when_the_most_urgent_is_stuck_then_a_member_is_stopped() {
+    let mut cluster = Cluster::new(1, [worker("w1", 2_000, "r1")]);
+    cluster.enqueue(Unit { estimated_ms: 60_000, checkpoints: true, ..gang(1, 2, 1_000, 2) });
+    cluster.place();
+    cluster.enqueue(unit(2, 1_000, 0));
+    cluster.run_for(800);
+    assert_eq!(cluster.preempted.len(), 1);
+}
+
+#[test]
+fn given_dear_work_when_a_task_of_middle_priority_is_stuck_then_it_waits() {
+    let workers = [WorkerInfo { capacity: room(16_000, 16_000, 8), ..worker("w1", 16_000, "r1") }];
+    let mut cluster = Cluster::new(1, workers);
+    let dear = Unit { resources: room(15_000, 15_000, 8), estimated_ms: 30_000, ..unit(1, 0, 2) };
+    cluster.enqueue(dear);
+    cluster.place();
+    cluster.run_for(5_000);
+    cluster.enqueue(unit(2, 2_000, 1));
+    cluster.run_for(3_000);
+    assert!(cluster.preempted.is_empty(), "395 core-seconds would be lost");
+}
+
+#[test]
+fn given_what_ends_soon_when_an_urgent_task_comes_then_nothing_is_stopped() {
+    let mut cluster = Cluster::new(1, [worker("w1", 1_000, "r1")]);
+    cluster.enqueue(unit(1, 1_000, 2));
+    cluster.place();
+    cluster.run_for(800);
+    cluster.enqueue(unit(2, 1_000, 0));
+    cluster.run_for(200);
+    cluster.end_all_at("w1");
+    assert_eq!(cluster.place(), [(task(2), "w1".into())]);
+    assert!(cluster.preempted.is_empty());
+}
+
+#[test]
+fn given_small_tasks_all_over_when_a_more_urgent_gang_is_stuck_then_room_is_made_at_one_place() {
+    let mut cluster = Cluster::new(1, ["w1", "w2", "w3"].map(|id| worker(id, 4_000, "r1")));
+    for number in 1..=9 {
+        cluster.enqueue(Unit { checkpoints: true, estimated_ms: 20_000, ..unit(number, 1_000, 2) });
+    }
+    cluster.place();
+    cluster.enqueue(gang(20, 2, 4_000, 1));
+    cluster.run_for(STOP_MS);
+    let stopped: Vec<_> =
+        cluster.runs.iter().filter(|(_, run)| run.stopping).map(|(key, _)| key.clone()).collect();
+    assert_eq!(stopped.len(), 6, "what runs at two of the workers");
+    stopped.iter().for_each(|(task, at)| cluster.end(task, at, RunEnd::Stopped));
+    assert_eq!(cluster.place().len(), 2);
+}
+
+#[test]
+fn given_a_gang_that_waits_when_lesser_tasks_keep_coming_then_room_is_gathered_for_it() {
+    let mut cluster = Cluster::new(1, ["w1", "w2"].map(|id| worker(id, 4_000, "r1")));
+    (1..=8).for_each(|number| cluster.enqueue(unit(number, 1_000, 2)));
+    cluster.place();
+    cluster.enqueue(gang(9, 2, 4_000, 2));
+    for number in 10..110 {
+        cluster.enqueue(unit(number, 1_000, 2));
+        cluster.run_for(120);
+        let old = cluster.runs.iter().filter(|(_, run)| run.since + 1_000 <= cluster.now);
+        let ended: Vec<_> = old.map(|(key, _)| key.clone()).collect();
+        ended.iter().for_each(|(task, at)| cluster.end(task, at, RunEnd::Done));
+        if cluster.where_is(9).is_some() {
+            return;
+        }
+    }
+    panic!("the gang waited for 12 s");
+}
+
+/// Short urgent tasks come evenly for some seconds; then as much long work as there is.
+fn with_urgent_traffic_and_a_flood() -> Cluster {
+    let mut cluster = Cluster::new(1, ["w1", "w2", "w3", "w4"].map(|id| worker(id, 10_000, "r1")));
+    let mut number = 1;
+    for round in 0..300 {
+        cluster.enqueue(Unit { estimated_ms: 500, ..unit(number, 1_000, 0) });
+        number += 1;
+        if round == 200 {
+            for _ in 0..100 {
+                cluster.enqueue(Unit { estimated_ms: 30_000, ..unit(number, 1_000, 2) });
+                number += 1;
+            }
+        }
+        let urgent = cluster.run_for(100);
+        assert!(round < 210 || urgent.len() == 1, "an urgent task waits in round {round}");
+        let over: Vec<_> = cluster
+            .runs
+            .iter()
+            .filter(|(_, run)| run.unit.priority == 0 && run.since + 500 <= cluster.now)
+            .map(|(key, _)| key.clone())
+            .collect();
+        over.iter().for_each(|(task, at)| cluster.end(task, at, RunEnd::Done));
+    }
+    cluster
+}
+
+#[test]
+fn given_steady_urgent_traffic_when_long_work_floods_in_then_urgent_tasks_start_without_stops() {
+    let cluster = with_urgent_traffic_and_a_flood();
+    assert!(cluster.preempted.is_empty(), "{:?}", cluster.preempted);
+}
+
+#[test]
+fn given_steady_urgent_traffic_when_long_work_floods_in_then_it_gets_most_of_the_room() {
+    let cluster = with_urgent_traffic_and_a_flood();
+    let long = cluster.runs.values().filter(|run| run.unit.priority == 2).count();
+    assert!((26..=36).contains(&long), "{long} of 40 cores");
+}
+
+#[test]
+fn given_whole_workers_asked_for_when_small_tasks_come_then_they_are_packed() {
+    let names = ["w1", "w2", "w3", "w4"];
+    let with_gpus = |id| WorkerInfo { capacity: room(32_000, 64_000, 8), ..worker(id, 32_000, "r1") };
+    let mut cluster = Cluster::new(1, names.map(with_gpus));
+    cluster.enqueue(Unit { resources: room(15_000, 30_000, 8), ..gang(1, 1, 0, 1) });
+    cluster.place();
+    let at: std::sync::Arc<str> = cluster.where_is(1).unwrap().into();
+    cluster.end(&task(1), &at, RunEnd::Done);
+    for number in 2..=9 {
+        cluster.enqueue(Unit { resources: room(2_800, 6_000, 1), ..unit(number, 0, 2) });
+        cluster.place();
+    }
+    let empty = names.iter().filter(|id| cluster.at(id) == 0).count();
+    assert!(empty >= 2, "{empty} workers are left whole");
+}
