--- /dev/null
+++ b/crates/scheduler/tests/stories.rs
@@ -0,0 +1,221 @@
+//! When a run is ordered, when its room is free, and when its task may run anew.
+
+mod support;
+
+use streamusher_protocol::heartbeat::WorkerState;
+use streamusher_protocol::internal::ClientMethod;
+use streamusher_protocol::task::RunEnd;
+use support::{TestAgent, World, HOLD_MAX_MS, JOB};
+
+const ONE_TASK: &str = r#"[{"count":1,"cpu":600,"mem_mb":10,"estimated_ms":500}]"#;
+
+/// A job of one task, ordered at the only worker.
+fn given_an_ordered_task() -> (World, TestAgent) {
+    let mut world = World::new();
+    let mut agent = TestAgent::new("side-1", "i-1");
+    world.settle(&mut agent);
+    assert_eq!(world.submit(ONE_TASK).status, 200);
+    world.settle(&mut agent);
+    assert_eq!(agent.start.len(), 1);
+    (world, agent)
+}
+
+/// The same, and the task runs.
+fn given_a_running_task() -> (World, TestAgent) {
+    let (mut world, mut agent) = given_an_ordered_task();
+    agent.begin_all();
+    world.settle(&mut agent);
+    (world, agent)
+}
+
+#[test]
+fn a_job_runs_and_is_shown_as_succeeded() {
+    let (mut world, mut agent) = given_a_running_task();
+    assert!(world.state_of_job().contains("running"));
+    agent.end_all(RunEnd::Done);
+    world.settle(&mut agent);
+    assert!(world.state_of_job().contains("succeeded"));
+    assert_eq!(agent.last_seen, 1, "the end is taken note of");
+    assert!(agent.start.is_empty() && agent.stop.is_empty());
+}
+
+#[test]
+fn a_job_handed_in_twice_stays_one() {
+    let (mut world, mut agent) = given_a_running_task();
+    assert_eq!(world.submit(ONE_TASK).status, 200);
+    world.wait(500);
+    world.settle(&mut agent);
+    assert!(agent.start.is_empty(), "nothing is started for the second call");
+}
+
+#[test]
+fn a_failed_task_is_tried_as_often_as_its_queue_allows() {
+    let (mut world, mut agent) = given_a_running_task();
+    agent.end_all(RunEnd::Failed);
+    world.settle(&mut agent);
+    assert_eq!(agent.start.len(), 1, "a second attempt");
+    agent.begin_all();
+    world.settle(&mut agent);
+    agent.end_all(RunEnd::Failed);
+    world.settle(&mut agent);
+    assert!(agent.start.is_empty());
+    assert!(world.state_of_job().contains("failed"));
+}
+
+#[test]
+fn a_run_that_may_have_begun_keeps_its_room_after_a_cancel() {
+    let (mut world, mut agent) = given_an_ordered_task();
+    agent.offer_all();
+    world.settle(&mut agent);
+    assert_eq!(world.call(ClientMethod::Delete, &format!("/q/{JOB}"), "").status, 200);
+    let other = "0000000000000001";
+    let body = format!(r#"{{"spec":"text","steps":{ONE_TASK}}}"#);
+    world.call(ClientMethod::Post, &format!("/q/{other}"), &body);
+    world.settle(&mut agent);
+    assert!(agent.start.is_empty(), "600 of 1,000 may be taken: the other task does not fit");
+    agent.beat_without();
+    world.settle(&mut agent);
+    assert_eq!(agent.start.len(), 1, "the cancelled run never began: its room is free");
+}
+
+#[test]
+fn a_silent_machine_keeps_its_task_until_its_lease_is_over() {
+    let (mut world, mut first) = given_a_running_task();
+    let mut second = TestAgent::new("side-2", "i-2");
+    let until = world.now + HOLD_MAX_MS;
+    while world.now < until {
+        world.settle(&mut second);
+        assert!(second.start.is_empty(), "at {} the task may still run at the silent machine", world.now);
+        world.wait(100);
+    }
+    world.wait(300);
+    world.settle(&mut second);
+    assert_eq!(second.start.len(), 1);
+    assert_eq!(second.start[0].1, 2, "a new run");
+    first.end_all(RunEnd::Done);
+    world.settle(&mut first);
+    assert!(!world.state_of_job().contains("succeeded"), "an end from beyond the lease is not used");
+}
+
+#[test]
+fn a_new_primary_waits_for_leases_that_the_former_one_may_have_granted() {
+    let (mut world, mut first) = given_a_running_task();
+    world.wait(3_000);
+    world.fail_over();
+    let mut second = TestAgent::new("side-2", "i-2");
+    let until = world.now + HOLD_MAX_MS;
+    while world.now < until {
+        world.settle(&mut second);
+        assert!(second.start.is_empty(), "at {} the task may still run at the silent machine", world.now);
+        world.wait(100);
+    }
+    world.wait(300);
+    world.settle(&mut second);
+    assert_eq!(second.start.len(), 1);
+    assert_eq!(first.running().len(), 1);
+    world.settle(&mut first);
+    assert_eq!(first.stop.len(), 1, "a run that is over for us is told to stop");
+}
+
+#[test]
+fn a_new_primary_takes_over_what_runs() {
+    let (mut world, mut agent) = given_a_running_task();
+    world.fail_over();
+    world.settle(&mut agent);
+    assert!(agent.start.is_empty() && agent.stop.is_empty());
+    agent.end_all(RunEnd::Done);
+    world.settle(&mut agent);
+    assert!(world.state_of_job().contains("succeeded"));
+}
+
+#[test]
+fn a_new_primary_orders_again_what_had_not_begun() {
+    let (mut world, mut agent) = given_an_ordered_task();
+    let first = agent.start.clone();
+    world.fail_over();
+    agent.beat_without();
+    world.settle(&mut agent);
+    assert_eq!(agent.start, first, "the same run, which was recorded before it was ordered");
+}
+
+#[test]
+fn another_worker_on_the_machine_proves_that_the_former_one_is_dead() {
+    let (mut world, mut agent) = given_a_running_task();
+    agent.replace_worker("i-9");
+    world.settle(&mut agent);
+    assert_eq!(agent.start.len(), 1);
+    assert_eq!(agent.start[0].1, 2);
+}
+
+#[test]
+fn another_worker_proves_the_former_one_dead_after_a_failover_too() {
+    let (mut world, mut agent) = given_a_running_task();
+    world.fail_over();
+    agent.replace_worker("i-9");
+    world.settle(&mut agent);
+    assert_eq!(agent.start.len(), 1);
+}
+
+#[test]
+fn a_worker_that_drains_is_given_nothing() {
+    let mut world = World::new();
+    let mut agent = TestAgent::new("side-1", "i-1");
+    agent.report.state = WorkerState::Draining;
+    world.settle(&mut agent);
+    world.submit(ONE_TASK);
+    world.wait(500);
+    world.settle(&mut agent);
+    assert!(agent.start.is_empty());
+}
+
+#[test]
+fn a_restarted_agent_goes_on_with_its_worker() {
+    let (mut world, mut agent) = given_a_running_task();
+    agent.boot = 2;
+    agent.beat_without();
+    world.settle(&mut agent);
+    assert!(agent.start.is_empty() && agent.stop.is_empty());
+    agent.end_all(RunEnd::Done);
+    world.settle(&mut agent);
+    assert!(world.state_of_job().contains("succeeded"));
+}
+
+#[test]
+fn a_run_that_nobody_ordered_is_stopped() {
+    let (mut world, mut agent) = given_a_running_task();
+    let mut stray = agent.report.running[0].clone();
+    stray.1 = 7;
+    agent.report.sequence += 1;
+    agent.report.running.push(stray);
+    world.settle(&mut agent);
+    assert_eq!(agent.stop.len(), 1);
+    assert_eq!(agent.stop[0].run, 7);
+}
+
+#[test]
+fn a_task_that_stands_still_is_moved() {
+    let (mut world, mut first) = given_a_running_task();
+    let mut second = TestAgent::new("side-2", "i-2");
+    for _ in 0..40 {
+        world.settle(&mut first);
+        world.settle(&mut second);
+        world.wait(100);
+    }
+    world.settle(&mut first);
+    assert_eq!(first.stop.len(), 1);
+    assert!(second.start.is_empty(), "not before the stop is listed");
+    first.end_all(RunEnd::Stopped);
+    world.settle(&mut first);
+    world.settle(&mut second);
+    assert_eq!(second.start.len(), 1, "elsewhere");
+}
+
+#[test]
+fn calls_that_make_no_sense_are_answered_with_the_fault() {
+    let mut world = World::new();
+    assert_eq!(world.call(ClientMethod::Get, "/nowhere/", "").status, 404);
+    assert_eq!(world.call(ClientMethod::Get, &format!("/q/{JOB}"), "").status, 410);
+    assert_eq!(world.call(ClientMethod::Post, "/q/xyz", "{}").status, 400);
+    assert_eq!(world.call(ClientMethod::Post, &format!("/q/{JOB}"), "{\"steps\":").status, 400);
+    assert_eq!(world.call(ClientMethod::Get, "/q/", "").body.as_ref(), r#"{"waiting":0}"#);
+}
