--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use streamusher_protocol::heartbeat::{FinishedRun, Resources, RunningTask, StartOrder, WorkerState};
-use streamusher_protocol::internal::{AgentOrders, AgentSync, ClientCall, ClientMethod, ClientReply, WorkerReport};
+use streamusher_protocol::internal::{
+    AgentOrders, AgentSync, ClientCall, ClientMethod, ClientReply, WorkerReport,
+};
 use streamusher_protocol::task::{RunEnd, RunId, TaskId};
 use streamusher_protocol::{Millis, Now};
 use streamusher_scheduler::{Bounds, Event, OperatorOrder, OrderKind, Reply, Scheduler, Settings};
@@ -87,13 +89,15 @@
     pub fn fail_over(&mut self) {
         self.epoch += 1;
         let state = self.state.clone();
-        self.scheduler = Scheduler::recover(settings(), self.epoch, clock(self.now), state).expect("own state");
+        self.scheduler =
+            Scheduler::recover(settings(), self.epoch, clock(self.now), state).expect("own state");
         self.replies.clear();
     }
 
     pub fn call(&mut self, method: ClientMethod, path: &str, body: &str) -> ClientReply {
         let request = self.request();
-        let call = ClientCall { method, host: "h".into(), path: path.into(), body: body.into(), configuration: 1 };
+        let call =
+            ClientCall { method, host: "h".into(), path: path.into(), body: body.into(), configuration: 1 };
         self.handle(Event::Client { request, call });
         match self.replies.remove(&request) {
             Some(Reply::Client(reply)) => reply,
