--- a/crates/dataplane/src/agent_program.rs
+++ b/crates/dataplane/src/agent_program.rs
@@ -70,9 +70,11 @@
     let handle = server.handle();
     let serving = program.clone();
     let served = tokio::task::spawn_local(server.run(move |call| serving.clone().answer(call)));
+    log::info!("the agent takes heartbeats");
     while signals.next().await? == Signal::Reload {
         program.reload();
     }
+    log::info!("the agent ends");
     program.release();
     handle.close();
     process::at_most(LEAVING, served).await;
--- a/crates/dataplane/src/core/link.rs
+++ b/crates/dataplane/src/core/link.rs
@@ -182,7 +182,12 @@
     }
 
     fn change(&self, change: impl FnOnce(&mut CoreFinder, Millis)) {
-        change(&mut self.shared.finder.borrow_mut(), clock::steady());
+        {
+            let mut finder = self.shared.finder.borrow_mut();
+            let before = finder.primary().cloned();
+            change(&mut finder, clock::steady());
+            log_change(before.as_ref(), &finder);
+        }
         self.forget_clients();
         self.shared.changed.notify_waiters();
     }
@@ -204,6 +209,14 @@
     }
 }
 
+fn log_change(before: Option<&CoreAddress>, finder: &CoreFinder) {
+    match finder.primary() {
+        after if after == before => {}
+        Some(primary) => log::info!("the primary of epoch {} is {}", finder.epoch(), primary.internal),
+        None => log::info!("no primary is known: asking {} members", finder.members().len()),
+    }
+}
+
 fn post_call<T: Serialize>(path: &str, body: &T) -> Result<Call, http::Error> {
     let body = serde_json::to_vec(body).unwrap_or_default();
     http::Request::post(path).header(CONTENT_TYPE, "application/json").body(Bytes::from(body))
--- a/crates/dataplane/src/gate/program.rs
+++ b/crates/dataplane/src/gate/program.rs
@@ -81,9 +81,11 @@
     let handle = front.handle();
     let serving = gate.clone();
     let served = tokio::task::spawn_local(front.run(move |call| serving.clone().answer(call)));
+    log::info!("the gate takes clients");
     while signals.next().await? == Signal::Reload {
         gate.reload();
     }
+    log::info!("the gate leaves");
     gate.leave();
     close(&handle, Duration::from_millis(settings.bounds.grace_ms()), served).await;
     Ok(())
