Relay tree: the newest configuration to every process of the data plane, as a pure part

Change: members compute one tree from the roster (fan-out 8, order by a hash), pass changes on as the operators' updates or whole, and send heartbeats with their version and the root's pulse. Silence for 600 ms, or no newer pulse for 1,200 ms, makes a member ask its ancestors, the core last; who is asked adopts the caller. No program uses it yet.

--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`file`]: checking of a configuration file given on the command line.
 //! - [`document`]: a configuration as text, and the result of an update on it.
 //! - [`routes`]: choice of the route by host and longest prefix.
+//! - [`relay`]: how the newest configuration reaches every process of the data plane.
 //! - [`order`]: stable names of orders, and the record of those that were taken.
 //!
 //! Nothing here does I/O (but for [`file::check_file`], which reads its file) and nothing here knows the time.
@@ -18,6 +19,7 @@
 mod fault;
 pub mod file;
 pub mod order;
+pub mod relay;
 pub mod routes;
 pub mod store;
 pub mod wire;
--- /dev/null
+++ b/crates/configuration/src/relay/mod.rs
@@ -0,0 +1,70 @@
+//! The relay tree: how the newest configuration reaches every process of the data plane.
+//!
+//! The primary ([`RelayRoot`]) tells [`FAN_OUT`] members, each of these ([`RelayNode`]) as many more. Whoever has the same
+//! roster computes the same tree ([`tree::Tree`]). A change goes down as the operator's update, or whole where the receiver
+//! lacks its base. Three means make up for dead, frozen and cut members:
+//!
+//! - Each member sends heartbeats to its children, with its version and the newest [`Pulse`] of the root that it knows. Who
+//!   hears nothing for [`SILENCE`], or no newer pulse for [`STALL`], asks its ancestors one after the other, the core last.
+//! - Whoever is asked adopts the caller: it sends it heartbeats and updates too, until a heartbeat of its own parent ends that.
+//! - Who hears of a version that does not come asks for it.
+//!
+//! Versions only rise within a life. Everything is told the time; nothing here draws random numbers or does I/O.
+
+mod archive;
+mod downstream;
+pub mod message;
+pub mod node;
+pub mod root;
+pub mod tree;
+mod upstream;
+
+pub use message::{Change, Peer, Pulse, RelayMessage, Send};
+pub use node::{Actions, RelayNode};
+pub use root::RelayRoot;
+pub use tree::{Roster, Tree};
+
+use streamusher_protocol::Millis;
+
+/// Children of a member: four levels reach 4,680 members, and a member's heartbeats stay at 40 a second.
+pub const FAN_OUT: usize = 8;
+
+/// Between two heartbeats to a child.
+pub const HEARTBEAT_INTERVAL: Millis = 200;
+
+/// Without any heartbeat for so long, a member looks for another sender: three intervals, so that one may be late.
+pub const SILENCE: Millis = 600;
+
+/// Without a newer pulse for so long, a member looks for another sender: its own one is cut off itself. More than
+/// [`SILENCE`], so that a member leaves it to its parent to mend what lies above.
+pub const STALL: Millis = 1_200;
+
+/// How long an ancestor may take to answer a question before the next one is asked.
+pub const ASK_TIMEOUT: Millis = 150;
+
+/// First pause once all ancestors were asked in vain; it doubles up to [`LONGEST_PAUSE`].
+pub const FIRST_PAUSE: Millis = 250;
+
+/// Longest pause between two rounds of questions: members ask the core so often while it has no primary.
+pub const LONGEST_PAUSE: Millis = 1_000;
+
+/// How long a version that was heard of may be on its way before it is asked for.
+pub const UNDERWAY: Millis = 100;
+
+/// Between two questions for the same version: a whole configuration takes its time, and is not to be sent twice.
+pub const LACK_RETRY: Millis = 500;
+
+/// How long a caller stays adopted after its last question.
+pub const ADOPTION: Millis = 2_500;
+
+/// Between two questions of an adopted member, which renew its adoption.
+pub const RENEWAL: Millis = 1_000;
+
+/// Heartbeats whose pulse is further behind come from a member that is cut off, and count for nothing.
+pub const STALE_BEATS: u64 = 5;
+
+/// A whole configuration up to this size is sent on at once; of a longer one only word is sent, and who lacks it asks.
+pub const PUSHED_BYTES: usize = 65_536;
+
+/// Changes kept for those that lack some; together no longer than the whole configuration.
+pub const KEPT_CHANGES: usize = 16;
--- a/crates/configuration/tests/support/mod.rs
+++ b/crates/configuration/tests/support/mod.rs
@@ -1,6 +1,9 @@
 //! What the tests share: sample configurations, a seeded source of numbers, the committed records.
 #![allow(dead_code)]
 
+pub mod fleet;
+mod network;
+
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- /dev/null
+++ b/crates/configuration/tests/support/network.rs
@@ -0,0 +1,121 @@
+//! How a fleet's events are played and its messages carried.
+
+use super::fleet::{Event, Fleet, DELAY};
+use std::sync::Arc;
+use streamusher_configuration::relay::{Actions, Peer, RelayMessage, Send};
+use streamusher_protocol::Millis;
+
+impl Fleet {
+    pub(super) fn push(&mut self, at: Millis, event: Event) {
+        self.sent += 1;
+        self.events.insert((at, self.sent), event);
+    }
+
+    pub(super) fn play(&mut self, event: Event) {
+        let owner = match &event {
+            Event::Deliver { to: Peer::Member(address), .. }
+            | Event::Tick(address)
+            | Event::Roster(address, _) => Some(address.clone()),
+            _ => None,
+        };
+        let Some(address) = owner else { return self.play_at_root(event) };
+        let Some(member) = self.members.get_mut(&address).filter(|member| member.alive) else { return };
+        if member.frozen_until > self.now {
+            let until = member.frozen_until;
+            return self.push(until, event);
+        }
+        let now = self.now;
+        let actions = match event {
+            Event::Deliver { from, message, .. } => member.node.receive(now, &from, (*message).clone()),
+            Event::Roster(_, roster) => member.node.set_roster(now, &roster),
+            Event::Tick(_) => {
+                member.scheduled = Millis::MAX;
+                member.node.tick(now)
+            }
+            Event::RootTick(_) => return,
+        };
+        self.act(&address, actions);
+    }
+
+    fn play_at_root(&mut self, event: Event) {
+        match event {
+            Event::RootTick(index) => {
+                let now = self.now;
+                let sends = self.roots[index].tick(now);
+                self.send(&Peer::Core, index, sends);
+                let next = self.roots[index].next_tick().min(now + 100).max(now + 1);
+                self.push(next, Event::RootTick(index));
+            }
+            Event::Deliver { from, from_root, message, .. } => {
+                let sends = self.roots[from_root].receive(self.now, &from, (*message).clone());
+                self.send(&Peer::Core, from_root, sends);
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn act(&mut self, address: &Arc<str>, actions: Actions) {
+        let member = self.members.get_mut(address).expect("a member");
+        if let Some(configuration) = actions.configuration {
+            let version = configuration.version;
+            let last = member.applied.last().map_or(0, |(version, _)| *version);
+            assert!(version > last, "{address} goes back from {last} to {version}");
+            let text = member.node.text().expect("it has one").get();
+            assert_eq!(text, self.history[&version].get(), "{address} has another version {version}");
+            member.applied.push((version, self.now));
+        }
+        self.send(&Peer::Member(address.clone()), self.acting, actions.sends);
+        self.schedule(address);
+    }
+
+    pub(super) fn schedule(&mut self, address: &Arc<str>) {
+        let member = self.members.get_mut(address).expect("a member");
+        let next = member.node.next_tick().max(self.now);
+        if next < member.scheduled {
+            member.scheduled = next;
+            self.push(next, Event::Tick(address.clone()));
+        }
+    }
+
+    pub(super) fn send(&mut self, from: &Peer, root: usize, sends: Vec<Send>) {
+        for Send { to, message } in sends {
+            let bytes = serde_json::to_string(&message).expect("JSON").len() as u64;
+            let message = Arc::new(message);
+            for to in to {
+                self.count(&message, bytes);
+                self.transmit(from, to, root, &message);
+            }
+        }
+    }
+
+    fn count(&mut self, message: &RelayMessage, bytes: u64) {
+        let traffic = match message {
+            RelayMessage::Heartbeat { ask: false, .. } => &mut self.account.heartbeats,
+            RelayMessage::Ask { .. } => &mut self.account.questions,
+            _ => &mut self.account.updates,
+        };
+        traffic.messages += 1;
+        traffic.bytes += bytes;
+    }
+
+    fn transmit(&mut self, from: &Peer, to: Peer, root: usize, message: &Arc<RelayMessage>) {
+        if !self.is_linked(from, &to, root) || self.numbers.below(1_000) < self.loss {
+            return;
+        }
+        let copies = if self.numbers.below(1_000) < self.repeats { 2 } else { 1 };
+        for _ in 0..copies {
+            let at = self.now + DELAY + self.numbers.below(self.jitter + 1);
+            let (to, from, message) = (to.clone(), from.clone(), message.clone());
+            self.push(at, Event::Deliver { to, from, from_root: root, message });
+        }
+    }
+
+    fn is_linked(&self, from: &Peer, to: &Peer, root: usize) -> bool {
+        let is_cut = |peer: &Peer| match peer {
+            Peer::Core => self.cut_roots.contains(&root),
+            Peer::Member(address) => self.cut.contains(address),
+        };
+        let pair = |one: &Peer, other: &Peer| self.cut_pairs.contains(&(one.clone(), other.clone()));
+        !is_cut(from) && !is_cut(to) && !pair(from, to) && !pair(to, from)
+    }
+}
