Data plane: a gate's life as a process is tested; the withdrawn start's test is decisive

The program had no test as a process, and the test of a withdrawn start passed also without the news that it is about (found by taking that line out): it is replaced by one in which another sync waits.

--- a/crates/dataplane/tests/agent.rs
+++ b/crates/dataplane/tests/agent.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use rstest::rstest;
-use streamusher_dataplane::agent::{Agent, AgentAction};
+use streamusher_dataplane::agent::{Agent, AgentAction, AgentEvent};
 use streamusher_protocol::heartbeat::{HeartbeatAnswer, RunningTask};
 use streamusher_protocol::internal::AgentOrders;
 use streamusher_protocol::task::RunId;
@@ -222,20 +222,21 @@
 }
 
 #[test]
-fn given_a_start_that_is_withdrawn_when_applied_then_the_primary_is_told_at_once() {
+fn given_a_start_that_is_withdrawn_when_applied_then_the_primary_is_told_though_a_sync_waits() {
     let mut story = Story::in_contact();
     story.heartbeat(at_work(1, &[running(9, 1)]));
-    story.pass(60);
     story.answer_sync(orders(1, 2, &[start(1, 1)]));
-    story.pass(60);
-    let before = story.syncs.len();
+    story.pass(100);
+    story.heartbeat(draining(2));
+    story.pass(100);
+    let older = story.waiting.remove(0);
+    let before = story.newest_sync().sequence;
+    assert!(older < before && story.waiting.contains(&before));
 
-    story.answer_sync(orders(1, 3, &[]));
-    story.pass(50);
+    story.event(AgentEvent::Orders { sequence: older, orders: orders(1, 3, &[]) });
 
-    assert!(story.syncs.len() > before);
     let sync = story.newest_sync();
-    assert_eq!(sync.revision, 3);
+    assert_eq!((sync.sequence, sync.revision), (before + 1, 3));
     assert!(sync.worker.as_ref().unwrap().offered.is_empty());
 }
 
@@ -304,11 +305,8 @@
     story.heartbeat(heartbeat(1));
     let first = story.request();
 
-    let actions = story.event(streamusher_dataplane::agent::AgentEvent::Heartbeat {
-        request: 99,
-        instance: "i-1".into(),
-        heartbeat: heartbeat(2),
-    });
+    let actions =
+        story.event(AgentEvent::Heartbeat { request: 99, instance: "i-1".into(), heartbeat: heartbeat(2) });
 
     assert_eq!(answer_to(&actions, first).unwrap().start, []);
     assert_eq!(answer_to(&actions, 99), None);
--- /dev/null
+++ b/crates/dataplane/tests/process.rs
@@ -0,0 +1,139 @@
+//! The program as a process: its command line, and a gate from its start to its end. What the process logs tells when
+//! the next step can be taken.
+
+#[path = "common/primary.rs"]
+mod primary;
+
+use http::StatusCode;
+use primary::*;
+use rstest::rstest;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use streamusher_node::http::{json, CallError, Client};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_streamusher-data");
+
+/// A settings file that is removed in the end.
+struct SettingsFile(PathBuf);
+
+impl SettingsFile {
+    fn write(name: &str, text: &str) -> SettingsFile {
+        let path = std::env::temp_dir().join(format!("streamusher-data-{}-{name}.toml", std::process::id()));
+        std::fs::write(&path, text).unwrap();
+        SettingsFile(path)
+    }
+}
+
+impl Drop for SettingsFile {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+fn gate_settings(core_port: u16, front: SocketAddr, ready: SocketAddr) -> String {
+    let last = core_port.saturating_add(15);
+    format!(
+        "node_name = \"front-1\"\nserves = [\"front\"]\nip = \"127.0.0.1\"\nport_range = [{core_port}, {last}]\n\
+         seeds = [\"127.0.0.1:1\"]\n[listen]\nfront = \"{front}\"\nready = \"{ready}\"\n[bounds]\ngrace_s = 2\n"
+    )
+}
+
+fn program(arguments: &[&str], settings: &Path) -> Command {
+    let mut command = Command::new(PROGRAM);
+    command.args(arguments).env("STREAMUSHER_SETTINGS", settings).env("STREAMUSHER_LOG", "info");
+    command.stdin(Stdio::null());
+    command
+}
+
+fn output(arguments: &[&str], settings: &Path) -> Output {
+    program(arguments, settings).output().unwrap()
+}
+
+fn free_addresses() -> [SocketAddr; 2] {
+    let listeners = [0, 1].map(|_| std::net::TcpListener::bind("127.0.0.1:0").unwrap());
+    listeners.map(|listener| listener.local_addr().unwrap())
+}
+
+fn send_signal(child: &Child, name: &str) {
+    let sent = Command::new("kill").args([name, &child.id().to_string()]).status().unwrap();
+    assert!(sent.success());
+}
+
+#[rstest]
+#[case::help(&["--help"], 0)]
+#[case::version(&["--version"], 0)]
+#[case::no_command(&[], 2)]
+#[case::unknown_command(&["door"], 2)]
+#[case::no_settings(&["gate", "--check"], 2)]
+fn given_a_command_line_when_run_then_the_exit_code_says_how_it_went(
+    #[case] line: &[&str], #[case] code: i32,
+) {
+    let output = output(line, Path::new("/nonexistent/settings.toml"));
+
+    assert_eq!(output.status.code(), Some(code));
+}
+
+#[test]
+fn given_settings_when_checked_then_a_gate_takes_them_and_an_agent_names_the_key() {
+    let [front, ready] = free_addresses();
+    let file = SettingsFile::write("check", &gate_settings(7_300, front, ready));
+
+    let gate = output(&["gate", "--check"], &file.0);
+    let agent = output(&["agent", "--check"], &file.0);
+
+    assert_eq!((gate.status.code(), agent.status.code()), (Some(0), Some(2)));
+    assert!(String::from_utf8_lossy(&agent.stderr).contains("serves"));
+}
+
+#[test]
+fn given_a_gate_when_it_is_stopped_then_it_serves_on_is_not_ready_and_ends_with_success() {
+    run(async {
+        let primary = Primary::start(|_call| std::future::ready(json(StatusCode::OK, &reply(200, "{}"))));
+        let [front, ready] = free_addresses();
+        let file = SettingsFile::write("life", &gate_settings(primary.address.port(), front, ready));
+        let mut child = program(&["gate"], &file.0).stderr(Stdio::piped()).spawn().unwrap();
+        let log = child.stderr.take().unwrap();
+        let mut log = spawn_log(log);
+        wait_on(&mut log, &["takes clients", "the primary of epoch"]).await;
+        let question = call("GET", "/streamusher/readiness", "");
+
+        let served = Client::new(front).call(call("POST", "/a/5c0e", "{}"), SOON).await.unwrap();
+        let ready_before = Client::new(ready).call(question.clone(), SOON).await.unwrap();
+        send_signal(&child, "-TERM");
+        wait_on(&mut log, &["the gate leaves"]).await;
+        let ready_after = Client::new(ready).call(question, SOON).await.unwrap();
+        let served_after = Client::new(front).call(call("POST", "/a/5c0e", "{}"), SOON).await.unwrap();
+        let ended = tokio::task::spawn_blocking(move || child.wait().unwrap()).await.unwrap();
+        let after_the_end = Client::new(front).call(call("POST", "/a/5c0e", "{}"), SOON).await;
+
+        assert_eq!((served.status(), served_after.status()), (StatusCode::OK, StatusCode::OK));
+        assert_eq!(ready_before.status(), StatusCode::OK);
+        assert_eq!(ready_after.status(), StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(ended.code(), Some(0));
+        assert!(matches!(after_the_end, Err(CallError::NotSent(_))));
+    });
+}
+
+type Lines = tokio::sync::mpsc::UnboundedReceiver<String>;
+
+/// The process's log, line by line; read on a thread, as the stand-in serves on this one.
+fn spawn_log(log: impl std::io::Read + Send + 'static) -> Lines {
+    let (sender, lines) = tokio::sync::mpsc::unbounded_channel();
+    std::thread::spawn(move || {
+        for line in BufReader::new(log).lines().map_while(Result::ok) {
+            let _ = sender.send(line);
+        }
+    });
+    lines
+}
+
+/// Waits until the log has lines with all that is wanted.
+async fn wait_on(lines: &mut Lines, wanted: &[&str]) {
+    let mut missing = wanted.to_vec();
+    while !missing.is_empty() {
+        let line = lines.recv().await.expect("the log ended too early");
+        missing.retain(|text| !line.contains(text));
+    }
+}
