--- a/crates/coordination/src/backup.rs
+++ b/crates/coordination/src/backup.rs
@@ -5,7 +5,7 @@
 use crate::disk::Effect;
 use crate::message::{Batch, Message};
 use crate::proposal::Purpose;
-use crate::times::SEND_WINDOW;
+use crate::times::{RECENT_BYTES, RECENT_COPY_BYTES, SEND_WINDOW};
 use crate::types::{DiskId, EpochRecord, Output, Position, StateMap};
 use std::sync::Arc;
 use streamusher_protocol::store::Write;
@@ -126,7 +126,8 @@
         }
         self.applied = batch.position;
         self.disk.put_writes(batch.position, &batch.writes);
-        self.recent.push(batch);
+        let is_copying = self.reign.as_ref().is_some_and(|reign| reign.is_copying());
+        self.recent.push(batch, if is_copying { RECENT_COPY_BYTES } else { RECENT_BYTES });
     }
 
     /// Tells the primary what is synced.
--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -202,6 +202,10 @@
     }
 
     fn receive(&mut self, from: &Arc<str>, message: Message) {
+        if let Err(error) = message.check() {
+            log::warn!("message from {from} dropped: {error}");
+            return;
+        }
         match message {
             Message::Hello { member, epoch } => self.on_hello(from, member, epoch),
             Message::Decided { record } => self.learn(record),
--- a/crates/coordination/src/copy.rs
+++ b/crates/coordination/src/copy.rs
@@ -3,6 +3,7 @@
 use crate::recent::write_bytes;
 use crate::times::{PART_BYTES, PART_WINDOW, REPEAT_MS};
 use crate::types::{Position, StateMap};
+use std::collections::BTreeMap;
 use std::ops::Bound;
 use std::sync::Arc;
 use streamusher_protocol::store::Write;
@@ -13,7 +14,8 @@
 pub(crate) struct OutgoingCopy {
     pub id: u64,
     pub position: Position,
-    pub started: Millis,
+    /// When it began, or when a part was last acknowledged.
+    pub progress_at: Millis,
     state: StateMap,
     /// First key of each part known so far; none begins at the start.
     starts: Vec<Option<Arc<str>>>,
@@ -35,7 +37,7 @@
         OutgoingCopy {
             id,
             position,
-            started: now,
+            progress_at: now,
             state,
             starts: vec![None],
             finished: false,
@@ -53,6 +55,7 @@
         }
         if next > self.acknowledged && next <= self.sent {
             self.acknowledged = next;
+            self.progress_at = now;
             self.repeat_at = now + REPEAT_MS;
         }
     }
@@ -107,21 +110,28 @@
     pub next: u64,
     pub complete: bool,
     pub writes: Vec<Write>,
+    /// Parts that came too early: whether the last, and the writes.
+    early: BTreeMap<u64, (bool, Vec<Write>)>,
 }
 
 impl IncomingCopy {
     pub fn new(reign: u64, id: u64, position: Position) -> IncomingCopy {
-        IncomingCopy { reign, id, position, next: 0, complete: false, writes: Vec::new() }
+        let (writes, early) = (Vec::new(), BTreeMap::new());
+        IncomingCopy { reign, id, position, next: 0, complete: false, writes, early }
     }
 
-    /// Takes a part if it is the one wanted next; says whether the copy became complete by it.
+    /// Takes a part, whatever the order; says whether the copy became complete by it.
     pub fn take(&mut self, index: u64, last: bool, writes: Vec<Write>) -> bool {
-        if index != self.next || self.complete {
+        let is_wanted = index >= self.next && index < self.next + PART_WINDOW;
+        if !is_wanted || self.complete {
             return false;
         }
-        self.writes.extend(writes);
-        self.next += 1;
-        self.complete = last;
-        last
+        self.early.insert(index, (last, writes));
+        while let Some((last, writes)) = self.early.remove(&self.next) {
+            self.writes.extend(writes);
+            self.next += 1;
+            self.complete |= last;
+        }
+        self.complete
     }
 }
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -9,6 +9,7 @@
 //! - `recent`, `copy`: the newest batches, and whole copies of the state in parts.
 //! - `peer`, `reign`, `replication`, `reconfiguration`: the primary's side.
 //! - `backup`: the replica's side.
+//! - `sanity`: what messages are not taken.
 //! - `bootstrap`, `report`: what an empty disk begins with; what a machine tells of itself.
 //!
 //! # Why committed data is safe
@@ -54,6 +55,7 @@
 mod reign;
 mod replication;
 mod report;
+mod sanity;
 mod times;
 pub mod types;
 
--- a/crates/coordination/src/recent.rs
+++ b/crates/coordination/src/recent.rs
@@ -1,7 +1,6 @@
 //! The newest batches, kept for replicas that lack them.
 
 use crate::message::Batch;
-use crate::times::RECENT_BYTES;
 use crate::types::Position;
 use std::collections::VecDeque;
 use streamusher_protocol::store::Write;
@@ -17,10 +16,11 @@
 }
 
 impl Recent {
-    pub fn push(&mut self, batch: Batch) {
+    /// Adds a batch and forgets the oldest ones above so many bytes.
+    pub fn push(&mut self, batch: Batch, most_bytes: usize) {
         self.bytes += batch_bytes(&batch);
         self.batches.push_back(batch);
-        while self.bytes > RECENT_BYTES && self.batches.len() > 1 {
+        while self.bytes > most_bytes && self.batches.len() > 1 {
             let oldest = self.batches.pop_front();
             self.bytes -= oldest.as_ref().map_or(0, batch_bytes);
         }
--- a/crates/coordination/src/reconfiguration.rs
+++ b/crates/coordination/src/reconfiguration.rs
@@ -230,5 +230,5 @@
 }
 
 fn has_stuck_copy(peer: &Peer, now: Millis) -> bool {
-    peer.copy.as_ref().is_some_and(|copy| now > copy.started + LEVELLING_MS)
+    peer.copy.as_ref().is_some_and(|copy| now > copy.progress_at + COPY_REST_MS)
 }
--- a/crates/coordination/src/reign.rs
+++ b/crates/coordination/src/reign.rs
@@ -32,6 +32,8 @@
     /// Uncommitted batches.
     pub outstanding: VecDeque<Outstanding>,
     pub next_keepalive: Millis,
+    /// When this primary last could act, or opened its reign.
+    pub acted_at: Millis,
     pub last_copy: u64,
     pub next_change: Millis,
 }
@@ -58,6 +60,7 @@
             made_from: opening,
             outstanding: VecDeque::new(),
             next_keepalive: now,
+            acted_at: now,
             last_copy: 0,
             next_change: now,
         }
@@ -68,6 +71,11 @@
         self.committed >= self.opening
     }
 
+    /// Whether a whole copy is under way.
+    pub fn is_copying(&self) -> bool {
+        self.peers.values().any(|peer| peer.copy.is_some())
+    }
+
     /// Takes note of a batch just made.
     pub fn note_batch(&mut self, sequence: u64, append: Option<u64>, now: Millis) {
         self.outstanding.push_back(Outstanding { sequence, append });
--- a/crates/coordination/src/replication.rs
+++ b/crates/coordination/src/replication.rs
@@ -5,9 +5,8 @@
 use crate::peer::Peer;
 use crate::recent::write_bytes;
 use crate::reign::Reign;
-use crate::times::{BATCH_BYTES, LEAVE_MOST_MS, MOST_OUTSTANDING, SEND_WINDOW, SLOW_REST_MS};
+use crate::times::{ABDICATE_MS, BATCH_BYTES, LEAVE_MOST_MS, MOST_OUTSTANDING, SEND_WINDOW, SLOW_REST_MS};
 use crate::types::{DiskId, EpochRecord, Output, PeerStatus, Position};
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use streamusher_protocol::store::Write;
 use streamusher_protocol::Millis;
@@ -36,9 +35,9 @@
     }
 
     /// The others who must agree: the replicas of the record and of all own proposals that may yet be decided.
-    fn required(&self, reign: &Reign) -> BTreeSet<DiskId> {
+    fn required<'a>(&'a self, reign: &'a Reign) -> impl Iterator<Item = DiskId> + 'a {
         let replicas = self.witness.decided.replicas.iter().chain(&reign.proposed).copied();
-        replicas.filter(|id| *id != self.witness.id).collect()
+        replicas.filter(|id| *id != self.witness.id)
     }
 
     fn has_enough_replicas(&self) -> bool {
@@ -112,6 +111,9 @@
 
     pub(crate) fn tick_reign(&mut self) {
         let now = self.now;
+        if self.is_forsaken() {
+            return self.abdicate();
+        }
         if self.leaving.is_some_and(|since| now >= since + LEAVE_MOST_MS) {
             if let Some(reign) = &mut self.reign {
                 reign.yielded = true;
@@ -125,6 +127,29 @@
         self.reconsider();
     }
 
+    /// Whether this primary can't act and hears too few to change that. It may still be heard, and would hold others
+    /// back by its keepalives.
+    fn is_forsaken(&mut self) -> bool {
+        let now = self.now;
+        let may_act = self.may_act(now);
+        let majority = self.witness.decided.majority();
+        let Some(reign) = &mut self.reign else { return false };
+        if may_act {
+            reign.acted_at = now;
+        }
+        let heard = reign.peers.values().filter(|peer| now < peer.heard + ABDICATE_MS).count();
+        now >= reign.acted_at + ABDICATE_MS && heard + 1 < majority
+    }
+
+    /// Gives up the office for good; others are told that nobody acts in this reign any more.
+    fn abdicate(&mut self) {
+        log::info!("hears no majority: gives up its office");
+        self.reign = None;
+        self.proposal = None;
+        self.out.push(Output::Deposed);
+        self.tell_vacant();
+    }
+
     pub(crate) fn on_alive(
         &mut self, from: DiskId, reign: u64, sent: Millis, position: Position, leaving: bool,
     ) {
--- a/crates/coordination/src/report.rs
+++ b/crates/coordination/src/report.rs
@@ -23,7 +23,7 @@
 
     fn is_primary_alive(&self, now: Millis) -> bool {
         if let Some(reign) = &self.reign {
-            return !reign.yielded && self.lease_end().is_none_or(|end| now < end + self.settings.lease_ms);
+            return !reign.yielded && now < reign.acted_at + self.settings.lease_ms * 2;
         }
         let is_vacant = self.vacant_reign == Some(self.witness.decided.reign);
         let heard = self.primary_heard.is_some_and(|heard| now < heard + self.settings.lease_ms * 3 / 2);
--- a/crates/coordination/src/times.rs
+++ b/crates/coordination/src/times.rs
@@ -11,6 +11,10 @@
 pub const SLOW_REST_MS: Millis = 2_000;
 /// A new primary keeps a replica that answers but is not yet level this long.
 pub const LEVELLING_MS: Millis = 1_500;
+/// A copy that makes no progress for this long is given up; the last step, its sync, may take long.
+pub const COPY_REST_MS: Millis = 3_000;
+/// A primary that can't act and hears no majority for this long gives up its office.
+pub const ABDICATE_MS: Millis = 800;
 /// A member silent for this long may be replaced by another machine.
 pub const MEMBER_SILENCE_MS: Millis = 5_000;
 /// A machine that wants to be let in counts for this long after its last word.
@@ -67,6 +71,8 @@
 pub const BATCH_BYTES: usize = 1 << 20;
 /// Bytes of batches that are remembered for replicas that lack them.
 pub const RECENT_BYTES: usize = 4 << 20;
+/// As [`RECENT_BYTES`], while a copy is under way: what came after it began is still needed.
+pub const RECENT_COPY_BYTES: usize = 16 << 20;
 /// Batches sent beyond the last acknowledged one.
 pub const SEND_WINDOW: u64 = 32;
 /// Bytes of a part of a copy.
--- a/crates/coordination/tests/cluster/mod.rs
+++ b/crates/coordination/tests/cluster/mod.rs
@@ -42,6 +42,8 @@
     /// What its append's sequences stand for.
     appends: VecDeque<(u64, u64)>,
     pub elected: u64,
+    /// The newest epoch whose record was compared.
+    checked_epoch: u64,
     pub is_leaving: bool,
 }
 
@@ -136,6 +138,7 @@
         let node = &mut self.nodes[index];
         node.life += 1;
         node.appends.clear();
+        node.checked_epoch = 0;
         node.process = Some(Coordinator::new(settings, node.durable.clone(), now));
         node.is_leaving = false;
         let life = node.life;
@@ -404,6 +407,7 @@
         frozen_until: 0,
         appends: VecDeque::new(),
         elected: 0,
+        checked_epoch: 0,
         is_leaving: false,
     }
 }
