--- a/crates/controlplane/src/disk.rs
+++ b/crates/controlplane/src/disk.rs
@@ -77,6 +77,16 @@
             if self.events.send(event).is_err() || is_lost {
                 return;
             }
+            self.shrink();
+        }
+    }
+
+    /// Makes the store smaller where it is due; one that failed is opened anew with the next change.
+    fn shrink(&mut self) {
+        let Some(store) = self.store.take_if(|store| store.is_too_large()) else { return };
+        match store.rebuild(&self.data_dir) {
+            Ok(store) => self.store = Some(store),
+            Err(error) => log::warn!("making the store smaller: {error}"),
         }
     }
 
--- a/crates/controlplane/src/store/folders.rs
+++ b/crates/controlplane/src/store/folders.rs
@@ -6,6 +6,10 @@
 
 /// The store's folder under `data_dir`.
 pub const FOLDER: &str = "control";
+/// Where a smaller store is made that is to replace the present one.
+pub const NEXT: &str = "control.next";
+/// Where the present store is moved before the smaller one takes its place.
+pub const FORMER: &str = "control.former";
 /// Where a damaged store is moved before it is removed, so that a half-removed one is never opened.
 pub const DISCARDED: &str = "control.discarded";
 
@@ -13,14 +17,15 @@
 const COMPLETE_MARKER: &str = "version";
 const JOURNAL_EXTENSION: &str = "jnl";
 
-/// Makes `data_dir`, and removes what an interrupted run left: a discarded store, and one that was not yet complete
-/// (nothing was ever stored in it).
+/// Makes `data_dir`, ends an interrupted replacement, and removes what an interrupted run left: a discarded store, and one
+/// that was not yet complete (nothing was ever stored in it).
 ///
 /// # Errors
 /// The disk refuses, or a complete store has lost its journal.
 pub(super) fn prepare(data_dir: &Path) -> io::Result<()> {
     fs::create_dir_all(data_dir)?;
     remove_if_there(&data_dir.join(DISCARDED))?;
+    end_replacement(data_dir)?;
     let folder = data_dir.join(FOLDER);
     if !folder.try_exists()? {
         return Ok(());
@@ -35,6 +40,30 @@
     }
 }
 
+/// Whichever store is at [`FOLDER`] counts. Where there is none, the replacement was cut short between its two renames;
+/// the former store holds everything then, as nothing is stored in the next one before both are synced.
+fn end_replacement(data_dir: &Path) -> io::Result<()> {
+    let former = data_dir.join(FORMER);
+    let folder = data_dir.join(FOLDER);
+    if former.try_exists()? && !folder.try_exists()? {
+        fs::rename(&former, &folder)?;
+        sync(data_dir)?;
+    }
+    remove_if_there(&former)?;
+    remove_if_there(&data_dir.join(NEXT))
+}
+
+/// Puts the store at [`NEXT`], which is complete and closed, in the place of the present one, which is closed as well.
+pub(super) fn replace(data_dir: &Path) -> io::Result<()> {
+    sync_all(data_dir)?;
+    let folder = data_dir.join(FOLDER);
+    fs::rename(&folder, data_dir.join(FORMER))?;
+    sync(data_dir)?;
+    fs::rename(data_dir.join(NEXT), folder)?;
+    sync(data_dir)?;
+    remove_if_there(&data_dir.join(FORMER))
+}
+
 /// Moves the store away under a synced name and removes it.
 pub(super) fn discard(data_dir: &Path) -> io::Result<()> {
     let away = data_dir.join(DISCARDED);
--- a/crates/controlplane/src/store/mod.rs
+++ b/crates/controlplane/src/store/mod.rs
@@ -9,7 +9,7 @@
 mod tail;
 
 pub use error::StoreError;
-pub use folders::{DISCARDED, FOLDER};
+pub use folders::{DISCARDED, FOLDER, FORMER, NEXT};
 
 use fjall::{Database, Keyspace, KeyspaceCreateOptions, PersistMode};
 use std::path::{Path, PathBuf};
@@ -28,6 +28,12 @@
 /// Flushes and compactions; fjall needs one thread.
 const WORKER_THREADS: usize = 1;
 
+/// fjall keeps up to 64 MB of journal, reserves as much again for the next, and reads all of it at a start. A store with
+/// more than this is made anew while the process runs: disks are small, and making it holds up one change.
+const MOST_JOURNAL_BYTES: u64 = 40 << 20;
+/// At a start, when nobody waits for the disk yet, less is enough.
+const MOST_JOURNAL_BYTES_AT_START: u64 = 8 << 20;
+
 const KEYSPACE: &str = "control";
 const FORMAT_KEY: &[u8] = b"m/format";
 const WITNESS_KEY: &[u8] = b"m/witness";
@@ -50,13 +56,36 @@
     pub fn open(data_dir: &Path) -> Result<(Store, DiskImage), StoreError> {
         let folder = data_dir.join(FOLDER);
         folders::prepare(data_dir).map_err(|error| StoreError::from_io(&folder, &error))?;
-        let store = Store::open_database(&folder)?;
-        store.check_format()?;
+        let mut store = Store::open_at(&folder)?;
         folders::sync_all(data_dir).map_err(|error| StoreError::from_io(&folder, &error))?;
         let image = store.load()?;
+        if store.journal_bytes() > MOST_JOURNAL_BYTES_AT_START {
+            store = store.rebuild(data_dir)?;
+        }
         Ok((store, image))
     }
 
+    /// Whether [`Store::rebuild`] is due.
+    pub fn is_too_large(&self) -> bool {
+        self.journal_bytes() > MOST_JOURNAL_BYTES
+    }
+
+    /// Makes the store anew with the newest value of each key alone, and puts it in the place of this one.
+    ///
+    /// # Errors
+    /// See [`StoreError`]; the store must be opened anew, and holds all that it held.
+    pub fn rebuild(self, data_dir: &Path) -> Result<Store, StoreError> {
+        let folder = data_dir.join(FOLDER);
+        let failed = |error: std::io::Error| StoreError::from_io(&folder, &error);
+        folders::prepare(data_dir).map_err(failed)?;
+        let next = Store::open_at(&data_dir.join(NEXT))?;
+        self.copy_to(&next)?;
+        drop(next);
+        drop(self);
+        folders::replace(data_dir).map_err(failed)?;
+        Store::open_at(&folder)
+    }
+
     /// Empties `data_dir`, so that the machine starts as one with an empty disk.
     ///
     /// # Errors
@@ -90,6 +119,31 @@
         batch.commit().map_err(|error| self.failed(&error))
     }
 
+    /// Opens a marked store, or makes one. A new one is opened twice, as the second opening gives back the 64 MB that
+    /// fjall reserves for a new journal.
+    fn open_at(folder: &Path) -> Result<Store, StoreError> {
+        let store = Store::open_database(folder)?;
+        if store.check_format()? {
+            return Ok(store);
+        }
+        store.mark_format()?;
+        drop(store);
+        Store::open_database(folder)
+    }
+
+    fn journal_bytes(&self) -> u64 {
+        self.database.journal_disk_space().unwrap_or(0)
+    }
+
+    fn copy_to(&self, next: &Store) -> Result<(), StoreError> {
+        let mut batch = next.database.batch().durability(Some(PersistMode::SyncAll));
+        for guard in self.keyspace.iter() {
+            let (key, value) = guard.into_inner().map_err(|error| self.failed(&error))?;
+            batch.insert(&next.keyspace, key, value);
+        }
+        batch.commit().map_err(|error| next.failed(&error))
+    }
+
     fn open_database(folder: &Path) -> Result<Store, StoreError> {
         let first = build(folder);
         let database = match first {
@@ -106,12 +160,11 @@
         Ok(Store { folder: folder.to_owned(), database, keyspace })
     }
 
-    fn check_format(&self) -> Result<(), StoreError> {
-        let Some(found) = self.read::<u32>(FORMAT_KEY)? else {
-            return self.mark_format();
-        };
+    /// Whether the store is marked.
+    fn check_format(&self) -> Result<bool, StoreError> {
+        let Some(found) = self.read::<u32>(FORMAT_KEY)? else { return Ok(false) };
         match found {
-            1..=FORMAT => Ok(()),
+            1..=FORMAT => Ok(true),
             0 => Err(StoreError::damaged(&self.folder, "format 0")),
             _ => Err(StoreError::Newer { folder: self.folder.clone(), found, known: FORMAT }),
         }
--- a/crates/controlplane/tests/store.rs
+++ b/crates/controlplane/tests/store.rs
@@ -7,7 +7,7 @@
 use std::path::Path;
 use std::sync::Arc;
 use streamusher_controlplane::disk::open_at_start;
-use streamusher_controlplane::store::{Store, StoreError, DISCARDED, FOLDER, FORMAT};
+use streamusher_controlplane::store::{Store, StoreError, DISCARDED, FOLDER, FORMAT, FORMER, NEXT};
 use streamusher_coordination::{DiskChange, DiskId, DiskImage, Position, StateMap, WitnessState};
 use streamusher_protocol::store::Write;
 use support::{files_below, journal_of, without_reserve, TestFolder};
@@ -334,3 +334,72 @@
 
     assert!(matches!(refused, StoreError::Unavailable { .. }), "{refused}");
 }
+
+#[test]
+fn given_a_store_when_it_is_rebuilt_then_it_holds_the_same_in_less_room() {
+    let folder = TestFolder::new();
+    let (store, _) = Store::open(folder.path()).unwrap();
+    for sequence in 1..=40 {
+        store.apply(&change(sequence, vec![Write::set("a", "x".repeat(20_000))])).unwrap();
+    }
+    let before = bytes_below(folder.path());
+
+    let store = store.rebuild(folder.path()).unwrap();
+    store.apply(&change(41, vec![Write::set("b", "1")])).unwrap();
+    drop(store);
+
+    let image = read(folder.path());
+    assert_eq!((image.state.len(), image.position.sequence), (2, 41));
+    assert_eq!(image.witness, Some(witness(41)));
+    let after = bytes_below(folder.path());
+    assert!(after < before / 5, "{after} of {before} bytes");
+}
+
+#[test]
+fn given_more_journal_than_is_read_quickly_when_opened_then_it_is_made_smaller() {
+    let folder = TestFolder::new();
+    let (store, _) = Store::open(folder.path()).unwrap();
+    for sequence in 1..=100 {
+        store.apply(&change(sequence, vec![Write::set("a", "x".repeat(100_000))])).unwrap();
+    }
+    drop(store);
+    let before = bytes_below(folder.path());
+
+    let image = read(folder.path());
+
+    assert_eq!(image.position.sequence, 100);
+    assert!(bytes_below(folder.path()) < before / 5);
+    assert!(same(&read(folder.path()), &image));
+}
+
+#[test]
+fn given_a_new_store_then_it_reserves_no_room() {
+    let folder = written(&[numbered(1, 10)]);
+
+    assert!(bytes_below(folder.path()) < 100_000);
+}
+
+fn bytes_below(folder: &Path) -> u64 {
+    files_below(folder).iter().map(|file| fs::metadata(file).unwrap().len()).sum()
+}
+
+#[rstest]
+#[case::next_not_complete(&[(1, FOLDER), (2, NEXT)], 1)]
+#[case::first_name_moved(&[(1, FORMER), (2, NEXT)], 1)]
+#[case::both_names_moved(&[(1, FORMER), (2, FOLDER)], 2)]
+#[case::only_the_former_left(&[(1, FORMER)], 1)]
+fn given_a_replacement_cut_short_when_opened_then_exactly_one_store_counts(
+    #[case] stores: &[(u64, &str)], #[case] counts: u64,
+) {
+    let folder = TestFolder::new();
+    for (sequence, name) in stores {
+        let made = written(&[numbered(*sequence, 10)]);
+        fs::rename(made.path().join(FOLDER), folder.path().join(name)).unwrap();
+    }
+
+    let image = read(folder.path());
+
+    assert_eq!(image.position.sequence, counts);
+    assert!(!folder.path().join(NEXT).exists());
+    assert!(!folder.path().join(FORMER).exists());
+}
--- a/crates/controlplane/tests/support/mod.rs
+++ b/crates/controlplane/tests/support/mod.rs
@@ -2,9 +2,10 @@
 #![allow(dead_code)] // Each test file uses a part.
 
 use std::fs::{self, File};
-use std::io::Read;
+use std::io::{self, Read};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::SystemTime;
 
 static NEXT: AtomicU64 = AtomicU64::new(0);
 
@@ -24,47 +25,74 @@
         &self.0
     }
 
-    /// Copies all files, without the zeros at the ends of journals: what a database reserves and has not written.
+    /// Copies all files, without the zeros at the ends of journals: what a database reserves and has not written. A copy
+    /// during which files changed is made again, as it shows no moment that ever was.
     pub fn copy_of(original: &Path) -> TestFolder {
-        let copy = TestFolder::new();
-        copy_folder(original, copy.path());
-        copy
+        for _ in 0..MOST_COPIES {
+            let before = listing(original);
+            let copy = TestFolder::new();
+            let copied = copy_folder(original, copy.path());
+            if copied.is_ok()
+                && before.is_ok_and(|before| listing(original).is_ok_and(|after| after == before))
+            {
+                return copy;
+            }
+        }
+        panic!("{} changed during each of {MOST_COPIES} copies", original.display());
     }
 }
 
+/// Flushes and compactions of a small store end within a few copies.
+const MOST_COPIES: usize = 1_000;
+
 impl Drop for TestFolder {
     fn drop(&mut self) {
         let _ = fs::remove_dir_all(&self.0);
     }
 }
 
-fn copy_folder(from: &Path, to: &Path) {
-    fs::create_dir_all(to).unwrap();
-    for entry in fs::read_dir(from).unwrap() {
-        let entry = entry.unwrap();
+fn copy_folder(from: &Path, to: &Path) -> io::Result<()> {
+    fs::create_dir_all(to)?;
+    for entry in fs::read_dir(from)? {
+        let entry = entry?;
         let target = to.join(entry.file_name());
-        if entry.file_type().unwrap().is_dir() {
-            copy_folder(&entry.path(), &target);
+        if entry.file_type()?.is_dir() {
+            copy_folder(&entry.path(), &target)?;
         } else if is_journal(&entry.path()) {
-            fs::write(target, without_reserve(&entry.path())).unwrap();
+            fs::write(target, written_part(&entry.path())?)?;
         } else {
-            fs::copy(entry.path(), target).unwrap();
+            fs::copy(entry.path(), target)?;
         }
     }
+    Ok(())
+}
+
+/// Each file with its length and the time of its last change.
+fn listing(folder: &Path) -> io::Result<Vec<(PathBuf, u64, SystemTime)>> {
+    let mut files = Vec::new();
+    for file in files_in(folder)? {
+        let metadata = fs::metadata(&file)?;
+        files.push((file, metadata.len(), metadata.modified()?));
+    }
+    Ok(files)
 }
 
-/// All files below a folder.
+/// All files below a folder, in the order of their names.
 pub fn files_below(folder: &Path) -> Vec<PathBuf> {
+    files_in(folder).unwrap()
+}
+
+fn files_in(folder: &Path) -> io::Result<Vec<PathBuf>> {
     let mut files = Vec::new();
-    for entry in fs::read_dir(folder).unwrap() {
-        let entry = entry.unwrap();
-        match entry.file_type().unwrap().is_dir() {
-            true => files.extend(files_below(&entry.path())),
+    for entry in fs::read_dir(folder)? {
+        let entry = entry?;
+        match entry.file_type()?.is_dir() {
+            true => files.extend(files_in(&entry.path())?),
             false => files.push(entry.path()),
         }
     }
     files.sort();
-    files
+    Ok(files)
 }
 
 /// The only journal of a small store.
@@ -74,11 +102,15 @@
 
 /// The bytes of a journal, without the zeros that are reserved at its end. Nothing written holds as long a run of them.
 pub fn without_reserve(journal: &Path) -> Vec<u8> {
-    let mut file = File::open(journal).unwrap();
+    written_part(journal).unwrap()
+}
+
+fn written_part(journal: &Path) -> io::Result<Vec<u8>> {
+    let mut file = File::open(journal)?;
     let mut bytes = Vec::new();
     let mut chunk = vec![0; 64 << 10];
     loop {
-        let read = file.read(&mut chunk).unwrap();
+        let read = file.read(&mut chunk)?;
         if chunk[..read].iter().all(|byte| *byte == 0) {
             break;
         }
@@ -86,7 +118,7 @@
     }
     let written = bytes.iter().rposition(|byte| *byte != 0).map_or(0, |last| last + 1);
     bytes.truncate(written);
-    bytes
+    Ok(bytes)
 }
 
 fn is_journal(file: &Path) -> bool {
