--- a/crates/placement/src/claim.rs
+++ b/crates/placement/src/claim.rs
@@ -25,12 +25,11 @@
             return false;
         }
         let Some(service) = self.services.get(&unit.service) else { return false };
-        if self.takes_any(now, waiting, service) {
-            return true;
-        }
-        worker.runs.len() < service.most_runs(now, worker)
-            && worker.fits(now, key, &unit.resources, self.expected_ms(now, unit, worker, service))
-            && leaves_headroom(worker, service, unit.priority, &unit.resources)
+        let takes_any = self.takes_any(now, waiting, service);
+        let ends_at = now as f64 + self.expected_ms(now, unit, worker, service);
+        let allowed = worker.runs.len() < service.most_runs(now, worker)
+            && leaves_headroom(worker, service, unit.priority, &unit.resources);
+        (allowed || takes_any) && worker.fits(now, key, &unit.resources, ends_at, takes_any)
     }
 
     /// A unit that has waited long in a service with much free room takes any room that there is.
@@ -78,9 +77,7 @@
             let run = Run::new(now, held_of(&waiting.unit));
             let Some(worker) = self.workers.get_mut(slot) else { continue };
             let id = worker.info.id.clone();
-            if worker.take(&task, run) {
-                self.count_used(&waiting.unit.service, &waiting.unit.resources, 1.0);
-            }
+            worker.take(&task, run);
             self.refile(slot);
             placed.push((task, id));
         }
--- a/crates/placement/src/copies.rs
+++ b/crates/placement/src/copies.rs
@@ -2,7 +2,7 @@
 
 use crate::placement::Placement;
 use crate::queue::{Key, Slot};
-use crate::ranking::Ranked;
+use crate::ranking::{Ranked, PENALTY_OF_AVOIDED};
 use streamusher_protocol::Millis;
 
 /// From this wait on a unit has a copy at every worker that it may go to.
@@ -11,6 +11,8 @@
 const MOST_COPIES: usize = 64;
 /// From this wait on, no worker is too far, too slow or too often at fault.
 pub(crate) const ANYWHERE_MS: Millis = 1_500;
+/// From this wait on, avoided workers are taken too.
+const EVEN_AVOIDED_MS: Millis = 6_000;
 
 impl Placement {
     /// Puts copies of a unit into queues: one where the best has room, more while copies wait, all at last.
@@ -39,7 +41,13 @@
         let Some(service) = self.services.get(&waiting.unit.service) else { return Vec::new() };
         let waited = waiting.waited(now);
         let patience = (waited as f64 + first.wait_ms) / self.run_ms(&waiting.unit, service);
-        let limit = if waited >= ANYWHERE_MS { f64::INFINITY } else { first.penalty + patience };
+        let limit = if self.takes_any(now, waiting, service) || waited >= EVEN_AVOIDED_MS {
+            f64::INFINITY
+        } else if waited >= ANYWHERE_MS {
+            first.penalty.max(PENALTY_OF_AVOIDED / 2.0)
+        } else {
+            first.penalty + patience.min(PENALTY_OF_AVOIDED / 2.0)
+        };
         ranked.iter().filter(|other| other.penalty <= limit).map(|other| other.slot).collect()
     }
 
--- a/crates/placement/src/gang.rs
+++ b/crates/placement/src/gang.rs
@@ -24,7 +24,8 @@
         let all = self.whole_pool_for(now, key);
         let groups: Vec<Group> = racks.into_iter().chain(all).collect();
         let Some(waiting) = self.queue.get(key) else { return };
-        if let Some(plan) = self.cheapest(now, key, waiting, &groups, Reach::Now) {
+        let plan = self.cheapest(now, key, waiting, &groups, Reach::Now);
+        if let Some(plan) = plan.filter(|plan| self.may_take(now, waiting, plan)) {
             return self.start_gang(now, key, plan, out);
         }
         if !self.is_kept(now, key) && self.is_among_first(key) {
@@ -33,6 +34,15 @@
         self.look_again(now, key);
     }
 
+    /// Avoided workers are taken after a while only: others may get room first.
+    fn may_take(&self, now: Millis, waiting: &Waiting, plan: &Plan) -> bool {
+        let avoided = |slot: Slot| {
+            let worker = self.workers.get(slot);
+            worker.is_some_and(|worker| waiting.unit.avoid.contains(&worker.info.id))
+        };
+        waiting.waited(now) >= ANYWHERE_MS || !plan.sites.iter().any(|site| avoided(site.slot))
+    }
+
     fn is_among_first(&self, key: Key) -> bool {
         let service = self.queue.get(key).and_then(|waiting| self.services.get(&waiting.unit.service));
         service.is_some_and(|service| service.gangs.iter().take(GATHERING).any(|gang| *gang == key))
@@ -85,7 +95,7 @@
 
     /// Whether a rack holds all members when it is empty.
     fn could_hold(&self, waiting: &Waiting, rack: &Pool) -> bool {
-        let eligible = rack.members.iter().filter(|slot| self.is_eligible(&waiting.unit, **slot, true));
+        let eligible = rack.members.iter().filter(|slot| self.is_eligible(&waiting.unit, **slot));
         let members = eligible.filter_map(|slot| {
             let share = waiting.share_of(self.workers.get(*slot)?);
             let by_room = if share > 0.0 { (1.0 / share + 1e-9).floor() } else { f64::INFINITY };
@@ -99,15 +109,8 @@
     }
 
     fn group(&self, now: Millis, key: Key, waiting: &Waiting, service: &Service, slots: &[Slot]) -> Group {
-        let some = |avoided: bool| -> Group {
-            let eligible = slots.iter().filter(|slot| self.is_eligible(&waiting.unit, **slot, avoided));
-            let ranked = eligible.filter_map(|slot| self.rank(now, key, waiting, service, *slot));
-            ranked.map(|worker| (worker.rank, worker.slot)).collect()
-        };
-        let group = some(false);
-        if group.is_empty() {
-            return some(true);
-        }
-        group
+        let eligible = slots.iter().filter(|slot| self.is_eligible(&waiting.unit, **slot));
+        let ranked = eligible.filter_map(|slot| self.rank(now, key, waiting, service, *slot));
+        ranked.map(|worker| (worker.rank, worker.slot)).collect()
     }
 }
--- a/crates/placement/src/gather.rs
+++ b/crates/placement/src/gather.rs
@@ -3,7 +3,7 @@
 use crate::amounts::{amounts, Amounts};
 use crate::placement::Placement;
 use crate::queue::{Key, Slot, Waiting};
-use crate::room::Worker;
+use crate::room::{Reservation, Worker};
 use crate::run::Run;
 use crate::service::Service;
 use streamusher_protocol::task::TaskId;
@@ -234,11 +234,12 @@
     let capacity = amounts(&worker.info.capacity);
     let mut total = capacity;
     add(&mut total, &amounts(&worker.used), -1.0);
+    let holds = |kept: &&Reservation| kept.holds_against(now, key, takes_any);
+    let kept = worker.reservations.iter().filter(holds);
+    kept.for_each(|kept| add(&mut total, &amounts(&kept.resources), -1.0));
     if takes_any {
         return Left { total, under: Vec::new() };
     }
-    let earlier = worker.reservations.iter().filter(|kept| kept.key < key && kept.until > now);
-    earlier.for_each(|kept| add(&mut total, &amounts(&kept.resources), -1.0));
     let under = service.headroom.against(priority).map(|(urgent, shares)| {
         let most = [0, 1, 2].map(|kind| capacity[kind] * (1.0 - shares[kind]));
         (*urgent, most, amounts(&worker.used_below(*urgent)))
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -87,13 +87,13 @@
     /// A worker is gone, with all that took room there.
     pub fn worker_gone(&mut self, now: Millis, id: &WorkerId) {
         let Some(slot) = self.workers.slot_of(id) else { return };
-        let Some(worker) = self.workers.remove(slot) else { return };
+        let Some(mut worker) = self.workers.remove(slot) else { return };
         if let Some(service) = self.services.get_mut(&worker.info.service) {
-            service.remove(slot, &worker);
+            service.remove(slot, &mut worker);
             service.change_charges(now, -worker.charge.at(now));
         }
         self.dirty.remove(&slot);
-        worker.runs.values().for_each(|run| self.forget_run(now, &run.held));
+        worker.runs.values().for_each(|run| self.note_demand(now, &run.held, -1.0));
         for key in &worker.queue {
             if let Some(waiting) = self.queue.get_mut(*key) {
                 waiting.copies.retain(|copy| *copy != slot);
@@ -119,7 +119,6 @@
         if !found.take(task, Run::new(now, held.clone())) {
             return;
         }
-        self.count_used(&held.service, &held.resources, 1.0);
         self.note_demand(now, &held, 1.0);
         self.refile(slot);
     }
@@ -129,7 +128,7 @@
         let Some(slot) = self.workers.slot_of(worker) else { return };
         let Some(found) = self.workers.get_mut(slot) else { return };
         let Some(run) = found.give_back(task) else { return };
-        self.forget_run(now, &run.held);
+        self.note_demand(now, &run.held, -1.0);
         self.learn(now, slot, &run.held, how);
         self.refile(slot);
         self.dirty.insert(slot);
@@ -256,30 +255,18 @@
         Some(waiting)
     }
 
-    pub(crate) fn count_used(&mut self, service: &str, resources: &Resources, sign: f64) {
-        if let Some(service) = self.services.get_mut(service) {
-            service.count_used(resources, sign);
-        }
-    }
-
-    /// Files a worker under its present load.
+    /// Files a worker under its present load, and counts what it holds.
     pub(crate) fn refile(&mut self, slot: Slot) {
         let Some(worker) = self.workers.get_mut(slot) else { return };
         let load = filed_load(worker);
         let before = std::mem::replace(&mut worker.filed_load, load);
-        if before == worker.filed_load {
-            return;
-        }
-        if let Some(service) = self.services.get_mut(&worker.info.service) {
+        let Some(service) = self.services.get_mut(&worker.info.service) else { return };
+        service.recount(worker);
+        if before != load {
             service.file(slot, worker, before);
         }
     }
 
-    fn forget_run(&mut self, now: Millis, held: &Held) {
-        self.count_used(&held.service, &held.resources, -1.0);
-        self.note_demand(now, held, -1.0);
-    }
-
     fn note_demand(&mut self, now: Millis, held: &Held, sign: f64) {
         if !counts_as_demand(held.gang, held.long_running) {
             return;
--- a/crates/placement/src/preempt.rs
+++ b/crates/placement/src/preempt.rs
@@ -1,8 +1,10 @@
 //! Room for a unit that is stuck: kept for it as runs end, or made by stopping what is less urgent.
 
-use crate::gather::{Plan, Reach};
+use crate::amounts::times;
+use crate::gather::{Plan, Reach, Site};
 use crate::placement::Placement;
 use crate::queue::{Key, Slot, Waiting};
+use crate::room::Reservation;
 use crate::types::Decision;
 use streamusher_protocol::Millis;
 
@@ -129,7 +131,7 @@
         let ready_at = now.saturating_add(stop_ms.max(within_ms as Millis));
         let until = ready_at.saturating_add(GRACE_MS);
         for site in plan.sites {
-            self.reserve(key, site.slot, site.members, ready_at, until);
+            self.reserve(key, &site, ready_at, until, stops);
             let Some(worker) = self.workers.get_mut(site.slot) else { continue };
             for task in site.victims {
                 worker.stop(&task);
@@ -138,18 +140,19 @@
         }
     }
 
-    fn reserve(&mut self, key: Key, slot: Slot, members: u32, ready_at: Millis, until: Millis) {
+    fn reserve(&mut self, key: Key, site: &Site, ready_at: Millis, until: Millis, firm: bool) {
         let Some(waiting) = self.queue.get_mut(key) else { return };
-        let Some(worker) = self.workers.get_mut(slot) else { return };
-        worker.reserve(key, &waiting.unit.resources, members, ready_at, until);
-        waiting.reserved.push(slot);
+        let Some(worker) = self.workers.get_mut(site.slot) else { return };
+        let resources = times(&waiting.unit.resources, u64::from(site.members));
+        worker.reserve(Reservation { key, resources, ready_at, until, firm });
+        waiting.reserved.push(site.slot);
         waiting.reserved_until = until;
         let single = !waiting.is_gang();
         if let Some(service) = self.services.get_mut(&waiting.unit.service) {
             service.reserving.insert(key);
         }
         if single {
-            self.add_copy(key, slot);
+            self.add_copy(key, site.slot);
         }
     }
 
--- a/crates/placement/src/ranking.rs
+++ b/crates/placement/src/ranking.rs
@@ -20,6 +20,8 @@
 const RUNS_PER_CHARGE: f64 = 0.3;
 /// Load decides between workers that are otherwise alike.
 const WEIGHT_OF_LOAD: f64 = 0.2;
+/// Puts avoided workers behind all others; in run times.
+pub(crate) const PENALTY_OF_AVOIDED: f64 = 100.0;
 /// From this share of a worker on, large tasks are expected: smaller ones are packed to leave whole workers.
 pub(crate) const LARGE_SHARE: f64 = 0.4;
 
@@ -36,17 +38,16 @@
 }
 
 impl Placement {
-    /// What never changes while the unit waits: service, label, size. `avoided` lets in avoided workers.
-    pub(crate) fn is_eligible(&self, unit: &Unit, slot: Slot, avoided: bool) -> bool {
+    /// What never changes while the unit waits: service, label, size.
+    pub(crate) fn is_eligible(&self, unit: &Unit, slot: Slot) -> bool {
         let Some(worker) = self.workers.get(slot) else { return false };
         worker.info.open
             && worker.info.service == unit.service
             && worker.info.capacity.covers(&unit.resources)
             && unit.node_selector.as_ref().is_none_or(|label| worker.has_label(label))
-            && (avoided || !unit.avoid.contains(&worker.info.id))
     }
 
-    /// Eligible workers, best first. Avoided workers are among them only when there are no others.
+    /// Eligible workers, best first; avoided ones come last.
     pub(crate) fn ranked(&mut self, now: Millis, key: Key) -> Vec<Ranked> {
         let Some(waiting) = self.queue.get(key) else { return Vec::new() };
         let Some(service) = self.services.get(&waiting.unit.service) else { return Vec::new() };
@@ -59,35 +60,32 @@
         let (queue, now) = (&self.queue, now);
         let Some(waiting) = queue.get(key) else { return Vec::new() };
         let Some(service) = self.services.get(&waiting.unit.service) else { return Vec::new() };
-        let mut slots = self.candidates(&waiting.unit, service, drawn, false);
-        if slots.is_empty() {
-            slots = self.candidates(&waiting.unit, service, Vec::new(), true);
-        }
+        let slots = self.candidates(&waiting.unit, service, drawn);
         let mut ranked: Vec<Ranked> =
             slots.into_iter().filter_map(|slot| self.rank(now, key, waiting, service, slot)).collect();
         ranked.sort_by(|a, b| a.rank.total_cmp(&b.rank).then(a.slot.cmp(&b.slot)));
         ranked
     }
 
-    fn candidates(&self, unit: &Unit, service: &Service, drawn: Vec<Slot>, avoided: bool) -> Vec<Slot> {
+    fn candidates(&self, unit: &Unit, service: &Service, drawn: Vec<Slot>) -> Vec<Slot> {
         let Some(pool) = service.pool(unit.node_selector.as_deref()) else { return Vec::new() };
         let mut slots = drawn;
         if pool.members.len() <= SMALL_POOL {
             slots.extend(&pool.members);
         } else {
-            self.remember(unit, pool, avoided, &mut slots);
+            self.remember(unit, pool, &mut slots);
             let near = unit.affinity.as_deref().and_then(|rack| service.pool(Some(rack)));
-            near.into_iter().for_each(|near| self.remember(unit, near, avoided, &mut slots));
+            near.into_iter().for_each(|near| self.remember(unit, near, &mut slots));
         }
-        slots.retain(|slot| self.is_eligible(unit, *slot, avoided));
+        slots.retain(|slot| self.is_eligible(unit, *slot));
         slots.sort_unstable();
         slots.dedup();
         slots
     }
 
     /// Adds the least loaded and the most loaded of a pool that may still have room.
-    fn remember(&self, unit: &Unit, pool: &Pool, avoided: bool, slots: &mut Vec<Slot>) {
-        let eligible = |(_, slot): &&(u32, Slot)| self.is_eligible(unit, *slot, avoided);
+    fn remember(&self, unit: &Unit, pool: &Pool, slots: &mut Vec<Slot>) {
+        let eligible = |(_, slot): &&(u32, Slot)| self.is_eligible(unit, *slot);
         let least = pool.by_load.iter().take(LOOKED_AT).filter(eligible).take(REMEMBERED);
         slots.extend(least.map(|(_, slot)| slot));
         let below_full = pool.by_load.range(..(1_000, 0)).rev();
@@ -122,7 +120,8 @@
         let far = unit.affinity.as_ref().is_some_and(|rack| !worker.has_label(rack));
         let far_x = if far { self.settings.far_x.max(1.0) } else { 1.0 };
         let slowness = worker.speed.slowness(now, &service.speed);
-        far_x * slowness - 1.0 + RUNS_PER_CHARGE * worker.charge.at(now)
+        let avoided = if unit.avoid.contains(&worker.info.id) { PENALTY_OF_AVOIDED } else { 0.0 };
+        avoided + far_x * slowness - 1.0 + RUNS_PER_CHARGE * worker.charge.at(now)
     }
 
     /// How long the unit would take at a worker.
@@ -130,7 +129,8 @@
         if unit.long_running {
             return f64::INFINITY;
         }
-        self.run_ms(unit, service) * (1.0 + self.penalty(now, unit, worker, service)).max(0.1)
+        let penalty = self.penalty(now, unit, worker, service) % PENALTY_OF_AVOIDED;
+        self.run_ms(unit, service) * (1.0 + penalty).max(0.1)
     }
 }
 
--- a/crates/placement/src/room.rs
+++ b/crates/placement/src/room.rs
@@ -19,6 +19,15 @@
     /// When the room is expected to be there: what ends before may use it.
     pub ready_at: Millis,
     pub until: Millis,
+    /// Runs were stopped for it.
+    pub firm: bool,
+}
+
+impl Reservation {
+    /// Whether it holds against a unit. One for which nothing was stopped yields to a unit that takes any room.
+    pub fn holds_against(&self, now: Millis, key: Key, takes_any: bool) -> bool {
+        self.key < key && self.until > now && (self.firm || !takes_any)
+    }
 }
 
 /// One worker.
@@ -41,6 +50,8 @@
     pub speed: Speed,
     /// Its load as filed in the service's lists.
     pub filed_load: u32,
+    /// What of its taken room the service counts.
+    pub counted: Resources,
 }
 
 impl Worker {
@@ -57,6 +68,7 @@
             charge: Charge::default(),
             speed: Speed::default(),
             filed_load: 0,
+            counted: Resources::default(),
         }
     }
 
@@ -105,15 +117,16 @@
         self.info.capacity.minus(&self.used)
     }
 
-    /// Whether a task fits without delaying what room is kept for.
-    pub fn fits(&self, now: Millis, key: Key, asked: &Resources, expected_ms: f64) -> bool {
+    /// Whether a task fits without delaying what room is kept for. `takes_any`: only for what runs were stopped
+    /// for, if there is twice the room.
+    pub fn fits(&self, now: Millis, key: Key, asked: &Resources, ends_at: f64, takes_any: bool) -> bool {
         let free = self.free();
         if !free.covers(asked) {
             return false;
         }
-        let ends_at = now as f64 + expected_ms;
+        let takes_any = takes_any && free.covers(&times(asked, 2));
         let in_the_way =
-            |kept: &&Reservation| kept.key < key && kept.until > now && ends_at > kept.ready_at as f64;
+            |kept: &&Reservation| kept.holds_against(now, key, takes_any) && ends_at > kept.ready_at as f64;
         let delayed = self.reservations.iter().filter(in_the_way);
         delayed.fold(free, |free, kept| free.minus(&kept.resources)).covers(asked)
     }
@@ -156,10 +169,9 @@
         self.reservations.retain(|kept| kept.key != key);
     }
 
-    pub fn reserve(&mut self, key: Key, asked: &Resources, members: u32, ready_at: Millis, until: Millis) {
-        self.unreserve(key);
-        let resources = times(asked, u64::from(members));
-        self.reservations.push(Reservation { key, resources, ready_at, until });
+    pub fn reserve(&mut self, reservation: Reservation) {
+        self.unreserve(reservation.key);
+        self.reservations.push(reservation);
     }
 }
 
--- a/crates/placement/src/service.rs
+++ b/crates/placement/src/service.rs
@@ -36,6 +36,7 @@
     racks: BTreeMap<Arc<str>, u32>,
     /// Room of the workers that take new work.
     capacity: Amounts,
+    /// What runs at them takes.
     used: Amounts,
     pub headroom: Headroom,
     settled_at: Option<Millis>,
@@ -53,7 +54,7 @@
 }
 
 impl Service {
-    pub fn add(&mut self, slot: Slot, worker: &Worker) {
+    pub fn add(&mut self, slot: Slot, worker: &mut Worker) {
         self.all.add(slot, worker.filed_load);
         for label in &worker.info.labels {
             self.by_label.entry(label.clone()).or_default().add(slot, worker.filed_load);
@@ -62,9 +63,10 @@
             *self.racks.entry(rack.clone()).or_insert(0) += 1;
         }
         self.count_capacity(worker, 1.0);
+        self.recount(worker);
     }
 
-    pub fn remove(&mut self, slot: Slot, worker: &Worker) {
+    pub fn remove(&mut self, slot: Slot, worker: &mut Worker) {
         self.all.remove(slot, worker.filed_load);
         for label in &worker.info.labels {
             let Some(pool) = self.by_label.get_mut(label) else { continue };
@@ -82,6 +84,8 @@
             }
         }
         self.count_capacity(worker, -1.0);
+        add(&mut self.used, &worker.counted, -1.0);
+        worker.counted = Resources::default();
     }
 
     fn count_capacity(&mut self, worker: &Worker, sign: f64) {
@@ -89,9 +93,15 @@
             return;
         }
         self.settled_at = None;
-        for (sum, part) in self.capacity.iter_mut().zip(amounts(&worker.info.capacity)) {
-            *sum = (*sum + sign * part).max(0.0);
-        }
+        add(&mut self.capacity, &worker.info.capacity, sign);
+    }
+
+    /// Counts what an open worker holds now.
+    pub fn recount(&mut self, worker: &mut Worker) {
+        let holds = if worker.info.open { worker.used } else { Resources::default() };
+        add(&mut self.used, &worker.counted, -1.0);
+        add(&mut self.used, &holds, 1.0);
+        worker.counted = holds;
     }
 
     /// Files a worker under its new load.
@@ -115,12 +125,6 @@
         self.racks.keys().filter_map(|rack| self.by_label.get(rack))
     }
 
-    pub fn count_used(&mut self, resources: &Resources, sign: f64) {
-        for (sum, part) in self.used.iter_mut().zip(amounts(resources)) {
-            *sum = (*sum + sign * part).max(0.0);
-        }
-    }
-
     /// Whether much of the room is free.
     pub fn is_lightly_used(&self) -> bool {
         let pairs = self.used.iter().zip(self.capacity);
@@ -174,6 +178,12 @@
     }
 }
 
+fn add(sum: &mut Amounts, resources: &Resources, sign: f64) {
+    for (sum, part) in sum.iter_mut().zip(amounts(resources)) {
+        *sum = (*sum + sign * part).max(0.0);
+    }
+}
+
 impl Pool {
     fn add(&mut self, slot: Slot, load: u32) {
         if self.by_load.insert((load, slot)) {
--- /dev/null
+++ b/crates/placement/tests/search.rs
@@ -0,0 +1,294 @@
+//! Seeded days with every kind of event; each decision and each moment is checked against own books.
+//!
+//! `PLACEMENT_SEEDS` sets how many days are played; a failing day names its seed.
+
+mod common;
+
+use common::*;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+use std::collections::BTreeMap;
+use streamusher_placement::{Release, WorkerInfo};
+use streamusher_protocol::heartbeat::Resources;
+use streamusher_protocol::task::{RunEnd, TaskId};
+use streamusher_protocol::unit::{Unit, UnitId, WorkerId};
+use streamusher_protocol::Millis;
+
+const SEEDS: u64 = 12;
+const DAY_MS: Millis = 16_000;
+/// What still waits after the last arrival is done by then.
+const REST_MS: Millis = 600_000;
+/// Waits are checked at each of so many ticks.
+const CHECK_MS: Millis = 5 * TICK_MS;
+/// A unit with twice its room free in a service that is half free may not wait so long.
+const LONGEST_WAIT_MS: Millis = 3_000;
+
+struct Day {
+    cluster: Cluster,
+    random: Pcg32,
+    number: u64,
+    /// When each run ends, by itself or by its stop.
+    ends: BTreeMap<(TaskId, WorkerId), (Millis, RunEnd)>,
+    /// Since when a waiting unit has had twice its room in a service that is half free.
+    idle_since: BTreeMap<UnitId, Millis>,
+    load: f64,
+    failing: bool,
+    born: u64,
+}
+
+impl Day {
+    fn new(seed: u64) -> Day {
+        let mut random = Pcg32::seed_from_u64(seed);
+        let load = random.random_range(0.2..1.6);
+        let failing = random.random_bool(0.3);
+        let cluster = Cluster::new(seed, []);
+        let idle_since = BTreeMap::new();
+        let mut day =
+            Day { cluster, random, number: 0, ends: BTreeMap::new(), idle_since, load, failing, born: 0 };
+        let count = if day.random.random_bool(0.1) { 90 } else { day.random.random_range(2..14) };
+        (0..count).for_each(|_| day.new_worker());
+        day
+    }
+
+    fn new_worker(&mut self) {
+        self.born += 1;
+        let size = [8_000, 16_000, 16_000, 32_000][self.random.random_range(0..4)];
+        let rack = format!("r{}", self.random.random_range(0..4));
+        let kind = if self.random.random_bool(0.5) { "a" } else { "b" };
+        let gpu = if size == 32_000 { 8 } else { 0 };
+        self.cluster.worker(WorkerInfo {
+            id: format!("w{}", self.born).into(),
+            service: if self.random.random_bool(0.8) { "s".into() } else { "t".into() },
+            zone: "z".into(),
+            labels: vec![kind.into(), rack.into()],
+            capacity: room(size, size * 2, gpu),
+            open: true,
+        });
+    }
+
+    fn new_unit(&mut self) {
+        self.number += 1;
+        let random = &mut self.random;
+        let priority = random.random_range(0..3);
+        let cpu = [240, 240, 500, 500, 800, 800, 2_800, 2_800, 15_000][random.random_range(0..9)];
+        let mut new = if random.random_bool(0.15) {
+            gang(self.number, random.random_range(1..5), cpu, priority)
+        } else {
+            unit(self.number, cpu, priority)
+        };
+        new.resources = room(cpu, random.random_range(0..cpu * 2 + 1), u64::from(random.random_bool(0.1)));
+        new.service = if random.random_bool(0.8) { "s".into() } else { "t".into() };
+        new.estimated_ms = [0, 300, 700, 3_000, 6_000][random.random_range(0..5)];
+        new.checkpoints = random.random_bool(0.5);
+        new.long_running = random.random_bool(0.03);
+        new.same_rack = random.random_bool(0.5);
+        new.anti_affinity = [0, 0, 0, 1, 2][random.random_range(0..5)];
+        new.node_selector = random.random_bool(0.15).then(|| "a".into());
+        new.affinity = random.random_bool(0.3).then(|| "r1".into());
+        self.cluster.enqueue(new);
+    }
+
+    fn place(&mut self) {
+        for (task, at) in self.cluster.place() {
+            let entry = &self.cluster.runs[&(task.clone(), at.clone())];
+            self.idle_since.remove(&entry.unit.id);
+            let usual = if entry.unit.long_running { 8_000 } else { entry.unit.estimated_ms.max(200) };
+            let takes = (usual as f64 * self.random.random_range(0.3..2.0)) as Millis;
+            let fails = self.failing && &*at == "w1" || self.random.random_bool(0.03);
+            let how = if fails { RunEnd::Failed } else { RunEnd::Done };
+            self.ends.insert((task, at), (self.cluster.now + takes, how));
+        }
+        for task in std::mem::take(&mut self.cluster.preempted) {
+            let stopped = self.cluster.now + self.random.random_range(1..=STOP_MS);
+            let run = self.ends.iter_mut().find(|((other, _), _)| *other == task);
+            *run.expect("what is preempted runs").1 = (stopped, RunEnd::Stopped);
+        }
+    }
+
+    fn end_what_is_over(&mut self) {
+        let now = self.cluster.now;
+        let over = self.ends.iter().filter(|(_, (at, _))| *at <= now);
+        let over: Vec<_> = over.map(|(key, (_, how))| (key.clone(), *how)).collect();
+        for ((task, at), how) in over {
+            if self.ends.remove(&(task.clone(), at.clone())).is_none() {
+                continue;
+            }
+            let unit = self.cluster.runs[&(task.clone(), at.clone())].unit.clone();
+            if how == RunEnd::Failed && self.random.random_bool(0.3) {
+                self.cluster.release(&task, &at, Release::StoodStill);
+            } else {
+                self.cluster.end(&task, &at, how);
+            }
+            if how != RunEnd::Done {
+                self.again(unit, &at);
+            }
+        }
+    }
+
+    /// A unit did not end well: its other members end too, and it waits anew.
+    fn again(&mut self, mut unit: Unit, at: &WorkerId) {
+        let members = self.ends.keys().filter(|(task, _)| unit.tasks.contains(task));
+        for (task, other) in members.cloned().collect::<Vec<_>>() {
+            self.ends.remove(&(task.clone(), other.clone()));
+            self.cluster.end(&task, &other, RunEnd::Broken);
+        }
+        unit.avoid.push(at.clone());
+        self.cluster.enqueue(unit);
+    }
+
+    fn lose_worker(&mut self) {
+        let ids: Vec<WorkerId> = self.cluster.workers.keys().cloned().collect();
+        let id = ids[self.random.random_range(0..ids.len())].clone();
+        let here = self.cluster.runs.iter().filter(|((_, at), _)| *at == id);
+        let units: BTreeMap<UnitId, Unit> =
+            here.map(|(_, entry)| (entry.unit.id.clone(), entry.unit.clone())).collect();
+        self.ends.retain(|(_, at), _| *at != id);
+        self.cluster.gone(&id);
+        units.into_values().for_each(|unit| self.again(unit, &id));
+        self.new_worker();
+    }
+
+    fn turn_worker(&mut self) {
+        let ids: Vec<WorkerId> = self.cluster.workers.keys().cloned().collect();
+        let id = &ids[self.random.random_range(0..ids.len())];
+        let info = self.cluster.workers[id].clone();
+        self.cluster.worker(WorkerInfo { open: !info.open, ..info });
+    }
+
+    fn report(&mut self) {
+        let now = self.cluster.now;
+        for ((task, at), (end, _)) in &self.ends {
+            let since = self.cluster.runs[&(task.clone(), at.clone())].since;
+            let done = 100.0 * (now - since) as f64 / (end - since).max(1) as f64;
+            self.cluster.placement.progress(now, task, at, done);
+        }
+    }
+
+    fn withdraw_one(&mut self) {
+        let first = self.cluster.waiting.keys().next().cloned();
+        if let Some(id) = first {
+            self.cluster.withdraw(&id);
+        }
+    }
+
+    fn events(&mut self) {
+        let arrivals = self.load * self.cluster.workers.len() as f64 / 10.0;
+        let mut left = arrivals;
+        while left > 0.0 {
+            if self.random.random_bool(left.min(1.0)) {
+                self.new_unit();
+            }
+            left -= 1.0;
+        }
+        for (chance, event) in [
+            (0.003, Day::lose_worker as fn(&mut Day)),
+            (0.003, Day::turn_worker),
+            (0.003, Day::new_worker),
+            (0.01, Day::withdraw_one),
+            (0.1, Day::report),
+        ] {
+            if self.random.random_bool(chance) {
+                event(self);
+            }
+        }
+    }
+
+    /// No unit waits while twice its room is free and its service is half free.
+    fn check_waits(&mut self) {
+        if !self.cluster.now.is_multiple_of(CHECK_MS) {
+            return;
+        }
+        let used: BTreeMap<WorkerId, Resources> =
+            self.cluster.workers.keys().map(|id| (id.clone(), self.cluster.used(id))).collect();
+        let light: BTreeMap<&str, bool> =
+            ["s", "t"].into_iter().map(|service| (service, self.is_half_free(service, &used))).collect();
+        let has_room = |unit: &Unit| light[&*unit.service] && self.has_twice_the_room(unit, &used);
+        let waiting = self.cluster.waiting.iter().filter(|(_, unit)| has_room(unit));
+        let idle: Vec<UnitId> = waiting.map(|(id, _)| id.clone()).collect();
+        self.idle_since.retain(|id, _| idle.contains(id));
+        for id in idle {
+            let since = *self.idle_since.entry(id.clone()).or_insert(self.cluster.now);
+            let waited = self.cluster.now - since;
+            assert!(waited < LONGEST_WAIT_MS, "{:?} waits with room", self.cluster.waiting[&id]);
+        }
+    }
+
+    fn is_half_free(&self, service: &str, used: &BTreeMap<WorkerId, Resources>) -> bool {
+        let own = self.cluster.workers.values().filter(|info| info.open && &*info.service == service);
+        let sums = own.fold((Resources::default(), Resources::default()), |(all, taken), info| {
+            (all.plus(&info.capacity), taken.plus(&used[&info.id]))
+        });
+        sums.0.covers(&sums.1.plus(&sums.1))
+    }
+
+    fn has_twice_the_room(&self, unit: &Unit, used: &BTreeMap<WorkerId, Resources>) -> bool {
+        let members = self.cluster.workers.values().map(|info| {
+            let fits = info.open
+                && info.service == unit.service
+                && unit.node_selector.as_ref().is_none_or(|label| info.labels.contains(label));
+            if !fits {
+                return 0;
+            }
+            let free = info.capacity.minus(&used[&info.id]);
+            let by = |free: u64, asked: u64| free.checked_div(asked).unwrap_or(u64::MAX);
+            let by_room = by(free.cpu, unit.resources.cpu)
+                .min(by(free.mem_mb, unit.resources.mem_mb))
+                .min(by(free.gpu, unit.resources.gpu));
+            match unit.anti_affinity {
+                0 => by_room / 2,
+                most => {
+                    let left = most.saturating_sub(self.cluster.count_of(&unit.id.step, &info.id));
+                    (by_room / 2).min(u64::from(left))
+                }
+            }
+        });
+        members.fold(0, u64::saturating_add) >= unit.tasks.len() as u64
+    }
+
+    fn play(&mut self) {
+        while self.cluster.now < DAY_MS {
+            self.cluster.now += TICK_MS;
+            self.end_what_is_over();
+            self.events();
+            self.place();
+            self.check_waits();
+        }
+        self.failing = false;
+        let turn: Vec<WorkerInfo> = self.cluster.workers.values().cloned().collect();
+        turn.into_iter().for_each(|info| self.cluster.worker(WorkerInfo { open: true, ..info }));
+        while self.cluster.now < DAY_MS + REST_MS && !(self.ends.is_empty() && self.nothing_can_start()) {
+            self.cluster.now += TICK_MS;
+            self.end_what_is_over();
+            self.place();
+            self.check_waits();
+        }
+        self.check_end();
+    }
+
+    fn nothing_can_start(&self) -> bool {
+        let nothing =
+            BTreeMap::from_iter(self.cluster.workers.keys().map(|id| (id.clone(), Resources::default())));
+        !self.cluster.waiting.values().any(|unit| self.has_twice_the_room(unit, &nothing))
+    }
+
+    fn check_end(&self) {
+        assert!(self.ends.is_empty() && self.nothing_can_start(), "{} wait", self.cluster.waiting.len());
+        assert_eq!(self.cluster.placement.waiting(), self.cluster.waiting.len());
+        for status in self.cluster.placement.workers() {
+            assert_eq!((status.used, status.runs), (Resources::default(), 0), "{:?}", status.info.id);
+        }
+    }
+}
+
+#[test]
+fn given_days_with_all_events_when_played_then_every_rule_holds() {
+    let seeds = std::env::var("PLACEMENT_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(SEEDS);
+    let first = std::env::var("PLACEMENT_FIRST").ok().and_then(|text| text.parse().ok()).unwrap_or(0);
+    for seed in first..first + seeds {
+        let played = std::panic::catch_unwind(|| Day::new(seed).play());
+        if let Err(cause) = played {
+            eprintln!("the day with seed {seed} failed");
+            std::panic::resume_unwind(cause);
+        }
+    }
+}
--- a/crates/placement/tests/urgency.rs
+++ b/crates/placement/tests/urgency.rs
@@ -181,6 +181,26 @@
     panic!("the gang waited for 12 s");
 }
 
+#[test]
+fn given_stops_for_a_gang_that_end_one_by_one_when_lesser_tasks_waited_long_then_the_gang_gets_the_room() {
+    let large = ["w1", "w2"].map(|id| worker(id, 32_000, "r1"));
+    let small = ["w3", "w4", "w5", "w6", "w7", "w8", "w9"].map(|id| worker(id, 8_000, "r1"));
+    let mut cluster = Cluster::new(1, large.into_iter().chain(small));
+    for number in 1..=9 {
+        cluster.enqueue(Unit { checkpoints: true, estimated_ms: 20_000, ..unit(number, 15_000, 2) });
+    }
+    assert_eq!(cluster.run_for(4_000).len(), 4, "the others wait; most of the service is free");
+    cluster.enqueue(gang(20, 4, 15_000, 0));
+    cluster.run_for(100);
+    assert_eq!(cluster.preempted.len(), 4);
+    for task in cluster.preempted.clone() {
+        let at: std::sync::Arc<str> = cluster.runs.keys().find(|(run, _)| *run == task).unwrap().1.clone();
+        cluster.end(&task, &at, RunEnd::Stopped);
+        cluster.run_for(250);
+    }
+    assert_eq!(cluster.runs.values().filter(|run| run.unit.priority == 0).count(), 4);
+}
+
 /// Short urgent tasks come evenly for some seconds; then as much long work as there is.
 fn with_urgent_traffic_and_a_flood() -> Cluster {
     let mut cluster = Cluster::new(1, ["w1", "w2", "w3", "w4"].map(|id| worker(id, 10_000, "r1")));
