Gate: a primary that could not commit is not trusted, and what can be repeated is tried again

Now 504 counts as unknown: the primary is asked for its own word, GET and DELETE are tried again, 3 times at most, while the client's time lasts.

--- a/crates/dataplane/src/core/link.rs
+++ b/crates/dataplane/src/core/link.rs
@@ -37,7 +37,7 @@
 /// What came of a call to the primary.
 #[derive(Debug)]
 pub enum Outcome {
-    /// It answered; any status but 421.
+    /// It answered; any status but 421 and 504.
     Answered(Answer),
     /// Nothing was done: it is not the primary, or no byte reached it.
     NotDone,
@@ -146,6 +146,11 @@
                 self.change(|finder, now| finder.refused(now, &target.address, &refusal.view));
                 Outcome::NotDone
             }
+            Ok(answer) if answer.status() == StatusCode::GATEWAY_TIMEOUT => {
+                // It could not commit: it is about to give up its office, and its own word brings it back.
+                self.change(|finder, now| finder.failed(now, &target.address));
+                Outcome::Unknown
+            }
             Ok(answer) => {
                 self.succeeded(&target.address);
                 Outcome::Answered(answer)
--- a/crates/dataplane/src/gate/passing.rs
+++ b/crates/dataplane/src/gate/passing.rs
@@ -16,14 +16,17 @@
 /// A try gets at least this, however little time the client gives.
 const SHORTEST_TRY: Duration = Duration::from_millis(50);
 
-/// A second try needs as much left.
+/// A further try needs as much left.
 const WORTH_A_TRY: Duration = Duration::from_millis(100);
 
+/// Further tries of one call: more would only add to the load of a primary in trouble.
+const MOST_REPEATS: u32 = 3;
+
 /// Answers a client's call.
 ///
 /// A call that surely was not carried out is tried once more where another primary is known, or refused with 503. One
 /// that may have been is answered with 502 if it hands a job in: the client sends the same id again. GET and DELETE may
-/// be carried out twice, so they are tried once more while the client's time lasts.
+/// be carried out twice, so they are tried again while the client's time lasts.
 pub async fn pass(link: &CoreLink, call: &Call) -> Answer {
     let until = Instant::now() + request::deadline(call).saturating_sub(KEPT_FOR_CLIENT);
     let call = match request::read(call) {
@@ -85,14 +88,14 @@
     }
 }
 
-/// The second try of a call that can be repeated, once a primary answers.
+/// Further tries of a call that can be repeated, whenever a primary answers.
 async fn repeat(link: &CoreLink, call: &ClientCall, until: Instant) -> Answer {
     let latest = until.checked_sub(WORTH_A_TRY).unwrap_or(until);
-    match link.wait_for_primary(latest).await {
-        Some(target) => match attempt(link, &target, call, until).await {
-            Attempt::Answered(answer) => answer,
-            Attempt::NotDone | Attempt::Unknown => request::unknown(),
-        },
-        None => request::unknown(),
+    for _ in 0..MOST_REPEATS {
+        let Some(target) = link.wait_for_primary(latest).await else { break };
+        if let Attempt::Answered(answer) = attempt(link, &target, call, until).await {
+            return answer;
+        }
     }
+    request::unknown()
 }
--- a/crates/dataplane/tests/gate.rs
+++ b/crates/dataplane/tests/gate.rs
@@ -159,6 +159,27 @@
     });
 }
 
+#[rstest]
+#[case("GET", StatusCode::OK, 2)]
+#[case("DELETE", StatusCode::OK, 2)]
+#[case("POST", StatusCode::BAD_GATEWAY, 1)]
+fn given_a_primary_that_could_not_commit_when_called_then_only_what_may_be_repeated_is(
+    #[case] method: &str, #[case] wanted: StatusCode, #[case] wanted_calls: usize,
+) {
+    run(async {
+        let first = Cell::new(true);
+        let primary = Primary::start(move |_call| {
+            let status = if first.replace(false) { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::OK };
+            std::future::ready(json(status, &reply(200, "{}")))
+        });
+        let gate = gate_of(primary.address).await;
+
+        let answer = gate.answer(hurried(method, PATH, 15_000)).await;
+
+        assert_eq!((answer.status(), primary.calls.borrow().len()), (wanted, wanted_calls));
+    });
+}
+
 #[rstest]
 #[case(500)]
 #[case(404)]
