--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -215,7 +215,11 @@
 fn builder(limits: &ServerLimits) -> http1::Builder {
     let mut builder = http1::Builder::new();
     let buffer = limits.max_header.max(LEAST_BUFFER);
-    builder.auto_date_header(false).timer(LoopTimer).header_read_timeout(limits.idle_timeout).max_buf_size(buffer);
+    builder
+        .auto_date_header(false)
+        .timer(LoopTimer)
+        .header_read_timeout(limits.idle_timeout)
+        .max_buf_size(buffer);
     builder
 }
 
