--- a/crates/jobs/tests/runs.rs
+++ b/crates/jobs/tests/runs.rs
@@ -173,6 +173,23 @@
     assert_eq!(world.recovered().ready, world.ready);
 }
 
+#[test]
+fn given_a_worker_at_which_a_task_failed_again_and_again_when_it_waits_then_others_are_not_forgotten_for_it()
+{
+    let mut world = World::new();
+    let patient = QueueTerms { max_attempts: 9, ..terms("scans") };
+    world.submit_to(1, request(vec![step(1)]), &patient);
+    let id = unit(1, 0, 0, Some(0));
+    for worker in ["a", "b", "b", "b", "b"] {
+        let started = world.book.begin(world.now, &id, &[(task(1, 0, 0, 0), worker.into())]);
+        assert!(world.book.ended(world.now, &started[0].run, RunEnd::Failed, ""));
+    }
+    world.ready.clear();
+    world.take();
+    let avoided: Vec<&str> = world.ready[&id].avoid.iter().map(|w| &**w).collect();
+    assert_eq!(avoided, ["a", "b"]);
+}
+
 #[rstest]
 fn given_a_task_that_lasts_when_it_ends_in_any_way_then_it_waits_again_and_the_job_goes_on(
     #[values(RunEnd::Done, RunEnd::Failed, RunEnd::Stopped, RunEnd::Lapsed)] how: RunEnd,
