--- a/crates/coordination/tests/cluster/checks.rs
+++ b/crates/coordination/tests/cluster/checks.rs
@@ -41,6 +41,21 @@
         assert_eq!(known, record, "RECORDS DIFFER: {}", self.describe());
     }
 
+    /// From its first act on, a primary shows all that its state holds: that counts as committed.
+    pub fn note_exposed(&mut self, index: usize) {
+        let Some(process) = &self.nodes[index].process else { return };
+        let reign = process.status(self.now).record.reign;
+        if std::mem::replace(&mut self.nodes[index].acted_in, reign) == reign {
+            return;
+        }
+        let Some(process) = &self.nodes[index].process else { return };
+        let state = process.state();
+        let numbers = state.keys().filter_map(|key| key.strip_prefix("key/")?.parse::<u64>().ok());
+        for key in numbers {
+            self.checks.committed.entry(key).or_insert(reign);
+        }
+    }
+
     /// What is committed is synced on more disks than may be lost.
     pub fn check_copies(&self, key: u64) {
         let name = format!("key/{key:08}");
--- a/crates/coordination/tests/cluster/schedule.rs
+++ b/crates/coordination/tests/cluster/schedule.rs
@@ -158,4 +158,64 @@
             }
         }
     }
+
+    /// Faults so close together that each meets the repair of the one before: links go and come one way at a time,
+    /// processes die and return at once, some messages come seconds late. No disk is lost.
+    pub fn run_storm(&mut self, span: Millis) {
+        let end = self.now + span;
+        self.late = 0.03;
+        self.loss = 0.02;
+        while self.now < end {
+            self.one_gust();
+            let wait = self.random.random_range(1..120);
+            self.run(wait);
+        }
+        self.late = 0.0;
+    }
+
+    fn one_gust(&mut self) {
+        let size = self.nodes.len();
+        let victim = match self.actor().filter(|_| self.random.random_bool(0.4)) {
+            Some(actor) => actor,
+            None => self.random.random_range(0..size),
+        };
+        let other = self.random.random_range(0..size);
+        match self.random.random_range(0..12) {
+            0 => {
+                self.crash(victim);
+                if self.random.random_bool(0.7) {
+                    self.start(victim);
+                }
+            }
+            1 => {
+                let span = self.random.random_range(50..1_500);
+                self.freeze(victim, span);
+            }
+            2 => self.nodes[victim].sync_ms = self.random.random_range(1..600),
+            3 => self.nodes[victim].disk_fails = self.random.random_bool(0.3),
+            4 | 5 => {
+                self.cuts.insert((victim, other));
+            }
+            6 => self.cuts.extend((0..size).map(|from| (from, victim))),
+            7 => self.cuts.extend((0..size).map(|to| (victim, to))),
+            8 => self.cuts.clear(),
+            9 => self.leave(victim),
+            _ => self.calm_down(),
+        }
+    }
+
+    /// Much of what was broken is mended.
+    fn calm_down(&mut self) {
+        if self.random.random_bool(0.5) {
+            self.cuts.clear();
+        }
+        for index in 0..self.nodes.len() {
+            self.nodes[index].sync_ms = 9;
+            self.nodes[index].disk_fails = false;
+            let is_gone = self.nodes[index].process.is_none() || self.nodes[index].is_leaving;
+            if is_gone && self.random.random_bool(0.7) {
+                self.restart(index);
+            }
+        }
+    }
 }
--- a/crates/coordination/tests/stories.rs
+++ b/crates/coordination/tests/stories.rs
@@ -482,3 +482,21 @@
         cluster.run(1_000);
     }
 }
+
+#[test]
+fn given_one_replica_back_with_witnesses_when_it_is_wiped_before_it_acts_then_the_others_still_count() {
+    let mut cluster = Cluster::calm(5, 1, 1);
+    let replicas = cluster.replicas();
+    let first = replicas[1];
+    (0..5).for_each(|index| cluster.crash(index));
+    for index in (0..5).filter(|index| *index == first || !replicas.contains(index)) {
+        cluster.start(index);
+    }
+    let is_elected = |cluster: &Cluster| cluster.nodes[first].elected == 1;
+    assert!(cluster.run_until(2_000, is_elected).is_some(), "{}", cluster.describe());
+    cluster.wipe(first);
+    cluster.start_all();
+    // `Elected` checks the state against all that was committed.
+    somebody_acts(&mut cluster, 2_500);
+    work_goes_on(&mut cluster);
+}
