Emulator: the real state machines of every role in virtual time, with a checker of rules

Change: core machines (driver, coordinator, scheduler), agents and finders are the real ones; workers, clients, operators, gates, network, disks and clocks are stand-ins.

--- /dev/null
+++ b/crates/emulator/src/fleet/core.rs
@@ -0,0 +1,247 @@
+//! Core machines: the real driver of replication and scheduler, with an emulated disk.
+
+use super::calls::Outcome;
+use super::event::Event;
+use super::machine::Process;
+use super::Fleet;
+use crate::faults::Core;
+use crate::network::MachineId;
+use std::collections::HashMap;
+use std::sync::Arc;
+use streamusher_controlplane::driver::{Action, Answer, Call, Driver};
+use streamusher_coordination::{Coordinator, DiskChange, Input, Message};
+use streamusher_protocol::internal::{ClientMethod, ClusterView};
+use streamusher_protocol::{Millis, Now};
+use streamusher_scheduler::{Bounds, OrderKind, Reply, Scheduler, Settings};
+
+/// How long a refused write takes to be refused.
+const REFUSED_WRITE_MS: Millis = 20;
+/// How long a process may take to hand over when it is told to end.
+const GRACE_MS: Millis = 6_000;
+
+/// A core process.
+pub(crate) struct CoreProcess {
+    driver: Driver<Coordinator, Scheduler>,
+    /// Calls by the numbers that the driver gave them, and whether their success acknowledges something.
+    calls: HashMap<u64, (u64, bool)>,
+    leaving_since: Option<Millis>,
+}
+
+impl CoreProcess {
+    pub(crate) fn view(&self, now: Now) -> ClusterView {
+        self.driver.replication().view(now.steady)
+    }
+
+    pub(crate) fn acts(&self, now: Now) -> bool {
+        self.driver.replication().may_act(now.steady)
+    }
+
+    /// What it tells operators of itself.
+    pub(crate) fn status(&self, now: Now) -> serde_json::Value {
+        serde_json::json!({
+            "core": self.driver.replication().status(now.steady),
+            "scheduler": self.driver.scheduler().map(Scheduler::status),
+        })
+    }
+}
+
+impl Fleet {
+    pub(crate) fn new_core(&mut self, machine: MachineId) -> CoreProcess {
+        let now = self.clocks(machine);
+        let random_seed = self.random.word();
+        let bounds = self.setup.bounds;
+        let state = &self.machines[machine];
+        let replication = streamusher_coordination::Settings {
+            me: state.address.clone(),
+            bootstrap: state.bootstrap && state.boot == 1,
+            seeds: self.seeds(),
+            tolerance: self.setup.tolerance,
+            lease_ms: self.setup.lease_ms,
+            random_seed,
+        };
+        let scheduler = Settings {
+            bounds: Bounds {
+                hold_max_ms: bounds.hold_max_ms,
+                stop_ms: bounds.stop_ms,
+                gang_ms: bounds.gang_ms,
+                status_ms: bounds.status_ms,
+                early_ms: bounds.early_ms,
+                far_x: bounds.far_x,
+                save_ms: bounds.save_ms,
+                restore_ms: bounds.restore_ms,
+                drain_ms: bounds.drain_ms,
+                heartbeat_ms: bounds.heartbeat_ms,
+            },
+            random_seed,
+        };
+        let coordinator = Coordinator::new(replication, state.disk.image.clone(), now.steady);
+        CoreProcess {
+            driver: Driver::new(scheduler, coordinator),
+            calls: HashMap::new(),
+            leaving_since: None,
+        }
+    }
+
+    fn core(&mut self, machine: MachineId) -> Option<&mut CoreProcess> {
+        match self.machines[machine].process.as_mut()? {
+            Process::Core(core) => Some(core),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn core_tick(&mut self, machine: MachineId) {
+        let now = self.clocks(machine);
+        let Some(core) = self.core(machine) else { return };
+        let actions = core.driver.tick(now);
+        let over = core.leaving_since.is_some_and(|since| now.steady > since + GRACE_MS);
+        let left = core.leaving_since.is_some() && core.driver.replication().may_leave();
+        self.perform(machine, actions);
+        if left || over {
+            self.kill(machine, false);
+        }
+    }
+
+    pub(crate) fn core_leave(&mut self, machine: MachineId) {
+        let now = self.clocks(machine);
+        let Some(core) = self.core(machine) else { return };
+        core.leaving_since.get_or_insert(now.steady);
+        let actions = core.driver.input(now, Input::Leave);
+        self.perform(machine, actions);
+    }
+
+    pub(crate) fn core_received(&mut self, to: MachineId, from: Arc<str>, message: Message) {
+        let now = self.clocks(to);
+        let Some(core) = self.core(to) else { return };
+        let actions = core.driver.input(now, Input::Received { from, message });
+        self.perform(to, actions);
+    }
+
+    pub(crate) fn core_called(&mut self, machine: MachineId, call: u64, body: Call) {
+        let now = self.clocks(machine);
+        let boot = self.machines[machine].boot;
+        let acknowledges = match &body {
+            Call::Client(call) => call.method != ClientMethod::Get,
+            Call::Operator(order) => order.kind != OrderKind::Read,
+            Call::Agent(_) => false,
+        };
+        let Some(core) = self.core(machine) else { return };
+        let (request, actions) = core.driver.call(now, body);
+        core.calls.insert(request, (call, acknowledges));
+        self.register(call, boot, request);
+        self.perform(machine, actions);
+    }
+
+    pub(crate) fn core_abandoned(&mut self, machine: MachineId, boot: u64, request: u64) {
+        if !self.is_boot(machine, boot) {
+            return;
+        }
+        let now = self.clocks(machine);
+        let Some(core) = self.core(machine) else { return };
+        core.calls.remove(&request);
+        let actions = core.driver.abandon(now, request);
+        self.perform(machine, actions);
+    }
+
+    pub(crate) fn persisted(&mut self, machine: MachineId, boot: u64, ticket: u64, failed: bool) {
+        if !self.is_boot(machine, boot) {
+            return;
+        }
+        let Some((pending, change)) = self.machines[machine].disk.pending.take() else { return };
+        if pending != ticket {
+            return;
+        }
+        if !failed {
+            self.machines[machine].disk.apply(&change);
+        }
+        let input = if failed { Input::PersistFailed { ticket } } else { Input::Persisted { ticket } };
+        let now = self.clocks(machine);
+        let Some(core) = self.core(machine) else { return };
+        let actions = core.driver.input(now, input);
+        self.perform(machine, actions);
+    }
+
+    fn persist(&mut self, machine: MachineId, ticket: u64, change: DiskChange) {
+        let boot = self.machines[machine].boot;
+        let sync = self.setup.sync_ms + self.random.between(0, 4);
+        let disk = &mut self.machines[machine].disk;
+        let (failed, takes) = match disk.full {
+            true => (true, REFUSED_WRITE_MS),
+            false => (false, sync + disk.slow_ms),
+        };
+        disk.pending = Some((ticket, change));
+        let at = disk.stalled_until.max(self.now) + takes;
+        self.queue.push(at, Event::Persisted { machine, boot, ticket, failed });
+    }
+
+    fn perform(&mut self, machine: MachineId, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { to, message } => self.send_core(machine, &to, message),
+                Action::Persist { ticket, change } => self.persist(machine, ticket, change),
+                Action::Answer { request, answer } => self.core_answers(machine, request, answer),
+            }
+        }
+    }
+
+    fn send_core(&mut self, machine: MachineId, to: &Arc<str>, message: Message) {
+        let Some(receiver) = self.machine_at(to) else { return };
+        if self.network.loses() {
+            return;
+        }
+        let Some(delay) = self.network.delay(machine, receiver) else { return };
+        let from = self.machines[machine].address.internal.clone();
+        self.queue.push(self.now + delay, Event::Core { to: receiver, from, message });
+    }
+
+    fn core_answers(&mut self, machine: MachineId, request: u64, answer: Answer) {
+        // An answer given at once comes before the call's number is known here.
+        let Some(core) = self.core(machine) else { return };
+        let Some((call, acknowledges)) = core.calls.remove(&request) else { return };
+        let (outcome, success) = match answer {
+            Answer::Reply(Reply::Client(reply)) => {
+                let success = (200..300).contains(&reply.status);
+                (Outcome::Client(reply), success)
+            }
+            Answer::Reply(Reply::Operator(reply)) => {
+                let success = (200..300).contains(&reply.status);
+                (Outcome::Operator(reply), success)
+            }
+            Answer::Reply(Reply::Agent(orders)) => (Outcome::Orders(Arc::new(orders)), false),
+            Answer::NotPrimary(view) => (Outcome::NotPrimary(view), false),
+            Answer::Unknown => (Outcome::Unknown, false),
+        };
+        self.respond(call, outcome);
+        if success && acknowledges {
+            self.acknowledged(machine);
+        }
+    }
+
+    /// The machine that acts as primary now.
+    pub fn primary(&self) -> Option<MachineId> {
+        let acts = |id: &MachineId| match &self.machines[*id].process {
+            Some(Process::Core(core)) => core.acts(self.clocks(*id)),
+            _ => false,
+        };
+        self.cores().into_iter().find(acts)
+    }
+
+    pub(crate) fn core_meant(&mut self, core: Core) -> MachineId {
+        let cores = self.cores();
+        match core {
+            Core::At(index) => cores[index % cores.len()],
+            Core::Primary => match self.primary() {
+                Some(primary) => primary,
+                None => cores[self.random.below(cores.len())],
+            },
+        }
+    }
+
+    /// What core processes tell operators of themselves.
+    pub fn core_status(&self) -> Vec<(Arc<str>, Option<serde_json::Value>)> {
+        let status = |id: MachineId| match &self.machines[id].process {
+            Some(Process::Core(core)) => Some(core.status(self.clocks(id))),
+            _ => None,
+        };
+        self.cores().into_iter().map(|id| (self.machines[id].name.clone(), status(id))).collect()
+    }
+}
