--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -7,7 +7,7 @@
 //! - `proposal`, `proposer`, `election`: how a record is proposed, and when a replica seeks the primary's place.
 //! - `disk`: one change at a time, and what has to wait for it.
 //! - `recent`, `copy`: the newest batches, and whole copies of the state in parts.
-//! - `peer`, `reign`, `replication`, `reconfiguration`: the primary's side.
+//! - `peer`, `reign`, `lease`, `replication`, `reconfiguration`: the primary's side.
 //! - `backup`: the replica's side.
 //! - `sanity`: what messages are not taken.
 //! - `bootstrap`, `report`: what an empty disk begins with; what a machine tells of itself.
@@ -37,7 +37,8 @@
 //! acknowledgement (of its start, as it may have forgotten one), and from then on acknowledges none of e. A
 //! primary that hands over stops before it proposes. So when a successor is decided, the lease of the
 //! former one is over. A reign belongs to one life of a process: who starts with a record that names
-//! itself does not act on it. Such a machine says so (`Vacant`), and nobody needs to wait for its lease.
+//! itself does not act on it. Such a machine says so (`Vacant`), and nobody needs to wait for its lease. So does a primary that
+//! can't act and hears no majority: it gives up its office, as its keepalives would hold the others back.
 
 mod acceptor;
 mod backup;
@@ -46,6 +47,7 @@
 mod copy;
 mod disk;
 mod election;
+mod lease;
 pub mod message;
 mod peer;
 mod proposal;
--- a/crates/coordination/src/replication.rs
+++ b/crates/coordination/src/replication.rs
@@ -5,8 +5,8 @@
 use crate::peer::Peer;
 use crate::recent::write_bytes;
 use crate::reign::Reign;
-use crate::times::{ABDICATE_MS, BATCH_BYTES, LEAVE_MOST_MS, MOST_OUTSTANDING, SEND_WINDOW, SLOW_REST_MS};
-use crate::types::{DiskId, EpochRecord, Output, PeerStatus, Position};
+use crate::times::{BATCH_BYTES, LEAVE_MOST_MS, MOST_OUTSTANDING, SEND_WINDOW, SLOW_REST_MS};
+use crate::types::{DiskId, Output, PeerStatus, Position};
 use std::sync::Arc;
 use streamusher_protocol::store::Write;
 use streamusher_protocol::Millis;
@@ -15,46 +15,6 @@
 const KEEPALIVES_PER_LEASE: Millis = 4;
 
 impl Coordinator {
-    /// Whether this is the primary with a valid lease: replies may be released.
-    pub fn may_act(&self, now: Millis) -> bool {
-        let Some(reign) = &self.reign else { return false };
-        let is_allowed = reign.is_open() && !reign.yielded && self.has_enough_replicas();
-        is_allowed && self.lease_end().is_some_and(|end| now < end)
-    }
-
-    /// End of the shortest lease among all that are needed; none while one is missing.
-    pub(crate) fn lease_end(&self) -> Option<Millis> {
-        let reign = self.reign.as_ref()?;
-        let span = self.settings.lease_ms * 95 / 100;
-        let mut end = Millis::MAX;
-        for id in self.required(reign) {
-            let from = reign.peers.get(&id)?.lease_from?;
-            end = end.min(from + span);
-        }
-        Some(end)
-    }
-
-    /// The others who must agree: the replicas of the record and of all own proposals that may yet be decided.
-    fn required<'a>(&'a self, reign: &'a Reign) -> impl Iterator<Item = DiskId> + 'a {
-        let replicas = self.witness.decided.replicas.iter().chain(&reign.proposed).copied();
-        replicas.filter(|id| *id != self.witness.id)
-    }
-
-    fn has_enough_replicas(&self) -> bool {
-        let record = &self.witness.decided;
-        record.replicas.len() >= self.copies_needed(record)
-    }
-
-    /// Copies without which nothing is committed.
-    pub(crate) fn copies_needed(&self, record: &EpochRecord) -> usize {
-        (self.settings.tolerance + 1).min(record.members.len()).max(1)
-    }
-
-    /// Copies that are aimed at.
-    pub(crate) fn copies_wanted(&self) -> usize {
-        self.settings.tolerance + 2
-    }
-
     pub(crate) fn open_reign(&mut self, epoch: u64) {
         if self.opening != Some(epoch) {
             return;
@@ -127,29 +87,6 @@
         self.reconsider();
     }
 
-    /// Whether this primary can't act and hears too few to change that. It may still be heard, and would hold others
-    /// back by its keepalives.
-    fn is_forsaken(&mut self) -> bool {
-        let now = self.now;
-        let may_act = self.may_act(now);
-        let majority = self.witness.decided.majority();
-        let Some(reign) = &mut self.reign else { return false };
-        if may_act {
-            reign.acted_at = now;
-        }
-        let heard = reign.peers.values().filter(|peer| now < peer.heard + ABDICATE_MS).count();
-        now >= reign.acted_at + ABDICATE_MS && heard + 1 < majority
-    }
-
-    /// Gives up the office for good; others are told that nobody acts in this reign any more.
-    fn abdicate(&mut self) {
-        log::info!("hears no majority: gives up its office");
-        self.reign = None;
-        self.proposal = None;
-        self.out.push(Output::Deposed);
-        self.tell_vacant();
-    }
-
     pub(crate) fn on_alive(
         &mut self, from: DiskId, reign: u64, sent: Millis, position: Position, leaving: bool,
     ) {
--- a/crates/coordination/tests/cluster/mod.rs
+++ b/crates/coordination/tests/cluster/mod.rs
@@ -22,6 +22,9 @@
 /// A late message comes by then.
 const MOST_LATE_MS: Millis = 3_000;
 
+/// Chooses messages that are lost.
+pub type Losses = Box<dyn FnMut(usize, usize, &Message) -> bool>;
+
 /// What happens at a point in time.
 enum Event {
     Tick { node: usize, life: u64 },
@@ -67,6 +70,8 @@
     pub loss: f64,
     pub doubled: f64,
     pub delay_ms: Millis,
+    /// Says of each message (sender, receiver) whether it is lost.
+    pub loses: Option<Losses>,
     /// Share of messages that come up to three seconds late.
     pub late: f64,
     pub append_every_ms: Millis,
@@ -95,6 +100,7 @@
             loss: 0.0,
             doubled: 0.0,
             delay_ms: 3,
+            loses: None,
             late: 0.0,
             append_every_ms: 25,
             value_bytes: 10,
@@ -366,6 +372,9 @@
 
     fn transmit(&mut self, index: usize, to: Arc<str>, message: Message) {
         let Some(target) = self.nodes.iter().position(|node| node.address.internal == to) else { return };
+        if self.loses.as_mut().is_some_and(|loses| loses(index, target, &message)) {
+            return;
+        }
         let copies = 1 + usize::from(self.random.random_bool(self.doubled));
         for _ in 0..copies {
             if self.cuts.contains(&(index, target)) || self.random.random_bool(self.loss) {
