--- a/crates/controlplane/src/lib.rs
+++ b/crates/controlplane/src/lib.rs
@@ -1,6 +1,7 @@
 //! The control plane: primary, replicas and witnesses on the core machines.
 //!
 //! - [`driver`]: the rule by which replies leave, joining replication and scheduler; pure.
+//! - [`ports`]: what the driver needs of both.
 //! - [`store`], [`disk`]: what is kept on disk, and the thread that writes it.
 //! - [`machine`]: the driver with its queues, shared by the servers.
 //! - [`peers`], [`internal`], [`operators`]: messages between core machines, and both servers' answers.
@@ -14,5 +15,6 @@
 pub mod options;
 pub mod parameters;
 pub mod peers;
+pub mod ports;
 pub mod program;
 pub mod store;
--- a/crates/controlplane/src/store/mod.rs
+++ b/crates/controlplane/src/store/mod.rs
@@ -12,6 +12,7 @@
 pub use folders::{DISCARDED, FOLDER, FORMER, NEXT};
 
 use fjall::{Database, Keyspace, KeyspaceCreateOptions, PersistMode};
+use std::cell::Cell;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use streamusher_coordination::{DiskChange, DiskImage, Position, StateMap, WitnessState};
@@ -34,6 +35,10 @@
 /// At a start, when nobody waits for the disk yet, less is enough.
 const MOST_JOURNAL_BYTES_AT_START: u64 = 8 << 20;
 
+/// What a journal adds to the key and the value of each entry, and what the rest of a batch takes with its position.
+const ENTRY_BYTES: usize = 22;
+const BATCH_BYTES: usize = 100;
+
 const KEYSPACE: &str = "control";
 const FORMAT_KEY: &[u8] = b"m/format";
 const WITNESS_KEY: &[u8] = b"m/witness";
@@ -46,6 +51,8 @@
     folder: PathBuf,
     database: Database,
     keyspace: Keyspace,
+    /// About the length of the journals. Asking the database costs a system call for each change.
+    journal_bytes: Cell<u64>,
 }
 
 impl Store {
@@ -59,7 +66,7 @@
         let mut store = Store::open_at(&folder)?;
         folders::sync_all(data_dir).map_err(|error| StoreError::from_io(&folder, &error))?;
         let image = store.load()?;
-        if store.journal_bytes() > MOST_JOURNAL_BYTES_AT_START {
+        if store.journal_bytes.get() > MOST_JOURNAL_BYTES_AT_START {
             store = store.rebuild(data_dir)?;
         }
         Ok((store, image))
@@ -67,7 +74,7 @@
 
     /// Whether [`Store::rebuild`] is due.
     pub fn is_too_large(&self) -> bool {
-        self.journal_bytes() > MOST_JOURNAL_BYTES
+        self.journal_bytes.get() > MOST_JOURNAL_BYTES
     }
 
     /// Makes the store anew with the newest value of each key alone, and puts it in the place of this one.
@@ -100,22 +107,27 @@
     /// The change is on disk as a whole or not at all, and the store must be opened anew.
     pub fn apply(&self, change: &DiskChange) -> Result<(), StoreError> {
         let mut batch = self.database.batch().durability(Some(PersistMode::SyncData));
+        let mut bytes = 0;
         if change.replace_all {
-            self.remove_state(&mut batch)?;
+            bytes += self.remove_state(&mut batch)?;
         }
         for write in &change.writes {
             let key = [STATE_PREFIX, write.key.as_bytes()].concat();
+            bytes += ENTRY_BYTES + key.len() + write.value.as_ref().map_or(0, |value| value.len());
             match &write.value {
                 Some(value) => batch.insert(&self.keyspace, key, value.as_bytes()),
                 None => batch.remove(&self.keyspace, key),
             }
         }
         if let Some(witness) = &change.witness {
-            batch.insert(&self.keyspace, WITNESS_KEY, self.encode(witness)?);
+            let value = self.encode(witness)?;
+            bytes += ENTRY_BYTES + value.len();
+            batch.insert(&self.keyspace, WITNESS_KEY, value);
         }
         if let Some(position) = &change.position {
             batch.insert(&self.keyspace, POSITION_KEY, self.encode(position)?);
         }
+        self.journal_bytes.set(self.journal_bytes.get() + (bytes + BATCH_BYTES) as u64);
         batch.commit().map_err(|error| self.failed(&error))
     }
 
@@ -131,10 +143,6 @@
         Store::open_database(folder)
     }
 
-    fn journal_bytes(&self) -> u64 {
-        self.database.journal_disk_space().unwrap_or(0)
-    }
-
     fn copy_to(&self, next: &Store) -> Result<(), StoreError> {
         let mut batch = next.database.batch().durability(Some(PersistMode::SyncAll));
         for guard in self.keyspace.iter() {
@@ -157,7 +165,8 @@
         let failed = |error| StoreError::from_database(folder, &error);
         let database = database.map_err(failed)?;
         let keyspace = database.keyspace(KEYSPACE, keyspace_options).map_err(failed)?;
-        Ok(Store { folder: folder.to_owned(), database, keyspace })
+        let journal_bytes = Cell::new(database.journal_disk_space().map_err(failed)?);
+        Ok(Store { folder: folder.to_owned(), database, keyspace, journal_bytes })
     }
 
     /// Whether the store is marked.
@@ -200,12 +209,15 @@
         Ok(state)
     }
 
-    fn remove_state(&self, batch: &mut fjall::OwnedWriteBatch) -> Result<(), StoreError> {
+    /// Gives the bytes that it adds to the journal.
+    fn remove_state(&self, batch: &mut fjall::OwnedWriteBatch) -> Result<usize, StoreError> {
+        let mut bytes = 0;
         for guard in self.keyspace.prefix(STATE_PREFIX) {
             let key = guard.key().map_err(|error| self.failed(&error))?;
+            bytes += ENTRY_BYTES + key.len();
             batch.remove(&self.keyspace, key);
         }
-        Ok(())
+        Ok(bytes)
     }
 
     fn read<T: serde::de::DeserializeOwned>(&self, key: &[u8]) -> Result<Option<T>, StoreError> {
--- a/crates/controlplane/tests/driver.rs
+++ b/crates/controlplane/tests/driver.rs
@@ -5,7 +5,8 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::sync::Arc;
-use streamusher_controlplane::driver::{Action, Answer, Call, Driver, Replication, StateMachine};
+use streamusher_controlplane::driver::{Action, Answer, Call, Driver};
+use streamusher_controlplane::ports::{Replication, StateMachine};
 use streamusher_coordination::{Input, Output, StateMap};
 use streamusher_protocol::internal::{
     AgentOrders, AgentSync, ClientCall, ClientMethod, ClientReply, ClusterView, CoreAddress,
