--- a/crates/placement/src/claim.rs
+++ b/crates/placement/src/claim.rs
@@ -4,7 +4,7 @@
 use crate::copies::ANYWHERE_MS;
 use crate::placement::{held_of, Placement};
 use crate::queue::{Key, Slot, Waiting};
-use crate::room::Worker;
+use crate::room::{Insistence, Worker};
 use crate::run::Run;
 use crate::service::Service;
 use crate::types::Decision;
@@ -16,6 +16,10 @@
 /// Copies that are looked at in one queue; further ones are found when their unit is looked at again.
 const LOOKED_AT: usize = 32;
 
+/// No unit waits 3 s while its service has much free room: small ones then take even what was stopped for others.
+const EVEN_STOPPED_MS: Millis = 2_300;
+const SMALL_SHARE: f64 = 0.2;
+
 impl Placement {
     /// Whether a single task may start at a worker now.
     pub(crate) fn admits(&self, now: Millis, key: Key, waiting: &Waiting, slot: Slot) -> bool {
@@ -25,11 +29,12 @@
             return false;
         }
         let Some(service) = self.services.get(&unit.service) else { return false };
-        let takes_any = self.takes_any(now, waiting, service);
+        let insistence = self.insistence(now, waiting, service, worker);
         let ends_at = now as f64 + self.expected_ms(now, unit, worker, service);
         let allowed = worker.runs.len() < service.most_runs(now, worker)
             && leaves_headroom(worker, service, unit.priority, &unit.resources);
-        (allowed || takes_any) && worker.fits(now, key, &unit.resources, ends_at, takes_any)
+        (allowed || insistence > Insistence::Usual)
+            && worker.fits(now, key, &unit.resources, ends_at, insistence)
     }
 
     /// A unit that has waited long in a service with much free room takes any room that there is.
@@ -37,6 +42,20 @@
         waiting.waited(now) >= ANYWHERE_MS && service.is_lightly_used()
     }
 
+    /// How much a unit may take of what is kept at a worker. What was stopped for others goes to small tasks only:
+    /// a large one would have it stopped again.
+    pub(crate) fn insistence(
+        &self, now: Millis, waiting: &Waiting, service: &Service, worker: &Worker,
+    ) -> Insistence {
+        if !self.takes_any(now, waiting, service) {
+            Insistence::Usual
+        } else if waiting.waited(now) >= EVEN_STOPPED_MS && waiting.share_of(worker) < SMALL_SHARE {
+            Insistence::EvenStopped
+        } else {
+            Insistence::AnyRoom
+        }
+    }
+
     /// Lets the workers with changes take what fits, up to a place in the order.
     pub(crate) fn scan_changed(&mut self, now: Millis, until: Option<Key>, out: &mut Vec<Decision>) {
         let slots: Vec<Slot> = self.dirty.iter().copied().collect();
--- a/crates/placement/src/copies.rs
+++ b/crates/placement/src/copies.rs
@@ -8,7 +8,9 @@
 /// From this wait on a unit has a copy at every worker that it may go to.
 const COPIES_EVERYWHERE_MS: Millis = 200;
 /// Most copies of a unit: in a larger service, later looks take other workers.
-const MOST_COPIES: usize = 64;
+const MOST_COPIES: usize = 32;
+/// Most copies at first, however many wait: past some queues the next adds little.
+const MOST_AT_FIRST: usize = 4;
 /// From this wait on, no worker is too far, too slow or too often at fault.
 pub(crate) const ANYWHERE_MS: Millis = 1_500;
 /// From this wait on, avoided workers are taken too.
@@ -27,7 +29,7 @@
             MOST_COPIES
         } else {
             let ahead = self.workers.get(first.slot).map_or(0, |worker| worker.queue.len());
-            (1 + ahead).max(2 * before)
+            (1 + ahead).min(MOST_AT_FIRST).max(2 * before)
         };
         if before >= MOST_COPIES {
             self.withdraw_copies(key);
--- a/crates/placement/src/gang.rs
+++ b/crates/placement/src/gang.rs
@@ -28,7 +28,7 @@
         if let Some(plan) = plan.filter(|plan| self.may_take(now, waiting, plan)) {
             return self.start_gang(now, key, plan, out);
         }
-        if !self.is_kept(now, key) && self.is_among_first(key) {
+        if !self.is_kept(now, key) && self.plans_left > 0 && self.is_among_first(key) {
             self.make_room(now, key, &groups, out);
         }
         self.look_again(now, key);
--- a/crates/placement/src/gather.rs
+++ b/crates/placement/src/gather.rs
@@ -3,7 +3,7 @@
 use crate::amounts::{amounts, Amounts};
 use crate::placement::Placement;
 use crate::queue::{Key, Slot, Waiting};
-use crate::room::{Reservation, Worker};
+use crate::room::{Insistence, Reservation, Worker};
 use crate::run::Run;
 use crate::service::Service;
 use streamusher_protocol::task::TaskId;
@@ -182,8 +182,10 @@
         reach: Reach,
     ) -> Option<Host<'a>> {
         let worker = self.workers.get(slot)?;
-        let takes_any = self.takes_any(now, waiting, service);
-        if !worker.info.open || !takes_any && service.most_runs(now, worker) <= worker.runs.len() {
+        let insistence = self.insistence(now, waiting, service, worker);
+        if !worker.info.open
+            || insistence == Insistence::Usual && service.most_runs(now, worker) <= worker.runs.len()
+        {
             return None;
         }
         let unit = &waiting.unit;
@@ -194,7 +196,7 @@
         let mut host = Host {
             slot,
             rank,
-            left: left_at(now, key, worker, service, takes_any, unit.priority),
+            left: left_at(now, key, worker, service, insistence, unit.priority),
             most_members: by_step,
             victims: Vec::new(),
             members: 0,
@@ -217,7 +219,8 @@
         };
         for (task, run) in &worker.runs {
             let rest_ms = run.rest_ms(now, service.usual_ms(), &self.settings);
-            if rest_ms <= within_ms {
+            // Room of more urgent work is soon taken by its like.
+            if rest_ms <= within_ms && run.held.priority >= priority {
                 host.left.free(run);
             } else if stops && !run.stopping && run.held.priority > priority && (gangs || !run.held.gang) {
                 host.victims.push((run.price_of_stop(now, &self.settings), task, run));
@@ -229,15 +232,15 @@
 
 /// Room left now, with what is kept for earlier units and for more urgent priorities taken off.
 fn left_at(
-    now: Millis, key: Key, worker: &Worker, service: &Service, takes_any: bool, priority: u32,
+    now: Millis, key: Key, worker: &Worker, service: &Service, insistence: Insistence, priority: u32,
 ) -> Left {
     let capacity = amounts(&worker.info.capacity);
     let mut total = capacity;
     add(&mut total, &amounts(&worker.used), -1.0);
-    let holds = |kept: &&Reservation| kept.holds_against(now, key, takes_any);
+    let holds = |kept: &&Reservation| kept.holds_against(now, key, insistence);
     let kept = worker.reservations.iter().filter(holds);
     kept.for_each(|kept| add(&mut total, &amounts(&kept.resources), -1.0));
-    if takes_any {
+    if insistence > Insistence::Usual {
         return Left { total, under: Vec::new() };
     }
     let under = service.headroom.against(priority).map(|(urgent, shares)| {
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -17,10 +17,13 @@
 
 /// Units looked at again in one call; the others follow in the next.
 const MOST_DUE: usize = 64;
+/// Searches for room in one call, most urgent first: they cost the most by far.
+const MOST_PLANS: usize = 16;
 /// Gangs of a service that are tried when room comes free.
 const GANGS_TRIED: usize = 8;
-/// Highest load that is filed, in thousandths.
-const HIGHEST_FILED: f64 = 1e6;
+/// Loads are filed in steps of a hundredth, up to twice the room: finer or higher ones would change nothing.
+const FILED_STEPS: f64 = 100.0;
+const HIGHEST_FILED: f64 = 200.0;
 
 /// Decides which worker runs which unit.
 ///
@@ -40,6 +43,8 @@
     fresh: BTreeSet<Key>,
     /// Services in which room came free.
     freed: BTreeSet<Arc<str>>,
+    /// Searches for room that the present call may still make.
+    pub(crate) plans_left: usize,
     /// The latest time that was told.
     now: Millis,
 }
@@ -56,6 +61,7 @@
             dirty: BTreeSet::new(),
             fresh: BTreeSet::new(),
             freed: BTreeSet::new(),
+            plans_left: 0,
             now: 0,
         }
     }
@@ -187,6 +193,7 @@
             return Vec::new();
         }
         self.services.values_mut().for_each(|service| service.settle(now));
+        self.plans_left = MOST_PLANS;
         let mut looked_at = std::mem::take(&mut self.fresh);
         looked_at.extend(self.queue.take_due(now, MOST_DUE));
         let (gangs, singles): (BTreeSet<Key>, BTreeSet<Key>) =
@@ -301,7 +308,7 @@
 }
 
 fn filed_load(worker: &Worker) -> u32 {
-    (worker.load() * 1000.0).clamp(0.0, HIGHEST_FILED) as u32
+    (worker.load() * FILED_STEPS).clamp(0.0, HIGHEST_FILED) as u32
 }
 
 fn unknown_worker(id: &WorkerId, service: &Arc<str>) -> WorkerInfo {
--- a/crates/placement/src/preempt.rs
+++ b/crates/placement/src/preempt.rs
@@ -10,6 +10,8 @@
 
 /// Room that comes free by itself in this time is waited for, rather than stopping anything.
 const SOON_MS: f64 = 300.0;
+/// What did not end by itself for so long is not waited for any more where something may be stopped.
+const GIVEN_UP_AFTER_MS: Millis = 700;
 /// A unit that waits so long, while runs are stopped only for more urgent ones, has room kept for it.
 const KEEP_AFTER_MS: Millis = 300;
 /// Kept for so long past the time at which the room was expected.
@@ -33,20 +35,42 @@
 impl Placement {
     /// Helps a single task that found no room: any acceptable worker, then kept room, then stops.
     pub(crate) fn relieve(&mut self, now: Millis, key: Key, out: &mut Vec<Decision>) {
-        let ranked = self.ranked(now, key);
-        for slot in self.acceptable(now, key, &ranked) {
-            self.claim(now, key, slot, out);
-            if self.queue.get(key).is_none() {
+        let copies = self.queue.get(key).map_or(Vec::new(), |waiting| waiting.copies.clone());
+        if self.claim_any(now, key, &copies, out) {
+            return;
+        }
+        if copies.len() < 2 {
+            let ranked = self.ranked(now, key);
+            let others = self.acceptable(now, key, &ranked);
+            if self.claim_any(now, key, &others, out) {
                 return;
             }
         }
-        let group: Group = ranked.iter().map(|worker| (worker.rank, worker.slot)).collect();
-        if !self.is_kept(now, key) {
+        if !self.is_kept(now, key) && self.is_worth_a_plan(key, &copies) {
+            let ranked = self.ranked(now, key);
+            let group: Group = ranked.iter().map(|worker| (worker.rank, worker.slot)).collect();
             self.make_room(now, key, &[group], out);
         }
         self.look_again(now, key);
     }
 
+    /// Whether one of the workers took the task.
+    fn claim_any(&mut self, now: Millis, key: Key, slots: &[Slot], out: &mut Vec<Decision>) -> bool {
+        for slot in slots {
+            self.claim(now, key, *slot, out);
+            if self.queue.get(key).is_none() {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Whether a plan could lead to anything: looked up before workers are ranked.
+    fn is_worth_a_plan(&self, key: Key, slots: &[Slot]) -> bool {
+        let Some(waiting) = self.queue.get(key) else { return false };
+        self.plans_left > 0 && (self.may_stop(waiting, slots) || self.may_keep(waiting, slots))
+    }
+
     /// Whether room is kept for a unit; forgets what was kept for too long.
     pub(crate) fn is_kept(&mut self, now: Millis, key: Key) -> bool {
         let kept = |waiting: &Waiting| !waiting.reserved.is_empty() && waiting.reserved_until > now;
@@ -65,6 +89,7 @@
 
     /// Finds the nearest and cheapest way to room, and goes it.
     pub(crate) fn make_room(&mut self, now: Millis, key: Key, groups: &[Group], out: &mut Vec<Decision>) {
+        self.plans_left = self.plans_left.saturating_sub(1);
         let Some(waiting) = self.queue.get(key) else { return };
         for reach in self.reaches(now, waiting, groups) {
             let most = most_price(waiting);
@@ -86,9 +111,10 @@
         let mut reaches = Vec::new();
         let (gang, urgent) = (waiting.is_gang(), waiting.unit.priority == 0);
         let waited = waiting.waited(now);
-        let stops = self.may_stop(waiting, groups);
-        let keeps = self.may_keep(waiting, groups);
-        if stops || keeps {
+        let slots: Vec<Slot> = groups.iter().flatten().map(|(_, slot)| *slot).collect();
+        let stops = self.may_stop(waiting, &slots);
+        let keeps = self.may_keep(waiting, &slots);
+        if stops && waited < GIVEN_UP_AFTER_MS || keeps {
             reaches.push(Reach::Within(SOON_MS));
         }
         if stops && (urgent || waited >= STOP_AFTER_MS) {
@@ -107,19 +133,19 @@
     }
 
     /// Whether anything that is less urgent runs there.
-    fn may_stop(&self, waiting: &Waiting, groups: &[Group]) -> bool {
+    fn may_stop(&self, waiting: &Waiting, slots: &[Slot]) -> bool {
         let below = |slot: Slot| {
             let worker = self.workers.get(slot);
             worker.is_some_and(|worker| worker.used_below(waiting.unit.priority) != Default::default())
         };
-        groups.iter().flatten().any(|(_, slot)| below(*slot))
+        slots.iter().any(|slot| below(*slot))
     }
 
     /// Whether room may be kept: for gangs and large tasks, and for few units at once.
-    fn may_keep(&self, waiting: &Waiting, groups: &[Group]) -> bool {
+    fn may_keep(&self, waiting: &Waiting, slots: &[Slot]) -> bool {
         let Some(service) = self.services.get(&waiting.unit.service) else { return false };
         let most = 1 + service.all.members.len() / WORKERS_PER_KEPT;
-        let first = groups.iter().flatten().next().and_then(|(_, slot)| self.workers.get(*slot));
+        let first = slots.first().and_then(|slot| self.workers.get(*slot));
         let large = waiting.is_gang() || first.is_some_and(|w| waiting.share_of(w) >= LEAST_SHARE_KEPT);
         large && service.reserving.len() < most
     }
@@ -131,7 +157,7 @@
         let ready_at = now.saturating_add(stop_ms.max(within_ms as Millis));
         let until = ready_at.saturating_add(GRACE_MS);
         for site in plan.sites {
-            self.reserve(key, &site, ready_at, until, stops);
+            self.reserve(key, &site, ready_at, until);
             let Some(worker) = self.workers.get_mut(site.slot) else { continue };
             for task in site.victims {
                 worker.stop(&task);
@@ -140,10 +166,11 @@
         }
     }
 
-    fn reserve(&mut self, key: Key, site: &Site, ready_at: Millis, until: Millis, firm: bool) {
+    fn reserve(&mut self, key: Key, site: &Site, ready_at: Millis, until: Millis) {
         let Some(waiting) = self.queue.get_mut(key) else { return };
         let Some(worker) = self.workers.get_mut(site.slot) else { return };
         let resources = times(&waiting.unit.resources, u64::from(site.members));
+        let firm = !site.victims.is_empty();
         worker.reserve(Reservation { key, resources, ready_at, until, firm });
         waiting.reserved.push(site.slot);
         waiting.reserved_until = until;
--- a/crates/placement/src/ranking.rs
+++ b/crates/placement/src/ranking.rs
@@ -16,6 +16,8 @@
 const REMEMBERED: usize = 6;
 /// How many of the list of the lowest load are looked at for eligible ones.
 const LOOKED_AT: usize = 24;
+/// The filed load of a worker whose room is taken.
+const FULL: u32 = 100;
 /// A failed run costs a retry: so many run times for each task of charge.
 const RUNS_PER_CHARGE: f64 = 0.3;
 /// Load decides between workers that are otherwise alike.
@@ -88,7 +90,7 @@
         let eligible = |(_, slot): &&(u32, Slot)| self.is_eligible(unit, *slot);
         let least = pool.by_load.iter().take(LOOKED_AT).filter(eligible).take(REMEMBERED);
         slots.extend(least.map(|(_, slot)| slot));
-        let below_full = pool.by_load.range(..(1_000, 0)).rev();
+        let below_full = pool.by_load.range(..(FULL, 0)).rev();
         slots.extend(below_full.take(LOOKED_AT).filter(eligible).take(REMEMBERED).map(|(_, slot)| slot));
     }
 
--- a/crates/placement/src/room.rs
+++ b/crates/placement/src/room.rs
@@ -23,10 +23,26 @@
     pub firm: bool,
 }
 
+/// What a unit may take beyond free room that nothing is kept of, by how long it has waited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Insistence {
+    /// Nothing.
+    Usual,
+    /// Room that is kept, but for which nothing was stopped.
+    AnyRoom,
+    /// Also room that runs were stopped for.
+    EvenStopped,
+}
+
 impl Reservation {
-    /// Whether it holds against a unit. One for which nothing was stopped yields to a unit that takes any room.
-    pub fn holds_against(&self, now: Millis, key: Key, takes_any: bool) -> bool {
-        self.key < key && self.until > now && (self.firm || !takes_any)
+    /// Whether it holds against a unit.
+    pub fn holds_against(&self, now: Millis, key: Key, insistence: Insistence) -> bool {
+        let yields = match insistence {
+            Insistence::Usual => false,
+            Insistence::AnyRoom => !self.firm,
+            Insistence::EvenStopped => true,
+        };
+        self.key < key && self.until > now && !yields
     }
 }
 
@@ -117,16 +133,15 @@
         self.info.capacity.minus(&self.used)
     }
 
-    /// Whether a task fits without delaying what room is kept for. `takes_any`: only for what runs were stopped
-    /// for, if there is twice the room.
-    pub fn fits(&self, now: Millis, key: Key, asked: &Resources, ends_at: f64, takes_any: bool) -> bool {
+    /// Whether a task fits without delaying what room is kept for. To insist, there must be twice the room.
+    pub fn fits(&self, now: Millis, key: Key, asked: &Resources, ends_at: f64, wants: Insistence) -> bool {
         let free = self.free();
         if !free.covers(asked) {
             return false;
         }
-        let takes_any = takes_any && free.covers(&times(asked, 2));
+        let wants = if free.covers(&times(asked, 2)) { wants } else { Insistence::Usual };
         let in_the_way =
-            |kept: &&Reservation| kept.holds_against(now, key, takes_any) && ends_at > kept.ready_at as f64;
+            |kept: &&Reservation| kept.holds_against(now, key, wants) && ends_at > kept.ready_at as f64;
         let delayed = self.reservations.iter().filter(in_the_way);
         delayed.fold(free, |free, kept| free.minus(&kept.resources)).covers(asked)
     }
--- a/crates/placement/src/service.rs
+++ b/crates/placement/src/service.rs
@@ -23,7 +23,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
     pub members: Vec<Slot>,
-    /// The best remembered: by load in thousandths.
+    /// The best remembered: by load in hundredths.
     pub by_load: BTreeSet<(u32, Slot)>,
 }
 
