Shorter failover: lease 600 ms, syncs of 350 ms, a silent primary is asked after 500 ms

Ruled out: the election itself (10 ms) and the recovery (10 ms). The silence after which a replica is dropped stays below the lease and above two keepalives. The test that a primary which answers is not asked besides holds at the new pace of syncs.

--- a/crates/controlplane/src/parameters.rs
+++ b/crates/controlplane/src/parameters.rs
@@ -13,7 +13,7 @@
 
 /// How long a replica's acknowledgement binds it: some forty messages of a calm network, and a fraction of the second
 /// that callers wait.
-const LEASE_MS: Millis = 800;
+const LEASE_MS: Millis = 600;
 
 /// Where this machine is reached, and its disk.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/coordination/src/times.rs
+++ b/crates/coordination/src/times.rs
@@ -4,7 +4,7 @@
 
 /// A replica that has not acknowledged for this long leaves the set: above two intervals of the keepalive, below the lease, so
 /// that the primary drops a silent replica before that one stands for election.
-pub const REPLICA_SILENCE_MS: Millis = 450;
+pub const REPLICA_SILENCE_MS: Millis = 350;
 /// A learner becomes a replica only when its oldest unacknowledged batch is younger.
 pub const LEARNER_LAG_MS: Millis = 150;
 /// A replica dropped for slowness is not taken again for this long.
--- a/crates/dataplane/src/agent/machine.rs
+++ b/crates/dataplane/src/agent/machine.rs
@@ -13,11 +13,8 @@
 /// How long an idle worker's call is held for orders: with the way there and back within the second that it waits.
 const HELD_MS: Millis = 650;
 
-/// How long the primary may hold a sync.
-const SYNC_WAIT_MS: Millis = 700;
-
-/// The same while checkpoints are written, so that the primary hears of them.
-const CHECKPOINT_SYNC_WAIT_MS: Millis = 400;
+/// How long the primary may hold a sync: checkpoints are reported so often, and its silence is noticed that soon.
+const SYNC_WAIT_MS: Millis = 350;
 
 /// Earlier instances remembered, so that a late call of one is not taken for a new worker.
 const MOST_EARLIER: usize = 8;
@@ -251,16 +248,8 @@
             sequence,
             epoch: self.book.epoch(),
             revision: self.book.revision(),
-            wait_ms: self.sync_wait_ms(),
+            wait_ms: SYNC_WAIT_MS,
             worker: self.worker.as_ref().map(|worker| worker.report(now)),
         }));
     }
-
-    fn sync_wait_ms(&self) -> Millis {
-        let running = self.worker.as_ref().map_or(&[][..], |worker| &worker.heartbeat.running);
-        match running.iter().any(|at_work| !at_work.2.is_empty()) {
-            true => CHECKPOINT_SYNC_WAIT_MS,
-            false => SYNC_WAIT_MS,
-        }
-    }
 }
--- a/crates/dataplane/src/core/finder.rs
+++ b/crates/dataplane/src/core/finder.rs
@@ -14,7 +14,7 @@
 
 /// A primary that has not answered for so long is asked, so that its end is seen without calls. Above the time that an
 /// agent's sync waits there, as that shows it too.
-const PROBE_AFTER_MS: Millis = 900;
+const PROBE_AFTER_MS: Millis = 500;
 
 /// Members remembered: beyond any core.
 const MOST_KNOWN: usize = 64;
