Scheduler: runs that have not begun at a silent worker are withdrawn and run elsewhere

Ruled out: giving it away at once, as its start may be on the way to the worker. Change: what has not been seen at a worker that is silent for 1.3 s, or for 2 s after its order, is withdrawn; it is placed anew when the agent confirms orders without it and has not offered it.

--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -21,8 +21,9 @@
 const MISSING_REPORTS: u8 = 3;
 /// A list of ends this long may be cut.
 const CUT_LIST: usize = 500;
-/// Heartbeats that a worker may miss before it is given no more work.
-const MISSED_HEARTBEATS: f64 = 2.0;
+/// A worker that its agent has not heard for so long is given no more work. Agents hold its calls for 0.65 s at most and
+/// then want the next one within a fraction of a second.
+const SILENT_WORKER_MS: Millis = 1_300;
 
 impl Scheduler {
     /// An agent reports and waits for orders.
@@ -79,8 +80,7 @@
         let is_newer = report.sequence > worker.sequence;
         worker.sequence = report.sequence;
         worker.agent = Some(name.clone());
-        let silent_after = self.settings.bounds.heartbeat_ms as f64 * MISSED_HEARTBEATS;
-        worker.silent = report.silent_ms as f64 > silent_after;
+        worker.silent = report.silent_ms > SILENT_WORKER_MS;
         let changed = worker.describe(now.steady, report);
         if changed || worker.open != worker.takes_work() {
             self.tell_placement(now.steady, &id);
--- a/crates/scheduler/src/watch.rs
+++ b/crates/scheduler/src/watch.rs
@@ -17,6 +17,8 @@
 const STANDS_STILL_MS: Millis = 2_500;
 /// Progress is told in percent: a run may take this many hundredths of its estimate for one, being slow.
 const SLOW_PERCENTS: Millis = 12;
+/// An order that has not begun after so long is withdrawn: agents hand orders on within a second.
+const LATE_START_MS: Millis = 2_000;
 /// Kept between the expected end of a run and its worker's leaving.
 const LEAVING_MARGIN_MS: Millis = 300;
 
@@ -86,6 +88,7 @@
         for id in still {
             self.move_from_standstill(&id);
         }
+        self.withdraw_from_silent(now);
         let leaving: Vec<RunId> = self
             .runs
             .all()
@@ -98,6 +101,22 @@
         }
     }
 
+    /// What has not begun at a silent worker runs elsewhere as soon as its agent confirms that it never will there.
+    fn withdraw_from_silent(&mut self, now: Now) {
+        let is_silent = |id: &WorkerId| self.workers.get(id).is_some_and(|w| w.silent || w.gone);
+        let unbegun: Vec<RunId> = self
+            .runs
+            .all()
+            .filter(|(_, run)| run.phase == Phase::Ordered && !run.stopping)
+            .filter(|(_, run)| now.steady > run.since + LATE_START_MS || is_silent(&run.worker))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in unbegun {
+            log::info!("run {} of {} has not begun and is withdrawn", id.run, id.task);
+            self.stop_run(&id);
+        }
+    }
+
     fn move_from_standstill(&mut self, id: &RunId) {
         log::warn!("run {} of {} stands still and is moved", id.run, id.task);
         if let Some(run) = self.runs.get_mut(id) {
--- a/crates/scheduler/tests/stories.rs
+++ b/crates/scheduler/tests/stories.rs
@@ -219,3 +219,32 @@
     assert_eq!(world.call(ClientMethod::Post, &format!("/q/{JOB}"), "{\"steps\":").status, 400);
     assert_eq!(world.call(ClientMethod::Get, "/q/", "").body.as_ref(), r#"{"waiting":0}"#);
 }
+
+#[test]
+fn what_has_not_begun_at_a_silent_worker_runs_elsewhere_once_its_agent_confirms() {
+    let (mut world, mut first) = given_an_ordered_task();
+    let mut second = TestAgent::new("side-2", "i-2");
+    world.settle(&mut second);
+    first.report.silent_ms = 1_400;
+    world.settle(&mut first);
+    world.wait(200);
+    world.settle(&mut second);
+    assert!(second.start.is_empty(), "the agent may still hand the order on");
+    world.settle(&mut first);
+    world.settle(&mut second);
+    assert_eq!(second.start.len(), 1, "the agent holds orders without it and has not offered it");
+}
+
+#[test]
+fn what_may_have_begun_at_a_silent_worker_is_not_ordered_elsewhere() {
+    let (mut world, mut first) = given_an_ordered_task();
+    let mut second = TestAgent::new("side-2", "i-2");
+    first.offer_all();
+    first.report.silent_ms = 1_400;
+    for _ in 0..10 {
+        world.settle(&mut first);
+        world.settle(&mut second);
+        assert!(second.start.is_empty());
+        world.wait(200);
+    }
+}
