Share debt: what each user has lately used, versions of it, and the order by one

Cause: order within a priority is by time alone. Change: new package, pure: debts as sums by half-life (merging exact in any order), agreed time, versions with differences and ages, order keys with bounded aging, replicated records, repair. Not wired yet.

--- /dev/null
+++ b/crates/share-debt/tests/debt.rs
@@ -0,0 +1,128 @@
+//! Debts against the oracle; merging and cutting in any order.
+
+mod support;
+
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+use rstest::rstest;
+use streamusher_share_debt::debt::{Debt, WINDOW};
+use support::exact::{self, Use};
+
+fn uses(rng: &mut Pcg32, half_life: u64) -> Vec<Use> {
+    let last = half_life * (WINDOW - 2);
+    let draw = |rng: &mut Pcg32| {
+        let from = rng.random_range(0..last);
+        let to = from + rng.random_range(1..=half_life * 2);
+        (rng.random_range(1..500_000), from, to.min(last))
+    };
+    (0..rng.random_range(1..40)).map(|_| draw(rng)).collect()
+}
+
+fn sum(uses: &[Use], half_life: u64) -> Debt {
+    let mut debt = Debt::default();
+    uses.iter().for_each(|(rate, from, to)| debt.add(half_life, *rate, *from, *to));
+    debt
+}
+
+#[rstest]
+#[case::ten_seconds(10_000)]
+#[case::odd(12_347)]
+#[case::an_hour(3_600_000)]
+#[case::thirty_days(2_592_000_000)]
+fn given_any_uses_when_the_debt_is_read_then_it_is_the_oracles(#[case] half_life: u64) {
+    for seed in 0..60 {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let uses = uses(&mut rng, half_life);
+        let debt = sum(&uses, half_life);
+        for _ in 0..10 {
+            let now = half_life * (WINDOW - 2) + rng.random_range(0..half_life * 2);
+            let (found, wanted) = (debt.at(half_life, now), exact::debt(&uses, half_life, now));
+            // A weight is right to a 1,024th of a millisecond and a 2^32th of a half-life at both ends of each part.
+            let parts = uses.iter().map(|(rate, ..)| rate * 8).sum::<u64>();
+            let allowed = 1 + parts * (half_life / (1 << 31) + 1) / 1_000 + wanted / 1_000_000_000;
+            let apart = found.abs_diff(wanted);
+            assert!(
+                apart <= allowed,
+                "seed {seed} at {now}: {found}, the oracle says {wanted}, allowed {allowed}"
+            );
+        }
+    }
+}
+
+#[test]
+fn given_a_debt_when_a_half_life_passes_then_half_of_it_is_left() {
+    let half_life = 10_000;
+    let mut debt = Debt::default();
+    debt.add(half_life, 8_000, 0, 10_000);
+    let before = debt.at(half_life, 10_000);
+    assert!(before > 57_000 && before < 58_000, "8 cores for 10 s, fading meanwhile: {before}");
+    assert_eq!(debt.at(half_life, 20_000), before / 2);
+    assert_eq!(debt.at(half_life, 10_000 + 10 * half_life), before / 1_024);
+}
+
+#[test]
+fn given_parts_when_merged_in_any_order_then_the_debt_is_exactly_that_of_the_whole() {
+    let half_life = 12_347;
+    for seed in 0..300 {
+        let mut rng = Pcg32::seed_from_u64(seed);
+        let uses = uses(&mut rng, half_life);
+        let whole = sum(&uses, half_life);
+        let mut parts: Vec<Debt> = vec![Debt::default(); 5];
+        for (rate, from, to) in &uses {
+            // Each use is cut at random, and its pieces fall to any parts.
+            let cut = rng.random_range(*from..=*to);
+            parts[rng.random_range(0..5)].add(half_life, *rate, *from, cut);
+            parts[rng.random_range(0..5)].add(half_life, *rate, cut, *to);
+        }
+        while parts.len() > 1 {
+            parts.shuffle(&mut rng);
+            let part = parts.pop().expect("one");
+            let into = rng.random_range(0..parts.len());
+            parts[into].merge(&part);
+        }
+        assert_eq!(parts[0], whole, "seed {seed}");
+    }
+}
+
+#[test]
+fn given_use_out_of_the_window_when_forgotten_before_or_after_a_merge_then_the_result_is_one() {
+    let half_life = 10_000;
+    let now = half_life * 20 + 1_234;
+    let (mut first, mut second) = (Debt::default(), Debt::default());
+    first.add(half_life, 3_000, 0, now);
+    second.add(half_life, 5_000, half_life * 2, half_life * 9);
+    let mut merged = first.clone();
+    merged.merge(&second);
+    merged.forget(half_life, now);
+    first.forget(half_life, now);
+    second.forget(half_life, now);
+    second.merge(&first);
+    assert_eq!(second, merged);
+}
+
+#[test]
+fn given_a_use_when_it_is_taken_back_then_nothing_of_it_is_left() {
+    let half_life = 10_000;
+    let mut debt = Debt::default();
+    debt.add(half_life, 2_000, 500, 23_456);
+    let before = debt.clone();
+    debt.add(half_life, 7_777, 1_234, 43_210);
+    debt.take_back(half_life, 7_777, 1_234, 43_210);
+    assert_eq!(debt, before);
+}
+
+#[test]
+fn given_the_largest_sums_when_added_merged_and_read_then_they_saturate_in_any_order() {
+    let text = |sums: &[(u64, u64)]| serde_json::to_string(sums).expect("text");
+    let largest: Vec<(u64, u64)> = (0..40).map(|number| (number, u64::MAX)).collect();
+    let mut one: Debt = serde_json::from_str(&text(&largest)).expect("a debt");
+    let mut other = one.clone();
+    other.add(10_000, u64::MAX, 0, u64::MAX);
+    one.merge(&other);
+    other.merge(&one);
+    let _ = one.at(10_000, 0);
+    let _ = other.at(10_000, u64::MAX);
+    let _ = one.at(0, 5);
+    assert_eq!(one.at(10_000, 390_000), other.at(10_000, 390_000));
+}
--- /dev/null
+++ b/crates/share-debt/tests/support/mod.rs
@@ -0,0 +1,39 @@
+//! What the tests share: runs, resources, and debts in arithmetic of their own.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use streamusher_protocol::heartbeat::Resources;
+use streamusher_protocol::store::Write;
+use streamusher_protocol::task::RunId;
+
+pub mod exact;
+pub mod simulation;
+
+pub type State = BTreeMap<Arc<str>, Arc<str>>;
+
+pub fn run(number: u64) -> RunId {
+    let task = format!("{number:016x}.0.0.0").parse().expect("a task's name");
+    RunId { task, run: 1 }
+}
+
+pub fn cores(count: u64) -> Resources {
+    Resources { cpu: count * 1_000, mem_mb: 0, gpu: 0 }
+}
+
+pub fn user(name: &str) -> Arc<str> {
+    name.into()
+}
+
+pub fn apply(state: &mut State, writes: Vec<Write>) {
+    for write in writes {
+        match write.value {
+            Some(value) => state.insert(write.key, value),
+            None => state.remove(&write.key),
+        };
+    }
+}
+
+pub fn records(state: &State) -> Vec<(Arc<str>, Arc<str>)> {
+    state.iter().map(|(key, value)| (key.clone(), value.clone())).collect()
+}
