Operators' commands status, check, show-disk; bounded log lines; SIGHUP takes over seeds

Status was only raw JSON of one process, a disk could not be looked at without changing it, the control plane ignored new seeds, and logs showed nothing below warn.

Status carries seeds, configuration version, queues, lease left and the newest error line. Coordinator::set_seeds, wired to SIGHUP.

--- a/crates/controlplane/src/driver.rs
+++ b/crates/controlplane/src/driver.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use streamusher_coordination::{Coordinator, DiskChange, Input, Message, Output};
-use streamusher_protocol::internal::{AgentSync, ClientCall, ClientMethod, ClusterView};
+use streamusher_protocol::internal::{AgentSync, ClientCall, ClientMethod, ClusterView, CoreAddress};
 use streamusher_protocol::Now;
 use streamusher_scheduler::{
     Effects, Event, OperatorOrder, OrderKind, Reply, RequestId, Scheduler, Settings,
@@ -249,6 +249,13 @@
     }
 }
 
+impl<S> Driver<Coordinator, S> {
+    /// Replaces the seeds, as after a change of the settings file.
+    pub fn set_seeds(&mut self, seeds: Vec<CoreAddress>) {
+        self.replication.set_seeds(seeds);
+    }
+}
+
 impl Outstanding {
     fn of(call: &Call) -> Outstanding {
         let mutating = match call {
--- a/crates/controlplane/src/lib.rs
+++ b/crates/controlplane/src/lib.rs
@@ -6,7 +6,9 @@
 //! - [`machine`]: the driver with its queues, shared by the servers.
 //! - [`peers`], [`internal`], [`operators`]: messages between core machines, and both servers' answers.
 //! - [`parameters`], [`options`], [`program`]: settings, command line, and the process.
+//! - [`cluster_status`], [`show_disk`]: the operators' commands.
 
+pub mod cluster_status;
 pub mod disk;
 pub mod driver;
 pub mod internal;
@@ -17,4 +19,5 @@
 pub mod peers;
 pub mod ports;
 pub mod program;
+pub mod show_disk;
 pub mod store;
--- a/crates/controlplane/src/machine.rs
+++ b/crates/controlplane/src/machine.rs
@@ -7,9 +7,10 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use streamusher_coordination::{Coordinator, Input, Message};
-use streamusher_node::clock;
-use streamusher_protocol::internal::ClusterView;
+use streamusher_configuration::store::CURRENT_KEY;
+use streamusher_coordination::{Coordinator, Input, Message, StateMap};
+use streamusher_node::{clock, logs};
+use streamusher_protocol::internal::{ClusterView, CoreAddress};
 use streamusher_scheduler::{RequestId, Scheduler};
 use tokio::sync::oneshot;
 
@@ -68,6 +69,11 @@
         self.shared.borrow().driver.replication().view(clock::steady())
     }
 
+    /// Replaces the seeds, as after a change of the settings file.
+    pub fn set_seeds(&self, seeds: Vec<CoreAddress>) {
+        self.shared.borrow_mut().driver.set_seeds(seeds);
+    }
+
     /// Whether nothing is lost when the process ends now, after [`Input::Leave`].
     pub fn may_leave(&self) -> bool {
         self.shared.borrow().driver.replication().may_leave()
@@ -77,10 +83,14 @@
     pub fn status(&self) -> serde_json::Value {
         let shared = self.shared.borrow();
         let now = clock::steady();
+        let replication = shared.driver.replication();
         serde_json::json!({
-            "core": shared.driver.replication().status(now),
+            "core": replication.status(now),
+            "seeds": replication.seeds(),
+            "configuration": configuration_version(&replication.state()),
             "calls": shared.driver.outstanding(),
-            "scheduler": shared.driver.scheduler().map(Scheduler::status),
+            "scheduler": shared.driver.scheduler().map(|scheduler| scheduler.status(now)),
+            "last_error": logs::last_error(),
         })
     }
 
@@ -123,6 +133,16 @@
     }
 }
 
+/// The version of the configuration in a copy of the state; a witness has none.
+fn configuration_version(state: &StateMap) -> Option<u64> {
+    #[derive(serde::Deserialize)]
+    struct Versioned {
+        version: u64,
+    }
+    let text = state.get(CURRENT_KEY)?;
+    serde_json::from_str::<Versioned>(text).ok().map(|current| current.version)
+}
+
 /// Tells that the caller has left, if it is dropped before the answer.
 struct Caller<'a> {
     machine: &'a Machine,
--- a/crates/controlplane/src/options.rs
+++ b/crates/controlplane/src/options.rs
@@ -1,17 +1,34 @@
-//! The command line: `streamusher-control [options]`.
+//! The command line: `streamusher-control [options] [COMMAND ...]`.
 
-use getopts::Options;
+use getopts::{Matches, Options};
+use log::LevelFilter;
+use std::net::SocketAddr;
 use std::path::PathBuf;
+use streamusher_node::options::{add_log_level, log_level};
 
 /// What to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Task {
     /// Run until a signal ends it.
-    Run,
+    Run {
+        /// The level of the logs, where one is given.
+        log_level: Option<LevelFilter>,
+    },
     /// Check the settings file.
     CheckSettings,
     /// Check an operator's configuration.
     CheckConfiguration(PathBuf),
+    /// Print the whole cluster.
+    Status {
+        /// Internal addresses to ask first; with none, those of the settings' seeds.
+        addresses: Vec<SocketAddr>,
+        /// The settings file that names the seeds, where it is not the usual one.
+        settings: Option<PathBuf>,
+        /// As JSON.
+        json: bool,
+    },
+    /// Check and show a data folder.
+    ShowDisk(PathBuf),
     /// Print this text.
     Print(String),
 }
@@ -23,38 +40,84 @@
 pub fn parse(arguments: &[String]) -> Result<Task, String> {
     let options = options();
     let matches = options.parse(arguments).map_err(|error| format!("{error}: see --help"))?;
-    if let Some(extra) = matches.free.first() {
-        return Err(format!("unexpected argument {extra:?}: there are only options, see --help"));
-    }
     if matches.opt_present("help") {
         return Ok(Task::Print(options.usage(BRIEF)));
     }
     if matches.opt_present("version") {
         return Ok(Task::Print(concat!("streamusher-control ", env!("CARGO_PKG_VERSION"), "\n").to_owned()));
     }
+    let log_level = log_level(&matches).map_err(|error| error.to_string())?;
+    let Some((command, rest)) = matches.free.split_first() else {
+        return Ok(without_command(&matches, log_level));
+    };
+    match command.as_str() {
+        "status" => status(&matches, rest),
+        "check" => check(&matches, rest),
+        "show-disk" => show_disk(rest),
+        other => Err(format!("unknown command {other:?}: give status, check, show-disk or none, see --help")),
+    }
+}
+
+fn without_command(matches: &Matches, log_level: Option<LevelFilter>) -> Task {
     if let Some(path) = matches.opt_str("check-configuration") {
-        return Ok(Task::CheckConfiguration(path.into()));
+        return Task::CheckConfiguration(path.into());
+    }
+    if matches.opt_present("check") {
+        return Task::CheckSettings;
+    }
+    Task::Run { log_level }
+}
+
+fn status(matches: &Matches, rest: &[String]) -> Result<Task, String> {
+    let address = |text: &String| {
+        let wrong = |_| format!("{text:?} is no address: write the internal ip:port of a process");
+        text.parse::<SocketAddr>().map_err(wrong)
+    };
+    let addresses = rest.iter().map(address).collect::<Result<Vec<_>, _>>()?;
+    let settings = matches.opt_str("settings").map(PathBuf::from);
+    Ok(Task::Status { addresses, settings, json: matches.opt_present("json") })
+}
+
+fn check(matches: &Matches, rest: &[String]) -> Result<Task, String> {
+    if let Some(extra) = rest.first() {
+        return Err(format!("unexpected argument {extra:?}: write check --configuration FILE"));
+    }
+    let configuration = matches.opt_str("configuration").or(matches.opt_str("check-configuration"));
+    Ok(configuration.map_or(Task::CheckSettings, |path| Task::CheckConfiguration(path.into())))
+}
+
+fn show_disk(rest: &[String]) -> Result<Task, String> {
+    match rest {
+        [folder] => Ok(Task::ShowDisk(folder.into())),
+        [] => Err("show-disk: name the data folder".to_owned()),
+        [_, extra, ..] => Err(format!("unexpected argument {extra:?}: show-disk takes one folder")),
     }
-    Ok(if matches.opt_present("check") { Task::CheckSettings } else { Task::Run })
 }
 
 const BRIEF: &str = "The control plane of streamusher: primary, replica or witness on a core machine.
 
-Usage: streamusher-control [options]
+Usage: streamusher-control [options] [COMMAND]
+
+Without a command it runs as the process of a core machine. Commands:
+    status [ADDRESS...]             print the whole cluster; ADDRESS is the internal ip:port of any process, and
+                                    without one the seeds of the settings file are asked
+    check [--configuration FILE]    check the settings file, or an operator's configuration (.json or .toml)
+    show-disk DIR                   check and show the data folder of a process that does not run
 
 The settings file is named by STREAMUSHER_SETTINGS; STREAMUSHER_LOG sets the level of the logs.
-It ends with 0 after SIGTERM, with 1 after a failure, and with 2 for a wrong command line, settings or store format.";
+It ends with 0 after SIGTERM or where all is well, with 1 after a failure (status: a machine does not answer, or no
+primary acts; show-disk: the store is damaged), and with 2 for a wrong command line, settings, configuration or store
+format.";
 
 fn options() -> Options {
     let mut options = Options::new();
     options.optflag("h", "help", "print this text");
     options.optflag("", "version", "print the version");
     options.optflag("", "check", "check the settings file and end");
-    options.optopt(
-        "",
-        "check-configuration",
-        "check an operator's configuration, .json or .toml, and end",
-        "FILE",
-    );
+    options.optopt("", "check-configuration", "the same as check --configuration FILE", "FILE");
+    options.optopt("", "configuration", "check: an operator's configuration, .json or .toml", "FILE");
+    options.optopt("", "settings", "status: the settings file whose seeds are asked", "FILE");
+    options.optflag("", "json", "status: print the answers as JSON");
+    add_log_level(&mut options);
     options
 }
--- a/crates/controlplane/src/program.rs
+++ b/crates/controlplane/src/program.rs
@@ -133,7 +133,7 @@
                 biased;
                 event = self.disk_events.recv() => self.on_disk(event)?,
                 Some(signal) = orders.recv() => match signal {
-                    Signal::Reload => reload(),
+                    Signal::Reload => reload(&self.machine),
                     Signal::Terminate | Signal::Interrupt => leave_until = leave_until.or_else(|| Some(self.leave())),
                 },
                 _ = ticks.tick() => self.machine.tick(),
@@ -180,10 +180,14 @@
     }
 }
 
-/// Reads the settings anew. Addresses and bounds hold for a process's life; a file that is wrong is told at once.
-fn reload() {
+/// Reads the settings anew and takes over the seeds. Addresses and bounds hold for a process's life; a file that is wrong
+/// is told at once.
+fn reload(machine: &Machine) {
     match settings::load() {
-        Ok(_) => log::info!("settings read again"),
+        Ok(settings) => {
+            log::info!("settings read again: seeds {:?}", settings.seeds);
+            machine.set_seeds(settings.core_addresses_of_seeds());
+        }
         Err(error) => log::error!("{error}; the former settings stay"),
     }
 }
--- a/crates/controlplane/tests/command_line.rs
+++ b/crates/controlplane/tests/command_line.rs
@@ -54,8 +54,17 @@
 }
 
 #[rstest]
-#[case(&[], Task::Run)]
+#[case(&[], Task::Run { log_level: None })]
+#[case(&["--log-level", "debug"], Task::Run { log_level: Some(log::LevelFilter::Debug) })]
 #[case(&["--check"], Task::CheckSettings)]
+#[case(&["check"], Task::CheckSettings)]
+#[case(&["check", "--configuration", "c.toml"], Task::CheckConfiguration("c.toml".into()))]
+#[case(&["show-disk", "data"], Task::ShowDisk("data".into()))]
+#[case(&["status"], Task::Status { addresses: vec![], settings: None, json: false })]
+#[case(&["status", "--json", "127.0.0.1:7300"],
+    Task::Status { addresses: vec!["127.0.0.1:7300".parse().unwrap()], settings: None, json: true })]
+#[case(&["status", "--settings", "s.toml"],
+    Task::Status { addresses: vec![], settings: Some("s.toml".into()), json: false })]
 #[case(&["--check-configuration", "c.json"], Task::CheckConfiguration("c.json".into()))]
 fn given_arguments_then_the_task_is_theirs(#[case] arguments: &[&str], #[case] task: Task) {
     let arguments: Vec<String> = arguments.iter().map(|argument| argument.to_string()).collect();
@@ -67,6 +76,11 @@
 #[case(&["--chek"], "chek")]
 #[case(&["gate"], "gate")]
 #[case(&["--check-configuration"], "check-configuration")]
+#[case(&["--log-level", "loud"], "loud")]
+#[case(&["status", "somewhere"], "somewhere")]
+#[case(&["check", "c.json"], "c.json")]
+#[case(&["show-disk"], "data folder")]
+#[case(&["show-disk", "a", "b"], "\"b\"")]
 fn given_wrong_arguments_then_one_line_names_them_and_the_code_is_2(
     #[case] arguments: &[&str], #[case] named: &str,
 ) {
@@ -123,8 +137,10 @@
     fs::write(&file, text).unwrap();
 
     let output = run(&["--check-configuration", file.to_str().unwrap()], None);
+    let by_command = run(&["check", "--configuration", file.to_str().unwrap()], None);
 
     assert_eq!(output.status.code(), Some(code), "{output:?}");
+    assert_eq!(by_command, output);
 }
 
 #[test]
--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -13,6 +13,7 @@
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
+use streamusher_protocol::internal::CoreAddress;
 use streamusher_protocol::store::Write;
 use streamusher_protocol::Millis;
 
@@ -128,6 +129,17 @@
         (self.appended, self.finish())
     }
 
+    /// Replaces the seeds, as after a change of the settings file. They say only where to ask: who is a member is
+    /// decided by epochs.
+    pub fn set_seeds(&mut self, seeds: Vec<CoreAddress>) {
+        self.settings.seeds = seeds;
+    }
+
+    /// The seeds in force.
+    pub fn seeds(&self) -> &[CoreAddress] {
+        &self.settings.seeds
+    }
+
     /// Sequence of the newest append.
     pub fn appended(&self) -> u64 {
         self.appended
--- a/crates/dataplane/src/agent_program.rs
+++ b/crates/dataplane/src/agent_program.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 use streamusher_node::clock;
 use streamusher_node::http::{empty, json, parse_json, text, Answer, Call, ServerLimits};
+use streamusher_node::logs::{self, LastError};
 use streamusher_node::settings::{self, Settings};
 use streamusher_node::signals::{Signal, Signals};
 use streamusher_protocol::heartbeat::{Heartbeat, HeartbeatAnswer, DEREGISTER_PATH, HEARTBEAT_PATH};
@@ -100,6 +101,7 @@
     role: &'static str,
     agent: AgentStatus,
     control_plane: ClusterView,
+    last_error: Option<LastError>,
 }
 
 impl AgentProgram {
@@ -274,8 +276,11 @@
 
     fn reload(&self) {
         match settings::load() {
-            Ok(settings) => self.shared.link.set_seeds(settings.core_addresses_of_seeds()),
-            Err(error) => log::warn!("the settings stay as they were: {error}"),
+            Ok(settings) => {
+                log::info!("settings read again: seeds {:?}", settings.seeds);
+                self.shared.link.set_seeds(settings.core_addresses_of_seeds());
+            }
+            Err(error) => log::error!("{error}; the former settings stay"),
         }
     }
 
@@ -284,6 +289,7 @@
             role: "agent",
             agent: self.shared.agent.borrow().status(clock::steady()),
             control_plane: self.shared.link.view(),
+            last_error: logs::last_error(),
         }
     }
 }
--- a/crates/dataplane/src/gate/program.rs
+++ b/crates/dataplane/src/gate/program.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use streamusher_node::http::{text, Answer, Call, ServerHandle, ServerLimits};
+use streamusher_node::logs::{self, LastError};
 use streamusher_node::settings::{self, Settings};
 use streamusher_node::signals::{Signal, Signals};
 use streamusher_protocol::config::Limits;
@@ -138,6 +139,7 @@
     passed: u64,
     refused: u64,
     control_plane: ClusterView,
+    last_error: Option<LastError>,
 }
 
 impl Gate {
@@ -198,8 +200,11 @@
 
     fn reload(&self) {
         match settings::load() {
-            Ok(settings) => self.shared.link.set_seeds(settings.core_addresses_of_seeds()),
-            Err(error) => log::warn!("the settings stay as they were: {error}"),
+            Ok(settings) => {
+                log::info!("settings read again: seeds {:?}", settings.seeds);
+                self.shared.link.set_seeds(settings.core_addresses_of_seeds());
+            }
+            Err(error) => log::error!("{error}; the former settings stay"),
         }
     }
 
@@ -211,6 +216,7 @@
             passed: self.shared.passed.get(),
             refused: self.shared.refused.get(),
             control_plane: self.shared.link.view(),
+            last_error: logs::last_error(),
         }
     }
 }
--- a/crates/dataplane/src/gate/request.rs
+++ b/crates/dataplane/src/gate/request.rs
@@ -87,6 +87,7 @@
 
 /// 503: the call was not taken, and will not be.
 pub(super) fn not_taken() -> Answer {
+    log::info!("a client's call is refused: no primary takes it");
     let mut answer = text(StatusCode::SERVICE_UNAVAILABLE, "no primary takes calls now: come back\n");
     set_retry_after(&mut answer, NO_PRIMARY_RETRY_MS);
     answer
--- a/crates/dataplane/src/main.rs
+++ b/crates/dataplane/src/main.rs
@@ -18,7 +18,6 @@
 
 fn main() -> ExitCode {
     clock::steady();
-    logs::start();
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     match options::parse(&PROGRAM, &arguments) {
         Ok(Invocation::Print(text)) => {
@@ -31,6 +30,7 @@
 }
 
 fn with_settings(chosen: Chosen) -> ExitCode {
+    logs::start(chosen.log_level);
     let settings = match settings::load() {
         Ok(settings) => settings,
         Err(error) => return misuse(&error.to_string()),
--- /dev/null
+++ b/crates/dataplane/tests/reload.rs
@@ -0,0 +1,80 @@
+//! SIGHUP: the data plane's processes take over the seeds of the settings file.
+
+use rstest::rstest;
+use std::fs;
+use std::io::{BufRead, BufReader};
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_streamusher-data");
+
+/// A process on addresses that only this test uses.
+struct Process {
+    child: Child,
+    net: String,
+    command: &'static str,
+    settings: PathBuf,
+}
+
+impl Process {
+    fn start(net: String, command: &'static str, seeds: &str) -> Process {
+        let name = format!("streamusher-reload-{}-{command}.toml", std::process::id());
+        let settings = std::env::temp_dir().join(name);
+        write_settings(&settings, &net, command, seeds);
+        let mut program = Command::new(PROGRAM);
+        program.arg(command).env("STREAMUSHER_SETTINGS", &settings).env_remove("STREAMUSHER_LOG");
+        let child = program.stderr(Stdio::piped()).spawn().unwrap();
+        Process { child, net, command, settings }
+    }
+
+    fn reload(&self, seeds: &str) {
+        write_settings(&self.settings, &self.net, self.command, seeds);
+        let sent = Command::new("kill").args(["-HUP", &self.child.id().to_string()]).status().unwrap();
+        assert!(sent.success());
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.settings);
+    }
+}
+
+fn write_settings(path: &PathBuf, net: &str, command: &str, seeds: &str) {
+    let served = if command == "gate" { "front" } else { "side" };
+    let text = format!(
+        "node_name = \"n\"\nserves = [\"{served}\"]\nip = \"{net}.1\"\nport_range = [7300, 7315]\nseeds = [{seeds}]\n\
+         [listen]\nfront = \"{net}.1:8149\"\nready = \"{net}.1:8141\"\ncontrol = \"{net}.1:8144\"\n"
+    );
+    fs::write(path, text).unwrap();
+}
+
+fn wait_for(lines: &mut impl Iterator<Item = String>, part: &str) {
+    assert!(lines.any(|line| line.contains(part)), "the log ended without {part:?}");
+}
+
+#[rstest]
+#[case("gate", 130)]
+#[case("agent", 155)]
+fn given_new_seeds_when_sighup_comes_then_they_are_asked_and_a_wrong_file_changes_nothing(
+    #[case] command: &'static str, #[case] first: u32,
+) {
+    let pid = std::process::id();
+    let net = format!("127.{}.{}", first + pid % 25, pid / 25 % 250);
+    let former = TcpListener::bind(format!("{net}.2:7300")).unwrap();
+    let newer = TcpListener::bind(format!("{net}.3:7300")).unwrap();
+    let mut process = Process::start(net.clone(), command, &format!("\"{net}.2:8144\""));
+    let mut lines = BufReader::new(process.child.stderr.take().unwrap()).lines().map_while(Result::ok);
+    // Both calls wait until the process connects.
+    former.accept().unwrap();
+
+    process.reload("\"nowhere\"");
+    wait_for(&mut lines, "the former settings stay");
+    process.reload(&format!("\"{net}.3:8144\""));
+    wait_for(&mut lines, "settings read again");
+
+    newer.accept().unwrap();
+}
--- a/crates/emulator/src/fleet/core.rs
+++ b/crates/emulator/src/fleet/core.rs
@@ -40,7 +40,7 @@
     pub(crate) fn status(&self, now: Now) -> serde_json::Value {
         serde_json::json!({
             "core": self.driver.replication().status(now.steady),
-            "scheduler": self.driver.scheduler().map(Scheduler::status),
+            "scheduler": self.driver.scheduler().map(|scheduler| scheduler.status(now.steady)),
         })
     }
 }
--- a/crates/node/src/options.rs
+++ b/crates/node/src/options.rs
@@ -1,6 +1,7 @@
 //! Command lines of the programs: `PROGRAM [options] [COMMAND]`.
 
-use getopts::Options;
+use getopts::{Matches, Options};
+use log::LevelFilter;
 
 /// Exit code for a wrong command line or wrong settings.
 pub const EXIT_MISUSE: i32 = 2;
@@ -25,6 +26,8 @@
     pub command: &'static str,
     /// Only check the settings.
     pub check: bool,
+    /// The level of the logs, where one is given.
+    pub log_level: Option<LevelFilter>,
 }
 
 /// What to do.
@@ -50,6 +53,9 @@
         /// What there is.
         known: String,
     },
+    /// A level of logs that does not exist.
+    #[error("--log-level {0:?}: write off, error, warn, info, debug or trace")]
+    LogLevel(String),
     /// More than a command.
     #[error("unexpected argument {0:?}: give at most one command")]
     Extra(String),
@@ -69,7 +75,22 @@
         return Ok(Invocation::Print(format!("{} {}", program.name, program.version)));
     }
     let command = command_of(program, &matches.free)?;
-    Ok(Invocation::Run(Chosen { command, check: matches.opt_present("check") }))
+    let log_level = log_level(&matches)?;
+    Ok(Invocation::Run(Chosen { command, check: matches.opt_present("check"), log_level }))
+}
+
+/// Adds the option `--log-level`.
+pub fn add_log_level(options: &mut Options) {
+    options.optopt("", "log-level", "off, error, warn, info (the default), debug or trace", "LEVEL");
+}
+
+/// The level that `--log-level` gives.
+///
+/// # Errors
+/// There is no such level.
+pub fn log_level(matches: &Matches) -> Result<Option<LevelFilter>, OptionsError> {
+    let given = matches.opt_str("log-level");
+    given.map(|text| text.parse().map_err(|_| OptionsError::LogLevel(text))).transpose()
 }
 
 fn options() -> Options {
@@ -77,6 +98,7 @@
     options.optflag("h", "help", "print this text");
     options.optflag("", "check", "check the settings file and end: code 0, or 2 if it is wrong");
     options.optflag("", "version", "print the version");
+    add_log_level(&mut options);
     options
 }
 
--- a/crates/scheduler/src/clients.rs
+++ b/crates/scheduler/src/clients.rs
@@ -72,15 +72,21 @@
     fn submit(&mut self, now: Now, id: &JobId, body: &str, terms: &QueueTerms) -> ClientReply {
         let job: JobRequest = match serde_json::from_str(body) {
             Ok(job) => job,
-            Err(error) => return problem(400, &format!("the job cannot be read: {error}")),
+            Err(error) => return refuse(id, &format!("the job cannot be read: {error}")),
         };
         match self.jobs.submit(now, id, job, terms) {
             Ok(_) => self.show(id),
-            Err(error) => problem(400, &error.to_string()),
+            Err(error) => refuse(id, &error.to_string()),
         }
     }
 }
 
+/// A job that is not taken, with the cause.
+fn refuse(id: &JobId, cause: &str) -> ClientReply {
+    log::info!("job {id} refused: {cause}");
+    problem(400, cause)
+}
+
 /// What the job record needs of a queue.
 pub(crate) fn terms_of(route: &Route) -> QueueTerms {
     QueueTerms {
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use streamusher_placement::Release;
-use streamusher_protocol::heartbeat::{RunningTask, StopOrder};
+use streamusher_protocol::heartbeat::{RunningTask, StopOrder, WorkerState};
 use streamusher_protocol::internal::{AgentSync, WorkerReport};
 use streamusher_protocol::task::{RunEnd, RunId};
 use streamusher_protocol::unit::WorkerId;
@@ -73,6 +73,7 @@
         self.supersede(now, name, &id);
         let lease_until = now.steady + self.settings.bounds.hold_max_ms;
         let worker = self.workers.entry(id.clone()).or_insert_with(|| Worker::new(lease_until));
+        log_changes(name, worker, report);
         worker.lease_until = lease_until;
         if report.sequence < worker.sequence {
             return;
@@ -207,3 +208,15 @@
         }
     }
 }
+
+/// One line for a worker that is heard for the first time, and one when it begins to drain.
+fn log_changes(agent: &str, worker: &Worker, report: &WorkerReport) {
+    let id = &report.instance;
+    if worker.agent.is_none() {
+        log::info!("worker {id} of service {} is known, at {agent} in {}", report.service, report.zone);
+    }
+    if report.state == WorkerState::Draining && worker.state != WorkerState::Draining {
+        let left = report.remaining_ms.unwrap_or_default();
+        log::info!("worker {id} drains: it is given no more work, and may leave in {left} ms");
+    }
+}
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -81,7 +81,7 @@
     }
 
     /// State for operators.
-    pub fn status(&self) -> serde_json::Value {
+    pub fn status(&self, now: Millis) -> serde_json::Value {
         let workers: Vec<_> = self
             .workers
             .iter()
@@ -90,6 +90,7 @@
                     "id": id, "agent": worker.agent, "service": worker.service, "zone": worker.zone,
                     "open": worker.open, "gone": worker.gone, "silent": worker.silent,
                     "runs": self.runs.at(id).count(),
+                    "state": worker.state, "lease_left_ms": worker.lease_until.saturating_sub(now),
                 })
             })
             .collect();
@@ -98,10 +99,19 @@
             "configuration": self.configuration.current().map(|c| c.version),
             "runs": self.runs.len(),
             "waiting": self.waiting.len(),
+            "queues": self.waiting_by_queue(),
             "workers": workers,
         })
     }
 
+    /// Pending jobs of each queue that has any.
+    fn waiting_by_queue(&self) -> BTreeMap<Arc<str>, u64> {
+        let routes = self.configuration.current().map(|current| current.routes.as_slice());
+        let waiting =
+            routes.unwrap_or_default().iter().map(|route| (&route.name, self.jobs.waiting(&route.name)));
+        waiting.filter(|(_, jobs)| *jobs > 0).map(|(name, jobs)| (name.clone(), jobs)).collect()
+    }
+
     pub(crate) fn reply(&mut self, request: RequestId, reply: Reply) {
         self.effects.replies.push((request, reply));
     }
@@ -145,7 +155,9 @@
             Decision::Start { unit, on } => self.begin(now, &unit, &on),
             Decision::Preempt { task, worker } => {
                 if let Some(run) = self.runs.of_task(&task, &worker) {
-                    log::info!("preempt {task} at {worker}");
+                    log::info!(
+                        "task {task} is preempted at worker {worker}: one of higher priority needs its room"
+                    );
                     self.stop_run(&run);
                 }
             }
