Settings: a heartbeat of 0 is refused; the example drains a worker and its log is checked

Need: each change that operators watch has a line, and a test that sees it; coordination's docs say how to embed it.

--- a/crates/controlplane/examples/cluster/story.rs
+++ b/crates/controlplane/examples/cluster/story.rs
@@ -33,13 +33,21 @@
     say(&format!("the core has elected a primary: {primary}"));
     configure(&machines.operators(), &configuration()).await?;
     say("the first configuration, version 1, is taken");
+    let mut drains = Vec::new();
     for (number, agent) in machines.agents().into_iter().enumerate() {
-        tokio::task::spawn_local(StandIn::new(number, SERVICE, agent).run());
+        let worker = StandIn::new(number, SERVICE, agent);
+        drains.push(worker.drains());
+        tokio::task::spawn_local(worker.run());
     }
     say("3 stand-in workers send heartbeats to their agents");
     let mut watch = Watch { client: JobClient::new(&machines.gates(), HOST, PREFIX), shown: BTreeMap::new() };
     calm_jobs(&mut watch).await?;
     kill_the_primary(&mut machines, &mut watch, primary).await?;
+    if let Some(last) = drains.last() {
+        last.set(true);
+    }
+    wait_for_drain(&machines).await;
+    say("a worker drains: it is given no more work");
     println!("\n{}", render(&ask_all(machines.core()).await));
     machines.stop()?;
     say("all processes have ended with 0");
@@ -108,6 +116,13 @@
     }
 }
 
+/// Waits until the primary knows of a worker that drains.
+async fn wait_for_drain(machines: &Machines) {
+    while !render(&ask_all(machines.core()).await).contains("draining") {
+        tokio::time::sleep(POLL).await;
+    }
+}
+
 /// Prints each change of a job's state.
 struct Watch {
     client: JobClient,
--- a/crates/controlplane/examples/cluster/worker.rs
+++ b/crates/controlplane/examples/cluster/worker.rs
@@ -3,14 +3,16 @@
 
 use bytes::Bytes;
 use http::header::CONTENT_TYPE;
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use streamusher_node::clock;
 use streamusher_node::http::{parse_json, Client};
 use streamusher_protocol::heartbeat::{
-    FinishedRun, Heartbeat, HeartbeatAnswer, Resources, RunningTask, StartOrder, HEARTBEAT_PATH,
+    FinishedRun, Heartbeat, HeartbeatAnswer, Resources, RunningTask, StartOrder, WorkerState, HEARTBEAT_PATH,
 };
 use streamusher_protocol::task::{RunEnd, TaskId};
 use streamusher_protocol::Millis;
@@ -21,6 +23,8 @@
 const PAUSE_MS: Millis = 200;
 /// Between an end and the heartbeat that tells of it.
 const AFTER_AN_END_MS: Millis = 50;
+/// How much longer a draining worker is there.
+const LEAVES_IN_MS: Millis = 20_000;
 /// What a task takes whose spec is no number.
 const DEFAULT_WORK_MS: Millis = 500;
 
@@ -34,6 +38,7 @@
     id: String,
     service: Arc<str>,
     agent: Client,
+    drains: Rc<Cell<bool>>,
     sequence: u64,
     fence_token: u64,
     hold_until: Millis,
@@ -48,6 +53,7 @@
             id: format!("worker-{}", number + 1),
             service: service.into(),
             agent: Client::new(agent),
+            drains: Rc::default(),
             sequence: 0,
             fence_token: 0,
             hold_until: 0,
@@ -57,6 +63,11 @@
         }
     }
 
+    /// Set to true, it makes the worker drain.
+    pub fn drains(&self) -> Rc<Cell<bool>> {
+        self.drains.clone()
+    }
+
     /// Works until the task is dropped.
     pub async fn run(mut self) {
         loop {
@@ -96,12 +107,15 @@
 
     async fn heartbeat(&mut self, now: Millis) -> Option<HeartbeatAnswer> {
         self.sequence += 1;
+        let drains = self.drains.get();
         let heartbeat = Heartbeat {
             service: self.service.clone(),
             zone: "loopback".into(),
             capacity: Resources { cpu: 8_000, mem_mb: 16_384, gpu: 0 },
             labels: vec!["a".into(), "r-1".into()],
             clock_ms: now,
+            state: if drains { WorkerState::Draining } else { WorkerState::Ready },
+            remaining_ms: drains.then_some(LEAVES_IN_MS),
             sequence: self.sequence,
             running: self.running.iter().map(|(key, work)| listed(now, key, work)).collect(),
             finished: self.finished.clone(),
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -12,6 +12,13 @@
 //! - `sanity`: what messages are not taken.
 //! - `bootstrap`, `report`: what an empty disk begins with; what a machine tells of itself.
 //!
+//! # Embedding
+//!
+//! The caller owns network, disk and clock: it tells [`Coordinator::handle`] what has come, carries out the [`Output`]s, and
+//! ticks it about every 20 ms. A primary appends with [`Coordinator::append`], and tells outside what rests on an append
+//! only when `committed` has reached it and `may_act` holds. `examples/embed.rs` is such a caller, whole and in virtual time
+//! (`cargo run -p streamusher-coordination --example embed`).
+//!
 //! # Why committed data is safe
 //!
 //! *Records.* The record of epoch n+1 is decided by single-decree Paxos among the members of record n. An acceptor's
--- a/crates/node/src/settings/load.rs
+++ b/crates/node/src/settings/load.rs
@@ -136,6 +136,9 @@
     if settings.seeds.is_empty() {
         return wrong("seeds", "[]".to_owned(), "name at least one control address as ip:port");
     }
+    if settings.heartbeat_ms == 0 {
+        return wrong("heartbeat_ms", "0".to_owned(), "give the time between two heartbeats, above 0");
+    }
     if settings.bounds.hold_max_ms == 0 {
         return wrong("bounds.hold_max_ms", "0".to_owned(), "give how long a worker holds runs, above 0");
     }
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -82,6 +82,7 @@
 #[case::no_seeds("seeds = [\"10.1.0.43:8144\", \"10.2.0.45:8144\"]", "seeds = []", "seeds", "[]")]
 #[case::bad_seed("\"10.2.0.45:8144\"", "\"elsewhere\"", "seeds.1", "\"elsewhere\"")]
 #[case::turned_range("[7380, 7395]", "[7395, 7380]", "port_range", "[7395, 7380]")]
+#[case::no_heartbeat("heartbeat_ms = 1500", "heartbeat_ms = 0", "heartbeat_ms", "0")]
 #[case::no_hold("hold_max_ms = 6000.0", "hold_max_ms = 0", "bounds.hold_max_ms", "0")]
 fn given_a_key_of_no_use_when_read_then_the_error_names_key_value_and_remedy(
     #[case] found: &str, #[case] instead: &str, #[case] wanted_key: &str, #[case] wanted_value: &str,
