Log lines: one for a worker that falls silent; withdrawn runs at debug

Change: the run's line is at debug; a ready worker that is closed for silence has one line.

Result: scheduler's 17 stories pass; clippy clean.

--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -8,6 +8,7 @@
 use streamusher_configuration::ConfigurationStore;
 use streamusher_jobs::JobBook;
 use streamusher_placement::{Decision, Placement, Release, WorkerInfo};
+use streamusher_protocol::heartbeat::WorkerState;
 use streamusher_protocol::store::Write;
 use streamusher_protocol::task::{RunId, TaskId};
 use streamusher_protocol::unit::{Unit, UnitId, WorkerId};
@@ -239,7 +240,11 @@
     /// Tells placement what is known of a worker.
     pub(crate) fn tell_placement(&mut self, now: Millis, id: &WorkerId) {
         let Some(worker) = self.workers.get_mut(id) else { return };
-        worker.open = worker.takes_work();
+        let takes_work = worker.takes_work();
+        if worker.open && !takes_work && worker.state == WorkerState::Ready {
+            log::info!("worker {id} is silent or gone: it is given no more work until it is heard");
+        }
+        worker.open = takes_work;
         let info = WorkerInfo {
             id: id.clone(),
             service: worker.service.clone(),
--- a/crates/scheduler/src/watch.rs
+++ b/crates/scheduler/src/watch.rs
@@ -112,7 +112,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in unbegun {
-            log::info!("run {} of {} has not begun and is withdrawn", id.run, id.task);
+            log::debug!("run {} of {} has not begun and is withdrawn", id.run, id.task);
             self.stop_run(&id);
         }
     }
