Elections: a refused proposer waits longer each time, and as long as its disk is slow

The machine with the slow disk stood alone meanwhile; after each refusal it waited 20 to 80 ms and proposed again, while an election takes about 90 ms beside a slow disk, so that its proposals interrupted every other and its own never ended.

--- a/crates/coordination/src/backup.rs
+++ b/crates/coordination/src/backup.rs
@@ -22,6 +22,7 @@
         self.witness.promise = Default::default();
         self.witness.accepted = None;
         self.witness.standing = false;
+        self.refusals = 0;
         self.disk.put_witness(&self.witness);
         self.proposal = None;
         self.stand_at = None;
--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -51,6 +51,8 @@
     pub(crate) stand_at: Option<Millis>,
     pub(crate) quiet_until: Millis,
     pub(crate) highest_round: u64,
+    /// Refusals of proposals of the present instance, one after another.
+    pub(crate) refusals: u32,
     pub(crate) proposal: Option<Proposal>,
     /// Epoch of a record that names this machine primary and is being synced.
     pub(crate) opening: Option<u64>,
@@ -93,6 +95,7 @@
             stand_at: None,
             quiet_until: now,
             highest_round: 0,
+            refusals: 0,
             proposal: None,
             opening: None,
             reign: None,
--- a/crates/coordination/src/disk.rs
+++ b/crates/coordination/src/disk.rs
@@ -40,6 +40,8 @@
     retry_at: Millis,
     failing_since: Option<Millis>,
     slow: u32,
+    /// How long the last sync took.
+    last_sync: Millis,
     effects: VecDeque<(u64, Effect)>,
 }
 
@@ -96,6 +98,7 @@
         self.durable = flight.mark;
         self.failing_since = None;
         let took = now.saturating_sub(flight.since);
+        self.last_sync = took;
         self.slow = if took > SLOW_SYNC_MS { self.slow + 1 } else { 0 };
         if took > STUCK_SYNC_MS {
             self.slow = SLOW_SYNCS;
@@ -115,6 +118,12 @@
         self.failing_since.get_or_insert(now);
     }
 
+    /// How long a sync takes now: the last one, or the present one where that already takes longer.
+    pub fn sync_time(&self, now: Millis) -> Millis {
+        let present = self.flight.as_ref().map_or(0, |flight| now.saturating_sub(flight.since));
+        present.max(self.last_sync)
+    }
+
     /// Whether the disk is too slow for a primary.
     pub fn in_trouble(&self, now: Millis) -> bool {
         let stuck = |since: Millis| now.saturating_sub(since) > STUCK_SYNC_MS;
--- a/crates/coordination/src/proposer.rs
+++ b/crates/coordination/src/proposer.rs
@@ -3,11 +3,15 @@
 use crate::coordinator::Coordinator;
 use crate::message::Message;
 use crate::proposal::{accepted_value, Phase, Promise, Proposal, Purpose};
-use crate::times::{BACK_OFF_MS, PROPOSAL_LIFE_MS, PROPOSAL_REPEAT_MS, REPORT_MS};
+use crate::times::{
+    BACK_OFF_MS, LONGEST_BACK_OFF_MS, MOST_BACK_OFF_DOUBLINGS, PROPOSAL_LIFE_MS, PROPOSAL_REPEAT_MS,
+    REPORT_MS,
+};
 use crate::types::{Ballot, DiskId, EpochRecord};
 use rand::Rng;
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use streamusher_protocol::Millis;
 
 impl Coordinator {
     pub(crate) fn propose(&mut self, purpose: Purpose) {
@@ -133,8 +137,16 @@
         }
         self.highest_round = self.highest_round.max(promise.round);
         self.proposal = None;
-        let wait = self.random.random_range(BACK_OFF_MS..=BACK_OFF_MS * 4);
-        self.quiet_until = self.now + wait;
+        self.quiet_until = self.now + self.back_off();
+    }
+
+    /// How long to wait after a refusal: longer each time, and longer where the disk is slow. Otherwise a proposer with a slow
+    /// disk interrupts the others again and again before any of them is done, and is never done itself.
+    fn back_off(&mut self) -> Millis {
+        let least = BACK_OFF_MS.max(self.disk.sync_time(self.now));
+        let most = (least * 4) << self.refusals.min(MOST_BACK_OFF_DOUBLINGS);
+        self.refusals = self.refusals.saturating_add(1);
+        self.random.random_range(least..=most.min(LONGEST_BACK_OFF_MS.max(least)))
     }
 
     pub(crate) fn tick_proposal(&mut self) {
--- a/crates/coordination/src/times.rs
+++ b/crates/coordination/src/times.rs
@@ -35,8 +35,13 @@
 pub const PROPOSAL_REPEAT_MS: Millis = 100;
 /// A proposal without success is given up after this long.
 pub const PROPOSAL_LIFE_MS: Millis = 2_500;
-/// A refused proposer waits at least this long, and up to four times that, before it tries again.
+/// A refused proposer waits at least this long, or a sync of its disk, and up to four times that, before it tries
+/// again; the upper bound doubles with each refusal in a row.
 pub const BACK_OFF_MS: Millis = 20;
+/// Most doublings of that bound.
+pub const MOST_BACK_OFF_DOUBLINGS: u32 = 5;
+/// The longest wait after a refusal, unless a single sync takes longer: above the time of an election with a slow disk.
+pub const LONGEST_BACK_OFF_MS: Millis = 1_000;
 /// Batches and parts of copies are repeated after this long, doubling up to [`MOST_REPEAT_MS`].
 pub const REPEAT_MS: Millis = 100;
 /// The longest wait before a repetition.
--- /dev/null
+++ b/crates/coordination/tests/elections.rs
@@ -0,0 +1,42 @@
+//! How long elections take when several replicas stand at once.
+
+mod cluster;
+
+use cluster::Cluster;
+use rstest::rstest;
+use streamusher_protocol::Millis;
+
+/// Seeds of one case.
+const SEEDS: u64 = 60;
+/// Sync of a slow disk.
+const SLOW_SYNC_MS: Millis = 270;
+
+/// All machines but a replica with a slow disk lose power and return; returns the time until somebody acts.
+fn election_after_power_loss(size: usize, tolerance: usize, delay_ms: Millis, seed: u64) -> Option<Millis> {
+    let mut cluster = Cluster::calm(size, tolerance, seed);
+    let replicas = cluster.replicas();
+    let slow = replicas[1 + seed as usize % (replicas.len() - 1)];
+    cluster.delay_ms = delay_ms;
+    cluster.nodes[slow].sync_ms = SLOW_SYNC_MS;
+    let others: Vec<usize> = (0..size).filter(|index| *index != slow).collect();
+    others.iter().for_each(|index| cluster.crash(*index));
+    cluster.run(1_000);
+    for index in others {
+        cluster.start(index);
+        cluster.run(2);
+    }
+    cluster.run_until(5_000, |cluster| cluster.actor().is_some())
+}
+
+#[rstest]
+fn given_a_candidate_with_a_slow_disk_when_the_others_return_then_one_acts_soon(
+    #[values((5, 1), (9, 2))] (size, tolerance): (usize, usize), #[values(3, 12)] delay_ms: Millis,
+) {
+    let times = (1..=SEEDS).map(|seed| election_after_power_loss(size, tolerance, delay_ms, seed));
+    let mut times: Vec<Millis> = times.map(|time| time.unwrap_or(Millis::MAX)).collect();
+    times.sort_unstable();
+    let (median, longest) = (times[times.len() / 2], times[times.len() - 1]);
+    println!("{size} machines, delay {delay_ms}: median {median} ms, longest {longest} ms");
+    assert!(median <= 600, "median {median}: {times:?}");
+    assert!(longest <= 1_200, "longest {longest}: {times:?}");
+}
