Agents grant 4 s at most; a new primary withdraws nothing before it has heard the agents

Change: agents grant no more than 4 s at once, above the time of a restart or a failover, and a restarted agent relies on that. The lease of the primary stays hold_max_ms, so a cut-off machine still works on for that long. Change: silence of an agent and of a worker are told apart; only a heard agent's worker is judged.

--- a/crates/dataplane/src/agent/answers.rs
+++ b/crates/dataplane/src/agent/answers.rs
@@ -70,7 +70,7 @@
 fn hold(settings: &AgentSettings, book: &OrdersBook, worker: &Worker) -> Option<Millis> {
     let left = book.lease_until().saturating_sub(worker.received_at);
     let granted = left.saturating_mul(GRANTED_THOUSANDTHS) / 1_000;
-    Some(granted.min(settings.hold_max_ms)).filter(|hold_ms| *hold_ms > 0)
+    Some(granted.min(settings.longest_grant_ms())).filter(|hold_ms| *hold_ms > 0)
 }
 
 fn may_start(worker: &Worker, hold_ms: Millis, now: Millis) -> bool {
--- a/crates/dataplane/src/agent/machine.rs
+++ b/crates/dataplane/src/agent/machine.rs
@@ -145,7 +145,7 @@
 
     /// Until when a hold of an earlier start of this agent may last.
     fn earlier_hold_over_at(&self) -> Millis {
-        self.started_at.saturating_add(longest_hold(self.settings.hold_max_ms))
+        self.started_at.saturating_add(longest_hold(self.settings.longest_grant_ms()))
     }
 
     fn replace_worker(&mut self, worker: Worker) {
--- a/crates/dataplane/src/agent/mod.rs
+++ b/crates/dataplane/src/agent/mod.rs
@@ -33,6 +33,17 @@
     pub stop_ms: Millis,
 }
 
+/// The longest hold granted at once: above the time that an agent's restart or a change of primary takes, and not longer, as
+/// the runs of a worker that is lost for good are waited for so long. A lease of the primary lasts `hold_max_ms`.
+const MOST_GRANTED_MS: Millis = 4_000;
+
+impl AgentSettings {
+    /// The longest hold that this or an earlier start of the agent grants.
+    fn longest_grant_ms(&self) -> Millis {
+        self.hold_max_ms.min(MOST_GRANTED_MS)
+    }
+}
+
 /// What happens to an agent.
 #[derive(Clone, Debug)]
 pub enum AgentEvent {
--- a/crates/dataplane/tests/common/mod.rs
+++ b/crates/dataplane/tests/common/mod.rs
@@ -12,6 +12,8 @@
 
 pub const LEASE_MS: Millis = 4_000;
 pub const HOLD_MAX_MS: Millis = 6_000;
+/// What an agent grants at most: a restart and a failover, and not longer.
+pub const LONGEST_GRANT_MS: Millis = 4_000;
 /// Least time between two syncs.
 pub const SYNC_INTERVAL_MS: Millis = 40;
 /// What is left of the lease in a story that is in contact.
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -67,7 +67,7 @@
         for (key, value) in records {
             let Some(id) = key.strip_prefix("worker/") else { continue };
             let Ok(agent) = serde_json::from_str::<Arc<str>>(&value) else { continue };
-            let worker = Worker { agent: Some(agent), silent: true, ..Worker::new(lease_until) };
+            let worker = Worker { agent: Some(agent), agent_silent: true, ..Worker::new(lease_until) };
             self.workers.insert(id.into(), worker);
         }
     }
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -82,6 +82,7 @@
         worker.sequence = report.sequence;
         worker.agent = Some(name.clone());
         worker.silent = report.silent_ms > SILENT_WORKER_MS;
+        worker.agent_silent = false;
         let changed = worker.describe(now.steady, report);
         if changed || worker.open != worker.takes_work() {
             self.tell_placement(now.steady, &id);
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -89,7 +89,7 @@
             .map(|(id, worker)| {
                 serde_json::json!({
                     "id": id, "agent": worker.agent, "service": worker.service, "zone": worker.zone,
-                    "open": worker.open, "gone": worker.gone, "silent": worker.silent,
+                    "open": worker.open, "gone": worker.gone, "silent": worker.silent || worker.agent_silent,
                     "runs": self.runs.at(id).count(),
                     "state": worker.state, "lease_left_ms": worker.lease_until.saturating_sub(now),
                 })
--- a/crates/scheduler/src/watch.rs
+++ b/crates/scheduler/src/watch.rs
@@ -58,7 +58,7 @@
             .collect();
         for id in silent {
             if let Some(worker) = self.workers.get_mut(&id) {
-                worker.silent = true;
+                worker.agent_silent = true;
             }
             self.tell_placement(now.steady, &id);
         }
@@ -82,7 +82,7 @@
             .runs
             .all()
             .filter(|(_, run)| stands_still(now.steady, run, self.settings.bounds.gang_ms))
-            .filter(|(_, run)| self.workers.get(&run.worker).is_some_and(|w| !w.silent))
+            .filter(|(_, run)| self.workers.get(&run.worker).is_some_and(|w| !w.silent && !w.agent_silent))
             .map(|(id, _)| id.clone())
             .collect();
         for id in still {
@@ -101,14 +101,19 @@
         }
     }
 
-    /// What has not begun at a silent worker runs elsewhere as soon as its agent confirms that it never will there.
+    /// What has not begun at a silent worker runs elsewhere as soon as its agent confirms that it never will there. While
+    /// the agent itself is not heard nothing is known: what was ordered may well be at work.
     fn withdraw_from_silent(&mut self, now: Now) {
-        let is_silent = |id: &WorkerId| self.workers.get(id).is_some_and(|w| w.silent || w.gone);
+        let is_late = |run: &Run| now.steady > run.since + LATE_START_MS;
+        let is_due = |run: &Run| {
+            let worker = self.workers.get(&run.worker).filter(|worker| !worker.agent_silent);
+            worker.is_some_and(|worker| worker.silent || worker.gone || is_late(run))
+        };
         let unbegun: Vec<RunId> = self
             .runs
             .all()
             .filter(|(_, run)| run.phase == Phase::Ordered && !run.stopping)
-            .filter(|(_, run)| now.steady > run.since + LATE_START_MS || is_silent(&run.worker))
+            .filter(|(_, run)| is_due(run))
             .map(|(id, _)| id.clone())
             .collect();
         for id in unbegun {
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -23,8 +23,10 @@
     pub(crate) leaves_at: Option<Millis>,
     /// Its last word was heard, or its holds are over.
     pub(crate) gone: bool,
-    /// Its agent has not been heard, or it has not called its agent, for too long to be given work.
+    /// It has not called its agent for too long to be given work.
     pub(crate) silent: bool,
+    /// Its agent has not been heard for too long, or not by this primary.
+    pub(crate) agent_silent: bool,
     /// Ends up to this number are taken note of.
     pub(crate) last_seen: u64,
     /// By then nothing runs there unless the agent calls again.
@@ -48,6 +50,7 @@
             leaves_at: None,
             gone: false,
             silent: false,
+            agent_silent: false,
             last_seen: 0,
             lease_until,
             strays: Vec::new(),
@@ -75,7 +78,8 @@
 
     /// Whether it may be given new work.
     pub(crate) fn takes_work(&self) -> bool {
-        self.agent.is_some() && self.state == WorkerState::Ready && !self.gone && !self.silent
+        let is_heard = self.agent.is_some() && !self.agent_silent;
+        is_heard && self.state == WorkerState::Ready && !self.gone && !self.silent
     }
 }
 
--- a/crates/scheduler/tests/stories.rs
+++ b/crates/scheduler/tests/stories.rs
@@ -248,3 +248,24 @@
         world.wait(200);
     }
 }
+
+#[test]
+fn a_new_primary_stops_nothing_before_it_has_heard_the_agents() {
+    let (mut world, mut agent) = given_a_running_task();
+    world.fail_over();
+    world.wait(3_000);
+    world.settle(&mut agent);
+    assert!(agent.stop.is_empty(), "the run is at work");
+    world.wait(300);
+    world.settle(&mut agent);
+    assert!(agent.stop.is_empty() && agent.start.is_empty());
+}
+
+#[test]
+fn what_was_ordered_before_a_cut_goes_on_after_it() {
+    let (mut world, mut agent) = given_an_ordered_task();
+    world.wait(3_000);
+    agent.begin_all();
+    world.settle(&mut agent);
+    assert!(agent.stop.is_empty(), "the worker was at work on it while its agent was cut off");
+}
