--- a/crates/placement/src/headroom.rs
+++ b/crates/placement/src/headroom.rs
@@ -6,12 +6,14 @@
 
 /// The mean and the swing of demand follow it with this time constant: some cycles of bursts.
 const TIME_CONSTANT_MS: f64 = 6_000.0;
-/// Mean distances above the mean that are kept for the most urgent priority, and for the others.
-const SWINGS: [f64; 2] = [2.0, 0.5];
+/// Mean distances above the mean that are kept for the most urgent priority, and for the others: wide steps come in
+/// bursts, and a step is over with its slowest task.
+const SWINGS: [f64; 2] = [3.0, 1.0];
 /// Part of the mean demand that is kept for priorities other than the most urgent.
 const PART_FOR_OTHERS: f64 = 0.5;
-/// At most this share of a service is kept, for all priorities together.
-const MOST_KEPT: f64 = 0.35;
+/// At most this share of a service is kept, for all priorities together: a stop takes longer than an urgent task
+/// may wait. What waits long in a service with much free room takes it all the same.
+const MOST_KEPT: f64 = 0.6;
 /// Priorities from here on are the least urgent: nothing is kept for them.
 const FIRST_WITHOUT: u32 = 2;
 
--- a/crates/placement/tests/urgency.rs
+++ b/crates/placement/tests/urgency.rs
@@ -5,8 +5,8 @@
 use common::*;
 use rstest::rstest;
 use streamusher_placement::WorkerInfo;
-use streamusher_protocol::task::RunEnd;
-use streamusher_protocol::unit::Unit;
+use streamusher_protocol::task::{RunEnd, TaskId};
+use streamusher_protocol::unit::{Unit, UnitId};
 
 #[test]
 fn given_room_for_some_members_when_a_gang_waits_then_none_is_started() {
@@ -256,3 +256,43 @@
     let empty = names.iter().filter(|id| cluster.at(id) == 0).count();
     assert!(empty >= 2, "{empty} workers are left whole");
 }
+
+/// A burst of urgent tasks comes each second; before the last one, a wide job of long tasks. Answers how many of
+/// the last burst start at once.
+fn started_of_last_burst(bursts: u64, burst: u64) -> (Cluster, usize) {
+    let mut cluster = Cluster::new(1, ["w1", "w2", "w3", "w4"].map(|id| worker(id, 10_000, "r1")));
+    let mut started = 0;
+    for second in 1..=bursts {
+        if second == bursts {
+            (0..60).for_each(|index| cluster.enqueue(long_task(index)));
+            cluster.run_for(500);
+        }
+        let first = 1_000 * second;
+        for number in first..first + burst {
+            cluster.enqueue(Unit { estimated_ms: 400, ..unit(number, 1_000, 0) });
+        }
+        started = cluster.place().len();
+        cluster.run_for(500);
+        let urgent = cluster.runs.iter().filter(|(_, run)| run.unit.priority == 0);
+        let over: Vec<_> = urgent.map(|(key, _)| key.clone()).collect();
+        over.iter().for_each(|(task, at)| cluster.end(task, at, RunEnd::Done));
+        cluster.run_for(500);
+    }
+    (cluster, started)
+}
+
+/// A task of one wide job.
+fn long_task(index: u32) -> Unit {
+    let tasks = vec![TaskId { index, ..task(100_000) }];
+    let id = UnitId::of_task(&tasks[0]);
+    Unit { id, tasks, estimated_ms: 60_000, ..unit(100_000, 1_000, 2) }
+}
+
+#[test]
+fn given_bursts_of_urgent_tasks_when_a_wide_long_job_comes_then_the_next_burst_starts_whole() {
+    let (cluster, started) = started_of_last_burst(20, 20);
+    assert_eq!(started, 20, "of 20 urgent tasks");
+    assert!(cluster.preempted.is_empty(), "{:?}", cluster.preempted);
+    let long = cluster.runs.values().filter(|run| run.unit.priority == 2).count();
+    assert!(long >= 14, "{long} of 40 cores");
+}
