Scheduler: looks only at agents with news or whose call is due, not at all of them

Change: a set of agents to look at, and calls by the end of their time. No behaviour changes; the stories pass.

--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -3,7 +3,7 @@
 use crate::event::{Reply, RequestId};
 use crate::runs::Phase;
 use crate::scheduler::Scheduler;
-use crate::workers::Content;
+use crate::workers::{Content, Parked};
 use std::sync::Arc;
 use streamusher_protocol::heartbeat::{StartOrder, StopOrder};
 use streamusher_protocol::internal::AgentOrders;
@@ -11,38 +11,28 @@
 use streamusher_protocol::Now;
 
 impl Scheduler {
-    /// Answers the calls whose orders have changed or whose time is over.
+    /// Answers the calls whose orders have changed, whose agent lacks the newest ones, or whose time is over.
     pub(crate) fn answer_agents(&mut self, now: Now) {
-        let due: Vec<Arc<str>> = self
-            .agents
-            .iter()
-            .filter(|(_, agent)| agent.dirty || agent.parked.as_ref().is_some_and(|p| p.until <= now.steady))
-            .map(|(name, _)| name.clone())
-            .collect();
-        for name in due {
-            self.renew_orders(&name);
-            let Some(agent) = self.agents.get_mut(&name) else { continue };
-            let is_news = agent.confirmed < agent.revision;
-            let is_over = agent.parked.as_ref().is_some_and(|p| p.until <= now.steady);
-            if !(is_news || is_over) {
-                continue;
-            }
-            if let Some(parked) = agent.parked.take() {
-                self.answer_now(parked.request, &name);
+        let mut names = std::mem::take(&mut self.agents_to_look_at);
+        while let Some((until, name)) = self.calls_by_end.pop_first() {
+            if until > now.steady {
+                self.calls_by_end.insert((until, name));
+                break;
             }
+            names.insert(name);
+        }
+        for name in names {
+            self.answer_if_due(now, &name);
         }
-        self.answer_unconfirmed();
     }
 
-    /// A call of an agent that does not hold the newest orders is answered at once.
-    fn answer_unconfirmed(&mut self) {
-        let behind = self.agents.iter().filter(|(_, a)| a.parked.is_some() && a.confirmed < a.revision);
-        let behind: Vec<Arc<str>> = behind.map(|(name, _)| name.clone()).collect();
-        for name in behind {
-            let parked = self.agents.get_mut(&name).and_then(|agent| agent.parked.take());
-            if let Some(parked) = parked {
-                self.answer_now(parked.request, &name);
-            }
+    fn answer_if_due(&mut self, now: Now, name: &Arc<str>) {
+        self.renew_orders(name);
+        let Some(agent) = self.agents.get_mut(name) else { return };
+        let is_news = agent.confirmed < agent.revision;
+        let is_due = |parked: &mut Parked| is_news || parked.until <= now.steady;
+        if let Some(parked) = agent.parked.take_if(is_due) {
+            self.answer_now(parked.request, name);
         }
     }
 
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -4,7 +4,7 @@
 use crate::runs::{Phase, Run, Runs};
 use crate::scheduler::{Scheduler, Settings};
 use crate::workers::Worker;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use streamusher_configuration::ConfigurationStore;
 use streamusher_jobs::{AssignedRun, JobBook};
@@ -45,6 +45,8 @@
             agents: BTreeMap::new(),
             dead: Vec::new(),
             waiting: BTreeMap::new(),
+            agents_to_look_at: BTreeSet::new(),
+            calls_by_end: BTreeSet::new(),
             next_watch: now.steady,
             effects: Effects::default(),
         };
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -42,6 +42,8 @@
         let agent = self.agents.entry(sync.agent.clone()).or_default();
         let until = now.steady + sync.wait_ms.min(MOST_WAIT_MS);
         agent.parked = Some(Parked { request, until });
+        self.calls_by_end.insert((until, sync.agent.clone()));
+        self.agents_to_look_at.insert(sync.agent);
     }
 
     fn end_former_call(&mut self, name: &Arc<str>) {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -3,7 +3,7 @@
 use crate::event::{Effects, Event, Reply, RequestId};
 use crate::runs::{Phase, Run, Runs};
 use crate::workers::{Agent, Worker};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use streamusher_configuration::ConfigurationStore;
 use streamusher_jobs::JobBook;
@@ -62,6 +62,10 @@
     pub(crate) dead: Vec<WorkerId>,
     /// Units that wait for placement, as placement forgets them at the claim.
     pub(crate) waiting: BTreeMap<UnitId, Unit>,
+    /// Agents that called, or whose orders must be made anew, since the last answers.
+    pub(crate) agents_to_look_at: BTreeSet<Arc<str>>,
+    /// When the time of waiting calls is over; calls that were answered meanwhile may still stand here.
+    pub(crate) calls_by_end: BTreeSet<(Millis, Arc<str>)>,
     pub(crate) next_watch: Millis,
     pub(crate) effects: Effects,
 }
@@ -231,9 +235,10 @@
 
     /// The orders for a worker's agent must be made anew.
     pub(crate) fn touch(&mut self, worker: &WorkerId) {
-        let agent = self.workers.get(worker).and_then(|w| w.agent.as_ref());
-        if let Some(agent) = agent.and_then(|name| self.agents.get_mut(name)) {
+        let Some(name) = self.workers.get(worker).and_then(|w| w.agent.clone()) else { return };
+        if let Some(agent) = self.agents.get_mut(&name) {
             agent.dirty = true;
+            self.agents_to_look_at.insert(name);
         }
     }
 
