Scheduler: a run stopped before a failover that never began gives its room back

Cause: a new primary takes over runs that are marked as stopping (members of a gang, tasks of ended jobs) without the order revision from which they are withdrawn. One that had never begun at its worker was in no report, so nothing ever proved it over: its room stayed taken, and a gang's unit waited, until the worker's lease ended, which is never while the worker lives. Stopping such a run again does nothing, as it is marked already. Ruled out as causes of forgotten units by reading: placement looks again at each unit that it could not start; the job record gives a stopped unit out again. Change: a run adopted as stopping counts as withdrawn from the new primary's first orders on, which leave it out.

--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -22,6 +22,9 @@
     Configuration(#[from] streamusher_configuration::RecordError),
 }
 
+/// Of an agent's orders, counted by each primary anew.
+const FIRST_REVISION: u64 = 1;
+
 impl Scheduler {
     /// Takes over. Leases granted by a former primary last `hold_max_ms` from now at most.
     pub fn recover(
@@ -90,7 +93,8 @@
                 phase: Phase::Ordered,
                 spec: assigned.spec,
                 checkpoint: assigned.checkpoint,
-                withdrawn: None,
+                // The first orders of this primary leave out what is to be stopped.
+                withdrawn: assigned.stopping.then_some(FIRST_REVISION),
                 stopping: assigned.stopping,
                 estimated_ms: assigned.estimated_ms,
                 long_running: assigned.long_running,
--- a/crates/scheduler/tests/stories.rs
+++ b/crates/scheduler/tests/stories.rs
@@ -269,3 +269,17 @@
     world.settle(&mut agent);
     assert!(agent.stop.is_empty(), "the worker was at work on it while its agent was cut off");
 }
+
+#[test]
+fn what_was_stopped_before_a_failover_and_never_began_gives_its_room_back() {
+    let (mut world, mut agent) = given_an_ordered_task();
+    world.call(ClientMethod::Delete, &format!("/q/{JOB}"), "");
+    world.fail_over();
+    world.settle(&mut agent);
+    agent.beat_without();
+    world.settle(&mut agent);
+    let body = format!(r#"{{"spec":"text","steps":{ONE_TASK}}}"#);
+    assert_eq!(world.call(ClientMethod::Post, "/q/0000000000000001", &body).status, 200);
+    world.settle(&mut agent);
+    assert_eq!(agent.start.len(), 1, "the stopped run never began: its room is free");
+}
