Scheduler: room taken for a unit that does not wait is given back, and told

Need: a decision for a unit that the job record does not know as waiting would have kept its room for good. Change: the room is released and an error line asks for a report. The 20 stories pass.

--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -170,8 +170,12 @@
     }
 
     fn begin(&mut self, now: Now, id: &UnitId, on: &[(TaskId, WorkerId)]) {
-        let Some(unit) = self.waiting.remove(id) else { return };
-        for started in self.jobs.begin(now, id, on) {
+        let unit = self.waiting.remove(id);
+        let started = self.jobs.begin(now, id, on);
+        let Some(unit) = unit.filter(|_| !started.is_empty()) else {
+            return self.give_back(now.steady, id, on);
+        };
+        for started in started {
             self.remember_agent_of(&started.worker);
             let run = Run {
                 worker: started.worker.clone(),
@@ -194,6 +198,14 @@
         }
     }
 
+    /// Room was taken for a unit that is not to be started: it is free again.
+    fn give_back(&mut self, now: Millis, id: &UnitId, on: &[(TaskId, WorkerId)]) {
+        log::error!("{id:?} was placed though it does not wait; its room is given back: report this");
+        for (task, worker) in on {
+            self.placement.release(now, task, worker, Release::Withdrawn);
+        }
+    }
+
     /// Has a run stopped, or withdrawn where it has not begun yet. Its room stays taken until its end is proven.
     pub(crate) fn stop_run(&mut self, id: &RunId) {
         let Some(run) = self.runs.get_mut(id) else { return };
