--- a/crates/controlplane/src/main.rs
+++ b/crates/controlplane/src/main.rs
@@ -13,6 +13,7 @@
 use streamusher_controlplane::store::StoreError;
 use streamusher_node::options::EXIT_MISUSE;
 use streamusher_node::{logs, settings};
+use streamusher_share_debt as share_debt;
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
@@ -25,7 +26,9 @@
         Ok(Task::CheckConfiguration(path)) => check_configuration(&path),
         Ok(Task::Status { addresses, settings, json }) => status(addresses, settings.as_deref(), json),
         Ok(Task::ShowDisk(folder)) => show_disk(&folder),
-        Ok(Task::Run { log_level }) => with_settings(|settings| run(settings, log_level)),
+        Ok(Task::Run { log_level, share_debt }) => {
+            with_settings(|settings| run(settings, log_level, share_debt))
+        }
         Err(reason) => misuse(&reason),
     }
 }
@@ -41,9 +44,11 @@
     }
 }
 
-fn run(settings: settings::Settings, log_level: Option<LevelFilter>) -> ExitCode {
+fn run(
+    settings: settings::Settings, log_level: Option<LevelFilter>, share_debt: Option<share_debt::Settings>,
+) -> ExitCode {
     logs::start(log_level);
-    let Err(error) = program::run(settings) else { return ExitCode::SUCCESS };
+    let Err(error) = program::run(settings, share_debt) else { return ExitCode::SUCCESS };
     if let Some(StoreError::Newer { .. }) = error.downcast_ref::<StoreError>() {
         return misuse(&error.to_string());
     }
--- a/crates/controlplane/src/options.rs
+++ b/crates/controlplane/src/options.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use streamusher_node::options::{add_log_level, log_level};
+use streamusher_share_debt as share_debt;
 
 /// What to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -13,6 +14,8 @@
     Run {
         /// The level of the logs, where one is given.
         log_level: Option<LevelFilter>,
+        /// Work is ordered by recent use; none: it is not.
+        share_debt: Option<share_debt::Settings>,
     },
     /// Check the settings file.
     CheckSettings,
@@ -48,7 +51,8 @@
     }
     let log_level = log_level(&matches).map_err(|error| error.to_string())?;
     let Some((command, rest)) = matches.free.split_first() else {
-        return Ok(without_command(&matches, log_level));
+        let share_debt = matches.opt_str(SHARE_DEBT).map(|text| share_debt_of(&text)).transpose()?;
+        return Ok(without_command(&matches, Task::Run { log_level, share_debt }));
     };
     match command.as_str() {
         "status" => status(&matches, rest),
@@ -58,14 +62,14 @@
     }
 }
 
-fn without_command(matches: &Matches, log_level: Option<LevelFilter>) -> Task {
+fn without_command(matches: &Matches, run: Task) -> Task {
     if let Some(path) = matches.opt_str("check-configuration") {
         return Task::CheckConfiguration(path.into());
     }
     if matches.opt_present("check") {
         return Task::CheckSettings;
     }
-    Task::Run { log_level }
+    run
 }
 
 fn status(matches: &Matches, rest: &[String]) -> Result<Task, String> {
@@ -94,6 +98,18 @@
     }
 }
 
+const SHARE_DEBT: &str = "share-debt";
+
+/// Settings by a half-life in whole seconds.
+fn share_debt_of(text: &str) -> Result<share_debt::Settings, String> {
+    let seconds: u64 = text
+        .parse()
+        .map_err(|_| format!("--{SHARE_DEBT} {text:?}: give the half-life in whole seconds, such as 600"))?;
+    let settings = share_debt::Settings::with_half_life(seconds.saturating_mul(1_000));
+    settings.check().map_err(|error| format!("--{SHARE_DEBT} {text}: {error}"))?;
+    Ok(settings)
+}
+
 const BRIEF: &str = "The control plane of streamusher: primary, replica or witness on a core machine.
 
 Usage: streamusher-control [options] [COMMAND]
@@ -119,5 +135,11 @@
     options.optopt("", "settings", "status: the settings file whose seeds are asked", "FILE");
     options.optflag("", "json", "status: print the answers as JSON");
     add_log_level(&mut options);
+    options.optopt(
+        "",
+        SHARE_DEBT,
+        "order work by recent use, which halves in so many seconds",
+        "HALF_LIFE_S",
+    );
     options
 }
--- a/crates/controlplane/src/parameters.rs
+++ b/crates/controlplane/src/parameters.rs
@@ -10,6 +10,7 @@
 use streamusher_protocol::internal::{CoreAddress, CONTROL_PORT_OFFSET};
 use streamusher_protocol::Millis;
 use streamusher_scheduler as scheduler;
+use streamusher_share_debt as share_debt;
 
 /// How long a replica's acknowledgement binds it: some forty messages of a calm network, and a fraction of the second
 /// that callers wait.
@@ -69,7 +70,9 @@
 }
 
 /// The scheduler's settings.
-pub fn scheduler(settings: &Settings, random_seed: u64) -> scheduler::Settings {
+pub fn scheduler(
+    settings: &Settings, random_seed: u64, share_debt: Option<share_debt::Settings>,
+) -> scheduler::Settings {
     let bounds = &settings.bounds;
     let bounds = scheduler::Bounds {
         hold_max_ms: bounds.hold_max_ms,
@@ -83,7 +86,7 @@
         drain_ms: bounds.drain_ms,
         heartbeat_ms: settings.heartbeat_ms,
     };
-    scheduler::Settings { bounds, random_seed }
+    scheduler::Settings { bounds, random_seed, share_debt }
 }
 
 /// A new seed for each start: a disk's id is drawn from it, so it must not come twice.
--- a/crates/controlplane/src/ports.rs
+++ b/crates/controlplane/src/ports.rs
@@ -67,7 +67,7 @@
 
 impl StateMachine for Scheduler {
     fn recover(settings: &Settings, epoch: u64, now: Now, state: StateMap) -> Result<Self, RecoverError> {
-        Scheduler::recover(*settings, epoch, now, state)
+        Scheduler::recover(settings.clone(), epoch, now, state)
     }
 
     fn handle(&mut self, now: Now, event: Event) -> Effects {
--- a/crates/controlplane/src/program.rs
+++ b/crates/controlplane/src/program.rs
@@ -15,6 +15,7 @@
 use streamusher_node::signals::{Signal, Signals};
 use streamusher_node::{clock, runtime};
 use streamusher_protocol::Millis;
+use streamusher_share_debt as share_debt;
 use tokio::sync::mpsc;
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{interval, sleep, timeout, MissedTickBehavior};
@@ -35,13 +36,13 @@
 ///
 /// # Errors
 /// It can't start, or its store was lost.
-pub fn run(settings: Settings) -> Result<()> {
-    runtime::block_on(run_with_signals(settings)).context("the event loop can't be made")?
+pub fn run(settings: Settings, share_debt: Option<share_debt::Settings>) -> Result<()> {
+    runtime::block_on(run_with_signals(settings, share_debt)).context("the event loop can't be made")?
 }
 
-async fn run_with_signals(settings: Settings) -> Result<()> {
+async fn run_with_signals(settings: Settings, share_debt: Option<share_debt::Settings>) -> Result<()> {
     let mut signals = Signals::new().context("signals can't be heard")?;
-    let process = Process::start(&settings).await?;
+    let process = Process::start(&settings, share_debt).await?;
     let (heard, orders) = mpsc::unbounded_channel();
     spawn_local(async move {
         while let Ok(signal) = signals.next().await {
@@ -54,7 +55,7 @@
 }
 
 fn start_machine(
-    settings: &Settings, places: &Places,
+    settings: &Settings, places: &Places, share_debt: Option<share_debt::Settings>,
 ) -> Result<(Machine, mpsc::UnboundedReceiver<DiskEvent>)> {
     let (store, image) = disk::open_at_start(&places.data_dir)?;
     let (events, disk_events) = mpsc::unbounded_channel();
@@ -63,7 +64,7 @@
     let random_seed = parameters::random_seed();
     let core = parameters::coordination(settings, places.core_address(), random_seed);
     let coordinator = Coordinator::new(core, image, clock::steady());
-    let driver = Driver::new(parameters::scheduler(settings, random_seed), coordinator);
+    let driver = Driver::new(parameters::scheduler(settings, random_seed, share_debt), coordinator);
     let peers = Peers::new(places.core_address().internal);
     Ok((Machine::new(driver, peers, disk), disk_events))
 }
@@ -112,9 +113,9 @@
     ///
     /// # Errors
     /// A setting is missing, a newer program wrote the store, or an address can't be bound.
-    pub async fn start(settings: &Settings) -> Result<Process> {
+    pub async fn start(settings: &Settings, share_debt: Option<share_debt::Settings>) -> Result<Process> {
         let places = parameters::places(settings)?;
-        let (machine, disk_events) = start_machine(settings, &places)?;
+        let (machine, disk_events) = start_machine(settings, &places, share_debt)?;
         let servers = start_servers(&machine, &places).await?;
         let longest_leave_ms = LONGEST_LEAVE_MS.min(settings.bounds.grace_ms() / 2);
         Ok(Process { machine, servers, longest_leave_ms, disk_events })
--- a/crates/controlplane/tests/command_line.rs
+++ b/crates/controlplane/tests/command_line.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 use streamusher_controlplane::options::{parse, Task};
 use streamusher_controlplane::store::{Store, FOLDER, FORMAT};
+use streamusher_share_debt as share_debt;
 use support::TestFolder;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_streamusher-control");
@@ -54,8 +55,10 @@
 }
 
 #[rstest]
-#[case(&[], Task::Run { log_level: None })]
-#[case(&["--log-level", "debug"], Task::Run { log_level: Some(log::LevelFilter::Debug) })]
+#[case(&[], Task::Run { log_level: None, share_debt: None })]
+#[case(&["--log-level", "debug"], Task::Run { log_level: Some(log::LevelFilter::Debug), share_debt: None })]
+#[case(&["--share-debt", "600"],
+    Task::Run { log_level: None, share_debt: Some(share_debt::Settings::with_half_life(600_000)) })]
 #[case(&["--check"], Task::CheckSettings)]
 #[case(&["check"], Task::CheckSettings)]
 #[case(&["check", "--configuration", "c.toml"], Task::CheckConfiguration("c.toml".into()))]
@@ -75,6 +78,8 @@
 #[rstest]
 #[case(&["--chek"], "chek")]
 #[case(&["gate"], "gate")]
+#[case(&["--share-debt", "soon"], "--share-debt")]
+#[case(&["--share-debt", "9"], "half_life_ms is 9000: give 10000")]
 #[case(&["--check-configuration"], "check-configuration")]
 #[case(&["--log-level", "loud"], "loud")]
 #[case(&["status", "somewhere"], "somewhere")]
--- a/crates/controlplane/tests/driver.rs
+++ b/crates/controlplane/tests/driver.rs
@@ -125,7 +125,7 @@
         drain_ms: 2_000,
         heartbeat_ms: 1_500,
     };
-    Settings { bounds, random_seed: 1 }
+    Settings { bounds, random_seed: 1, share_debt: None }
 }
 
 fn now() -> Now {
--- a/crates/controlplane/tests/support/cluster.rs
+++ b/crates/controlplane/tests/support/cluster.rs
@@ -72,7 +72,7 @@
 
     pub async fn start_machine(&mut self, machine: usize, bootstrap: bool) {
         let settings = self.settings(machine, bootstrap);
-        let process = Process::start(&settings).await.unwrap();
+        let process = Process::start(&settings, None).await.unwrap();
         let (orders, received) = mpsc::unbounded_channel();
         let task = spawn_local(process.run(received));
         self.running.insert(machine, Running { orders, task });
--- a/crates/emulator/src/fleet/core.rs
+++ b/crates/emulator/src/fleet/core.rs
@@ -73,6 +73,7 @@
                 heartbeat_ms: bounds.heartbeat_ms,
             },
             random_seed,
+            share_debt: None,
         };
         let coordinator = Coordinator::new(replication, state.disk.image.clone(), now.steady);
         CoreProcess {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -4,7 +4,7 @@
 //! draws random numbers from a seed, so the same events give the same decisions.
 //!
 //! - `room`, `run`: what takes a worker's room, how long still, and what stopping it would lose.
-//! - `queue`, `copies`, `ranking`, `claim`: copies of a unit wait at several workers, the first with room claims it.
+//! - `queue`, `reorder`, `copies`, `ranking`, `claim`: copies of a unit wait at several workers, the first with room claims it.
 //! - `gather`, `gang`, `preempt`: room for all members at once, and for what is urgent.
 //! - `headroom`, `learning`: room kept for urgent work; workers that fail or are slow.
 
@@ -19,6 +19,7 @@
 mod preempt;
 mod queue;
 mod ranking;
+mod reorder;
 mod room;
 mod run;
 mod service;
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -40,7 +40,7 @@
     /// Workers whose room or queue has changed.
     pub(crate) dirty: BTreeSet<Slot>,
     /// Units that came since the last call.
-    fresh: BTreeSet<Key>,
+    pub(crate) fresh: BTreeSet<Key>,
     /// Services in which room came free.
     freed: BTreeSet<Arc<str>>,
     /// Searches for room that the present call may still make.
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -86,6 +86,20 @@
         Some(waiting)
     }
 
+    /// Files a unit under another order, with its timer; gives its new key.
+    pub fn reorder(&mut self, key: Key, order: u64) -> Option<Key> {
+        let mut waiting = self.units.remove(&key)?;
+        let changed = Key { order, ..key };
+        waiting.unit.order = order;
+        self.keys.insert(waiting.unit.id.clone(), changed);
+        if let Some(due) = waiting.due {
+            self.timers.remove(&(due, key));
+            self.timers.insert((due, changed));
+        }
+        self.units.insert(changed, waiting);
+        Some(changed)
+    }
+
     pub fn key_of(&self, unit: &UnitId) -> Option<Key> {
         self.keys.get(unit).copied()
     }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -8,6 +8,7 @@
 //! - `runs`: the runs that take room at workers, from the order to the proven end.
 //! - `workers`: workers and the agents beside them: reports, leases, orders.
 //! - `clients`, `operators`: the calls of clients and operators.
+//! - `share_debt`: what users have lately used, where it is switched on.
 //! - `watch`: what happens by time alone: leases that end, tasks that stand still, workers that leave.
 
 mod clients;
@@ -18,6 +19,7 @@
 mod reports;
 mod runs;
 mod scheduler;
+mod share_debt;
 mod watch;
 mod workers;
 
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -3,6 +3,7 @@
 use crate::event::Effects;
 use crate::runs::{Phase, Run, Runs};
 use crate::scheduler::{Scheduler, Settings};
+use crate::share_debt::ShareDebt;
 use crate::workers::Worker;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -37,11 +38,16 @@
         };
         let jobs = JobBook::recover(job_settings(&settings), now, of(&["job/", "task/"]))?;
         let configuration = ConfigurationStore::recover(of(&["config/", "order/"]))?;
+        let share_debt = settings
+            .share_debt
+            .clone()
+            .map(|settings| ShareDebt::recover(settings, epoch, now.steady, of(&["debt/", "debt-version"])));
+        let placement = Placement::new(placement_settings(&settings));
         let mut scheduler = Scheduler {
             settings,
             epoch,
             jobs,
-            placement: Placement::new(placement_settings(&settings)),
+            placement,
             configuration,
             runs: Runs::default(),
             workers: BTreeMap::new(),
@@ -50,6 +56,7 @@
             waiting: BTreeMap::new(),
             agents_to_look_at: BTreeSet::new(),
             calls_by_end: BTreeSet::new(),
+            share_debt,
             next_watch: now.steady,
             effects: Effects::default(),
         };
@@ -88,6 +95,7 @@
             if assigned.stopping {
                 self.placement.stopping(&assigned.run.task, &worker);
             }
+            self.debt_begins(now, &assigned.run, &assigned.resources);
             let run = Run {
                 worker,
                 phase: Phase::Ordered,
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -2,6 +2,7 @@
 
 use crate::event::{Effects, Event, Reply, RequestId};
 use crate::runs::{Phase, Run, Runs};
+use crate::share_debt::ShareDebt;
 use crate::workers::{Agent, Worker};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -13,6 +14,7 @@
 use streamusher_protocol::task::{RunId, TaskId};
 use streamusher_protocol::unit::{Unit, UnitId, WorkerId};
 use streamusher_protocol::{Millis, Now};
+use streamusher_share_debt::Charge;
 
 /// Bounds of the deployment, from the settings file.
 #[derive(Clone, Copy, Debug)]
@@ -40,12 +42,14 @@
 }
 
 /// What a scheduler is told at its start.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Settings {
     /// Bounds of the deployment.
     pub bounds: Bounds,
     /// For random choices.
     pub random_seed: u64,
+    /// Debts by recent use order work within a priority; none: by time alone.
+    pub share_debt: Option<streamusher_share_debt::Settings>,
 }
 
 /// The primary's state machine.
@@ -66,6 +70,8 @@
     pub(crate) agents_to_look_at: BTreeSet<Arc<str>>,
     /// When the time of waiting calls is over; calls that were answered meanwhile may still stand here.
     pub(crate) calls_by_end: BTreeSet<(Millis, Arc<str>)>,
+    /// None where it is switched off.
+    pub(crate) share_debt: Option<ShareDebt>,
     pub(crate) next_watch: Millis,
     pub(crate) effects: Effects,
 }
@@ -106,6 +112,7 @@
             "waiting": self.waiting.len(),
             "queues": self.waiting_by_queue(),
             "workers": workers,
+            "share_debt": self.share_debt.as_ref().map(|debt| debt.status(now)),
         })
     }
 
@@ -148,7 +155,8 @@
         }
         for unit in changes.ready {
             self.waiting.insert(unit.id.clone(), unit.clone());
-            self.placement.enqueue(now.steady, unit);
+            let order = self.order_by_debt(&unit);
+            self.placement.enqueue(now.steady, Unit { order, ..unit });
         }
         for run in changes.stop {
             self.stop_run(&run);
@@ -193,6 +201,7 @@
                 missing: 0,
                 stood_still: false,
             };
+            self.debt_begins(now.steady, &started.run, &unit.resources);
             self.runs.insert(started.run, run);
             self.touch(&started.worker);
         }
@@ -224,6 +233,7 @@
     /// A run is over: its room is free.
     pub(crate) fn free(&mut self, now: Millis, id: &RunId, how: Release) {
         if let Some(run) = self.runs.remove(id) {
+            self.debt_ends(now, id, Charge::ThrownAway);
             self.placement.release(now, &id.task, &run.worker, how);
             self.touch(&run.worker);
         }
--- a/crates/scheduler/src/watch.rs
+++ b/crates/scheduler/src/watch.rs
@@ -32,6 +32,7 @@
         self.next_watch = now.steady + WATCH_EVERY_MS;
         self.watch_workers(now);
         self.watch_runs(now);
+        self.watch_debts(now.steady);
     }
 
     /// The caller of an agent's call has left.
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -1,4 +1,5 @@
 //! A scheduler with hand-driven agents, in virtual time. Its replicated state is a map that a successor takes over.
+#![allow(dead_code)]
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -27,13 +28,14 @@
         drain_ms: 2_000,
         heartbeat_ms: 1_500,
     };
-    Settings { bounds, random_seed: 1 }
+    Settings { bounds, random_seed: 1, share_debt: None }
 }
 
 pub struct World {
     pub scheduler: Scheduler,
     pub state: BTreeMap<Arc<str>, Arc<str>>,
     pub now: Millis,
+    settings: Settings,
     epoch: u64,
     requests: u64,
     replies: BTreeMap<u64, Reply>,
@@ -42,11 +44,16 @@
 impl World {
     /// A primary with one queue, `/q/` of host `h`, whose tasks run at service `s`.
     pub fn new() -> World {
-        let scheduler = Scheduler::recover(settings(), 1, clock(0), Vec::new()).expect("empty state");
+        World::with(settings())
+    }
+
+    pub fn with(settings: Settings) -> World {
+        let scheduler = Scheduler::recover(settings.clone(), 1, clock(0), Vec::new()).expect("empty state");
         let mut world = World {
             scheduler,
             state: BTreeMap::new(),
             now: 0,
+            settings,
             epoch: 1,
             requests: 0,
             replies: BTreeMap::new(),
@@ -90,7 +97,7 @@
         self.epoch += 1;
         let state = self.state.clone();
         self.scheduler =
-            Scheduler::recover(settings(), self.epoch, clock(self.now), state).expect("own state");
+            Scheduler::recover(self.settings.clone(), self.epoch, clock(self.now), state).expect("own state");
         self.replies.clear();
     }
 
