Gates follow the configuration by the relay tree; members by leases at the primary

Need: the configuration crate's relay tree was not in the programs. Gates knew no configuration, and limits for clients' connections stayed at their defaults whatever the operator set.

Change: pure `Leases` and `Distribution` (root and leases of one primary) in configuration::relay; `Publication` in the driver tells only what is committed, while the lease to act holds; a new primary publishes its current one. Gates renew a lease each second (POST /internal/gate/lease), which brings roster and newest version, take and pass on messages (POST /internal/relay), apply the limits, and fill in ClientCall.configuration. Routes and 404 stay the primary's. `Outbox` in node sends messages that may be lost; a server's limits can change while it runs. Status: parent, children, version at gates, roster at the primary.

--- a/crates/configuration/src/relay/downstream.rs
+++ b/crates/configuration/src/relay/downstream.rs
@@ -27,6 +27,11 @@
         self.adopted.retain(|peer, _| !self.children.contains(peer));
     }
 
+    /// All that are told now: children, and those that have asked.
+    pub fn receivers(&self) -> impl Iterator<Item = &Peer> {
+        self.children.iter().chain(self.adopted.keys())
+    }
+
     /// Takes note that this one asked; returns whether it is adopted rather than a child.
     pub fn asked(&mut self, now: Millis, peer: &Peer) -> bool {
         if self.children.contains(peer) {
@@ -70,8 +75,7 @@
 
     /// A message to all but one.
     pub fn tell(&self, message: RelayMessage, except: Option<&Peer>) -> Option<Send> {
-        let all = self.children.iter().chain(self.adopted.keys());
-        let to: Vec<Peer> = all.filter(|peer| Some(*peer) != except).cloned().collect();
+        let to: Vec<Peer> = self.receivers().filter(|peer| Some(*peer) != except).cloned().collect();
         (!to.is_empty()).then_some(Send { to, message })
     }
 }
--- a/crates/configuration/src/relay/message.rs
+++ b/crates/configuration/src/relay/message.rs
@@ -63,6 +63,15 @@
     },
 }
 
+/// The body of a call: messages of one sender, in the order in which they were sent.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Envelope {
+    /// The sender.
+    pub from: Peer,
+    /// Its messages.
+    pub messages: Vec<RelayMessage>,
+}
+
 /// A message to be sent to each of `to`.
 #[derive(Clone, Debug)]
 pub struct Send {
--- a/crates/configuration/src/relay/mod.rs
+++ b/crates/configuration/src/relay/mod.rs
@@ -9,17 +9,24 @@
 //! - Whoever is asked adopts the caller: it sends it heartbeats and updates too, until a heartbeat of its own parent ends that.
 //! - Who hears of a version that does not come asks for it.
 //!
+//! Members are those that renew a lease at the primary ([`Leases`]); its answers bring them the roster. [`Distribution`] joins
+//! root and leases for the time of one primary.
+//!
 //! Versions only rise within a life. Everything is told the time; nothing here draws random numbers or does I/O.
 
 mod archive;
+pub mod distribution;
 mod downstream;
+pub mod leases;
 pub mod message;
 pub mod node;
 pub mod root;
 pub mod tree;
 mod upstream;
 
-pub use message::{Change, Peer, Pulse, RelayMessage, Send};
+pub use distribution::{Distribution, Published};
+pub use leases::Leases;
+pub use message::{Change, Envelope, Peer, Pulse, RelayMessage, Send};
 pub use node::{Actions, RelayNode};
 pub use root::RelayRoot;
 pub use tree::{Roster, Tree};
@@ -68,3 +75,16 @@
 
 /// Changes kept for those that lack some; together no longer than the whole configuration.
 pub const KEPT_CHANGES: usize = 16;
+
+/// Between two renewals of a member's lease.
+pub const LEASE_RENEWAL: Millis = 1_000;
+
+/// A member whose lease was not renewed for so long leaves the roster: three renewals, so that two may be lost.
+pub const LEASE: Millis = 3_000;
+
+/// A new primary waits so long before its first roster, so that every member has renewed its lease and the tree is not
+/// built anew for each: a renewal's time, and time to find the primary.
+pub const GATHERING: Millis = 1_500;
+
+/// Between two rosters: members that come and go together make one change.
+pub const ROSTER_INTERVAL: Millis = 250;
--- a/crates/configuration/src/relay/node.rs
+++ b/crates/configuration/src/relay/node.rs
@@ -62,6 +62,31 @@
         self.archive.text()
     }
 
+    /// Its address.
+    pub fn address(&self) -> &Arc<str> {
+        &self.address
+    }
+
+    /// Version of the roster that it knows; 0 for none.
+    pub fn roster(&self) -> u64 {
+        self.roster.unwrap_or_default()
+    }
+
+    /// Its parent by the roster.
+    pub fn parent(&self) -> Option<&Peer> {
+        self.upstream.parent()
+    }
+
+    /// Who tells it because it asked.
+    pub fn adopter(&self) -> Option<&Peer> {
+        self.upstream.adopter()
+    }
+
+    /// Those that it tells.
+    pub fn receivers(&self) -> impl Iterator<Item = &Peer> {
+        self.downstream.receivers()
+    }
+
     /// When [`RelayNode::tick`] is to be called next.
     pub fn next_tick(&self) -> Millis {
         Millis::min(self.upstream.next_due(), self.downstream.next_heartbeat())
--- a/crates/configuration/src/relay/root.rs
+++ b/crates/configuration/src/relay/root.rs
@@ -34,6 +34,11 @@
         self.archive.version()
     }
 
+    /// Those that it tells.
+    pub fn receivers(&self) -> impl Iterator<Item = &Peer> {
+        self.downstream.receivers()
+    }
+
     /// When [`RelayRoot::tick`] is to be called next.
     pub fn next_tick(&self) -> Millis {
         self.downstream.next_heartbeat()
--- a/crates/configuration/src/relay/upstream.rs
+++ b/crates/configuration/src/relay/upstream.rs
@@ -71,6 +71,16 @@
         }
     }
 
+    /// The parent by the newest roster; the core while there is none.
+    pub fn parent(&self) -> Option<&Peer> {
+        self.ancestors.first()
+    }
+
+    /// Who tells this member because it asked.
+    pub fn adopter(&self) -> Option<&Peer> {
+        self.adopter.as_ref().map(|adopter| &adopter.peer)
+    }
+
     /// The newest pulse.
     pub fn pulse(&self) -> Pulse {
         self.pulse
--- a/crates/configuration/src/store.rs
+++ b/crates/configuration/src/store.rs
@@ -4,6 +4,7 @@
 use crate::document;
 use crate::error::{ConfigurationError, RecordError};
 use crate::order::{order_key, OrderKind, TakenOrder, TakenOrders, ORDER_PREFIX};
+use crate::relay::Published;
 use crate::routes::RouteTable;
 use crate::wire::{parse_configuration, WHITE_SPACE};
 use std::sync::Arc;
@@ -41,6 +42,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ConfigurationStore {
     current: Option<Current>,
+    /// The version on which the current one builds and the update that made it, where it was an update.
+    update: Option<(u64, Arc<str>)>,
     orders: TakenOrders,
     routes: RouteTable,
 }
@@ -96,6 +99,13 @@
         self.current.as_ref().map(|current| current.text.clone())
     }
 
+    /// The newest configuration as the relay tree distributes it.
+    pub fn newest(&self) -> Option<Published> {
+        let current = self.current.as_ref()?;
+        let version = current.configuration.version;
+        Some(Published { version, text: current.text.clone(), update: self.update.clone() })
+    }
+
     /// The newest version; 0 for none.
     pub fn version(&self) -> u64 {
         self.current().map_or(0, |configuration| configuration.version)
@@ -116,7 +126,10 @@
             return Outcome::Stale { current };
         }
         match self.result_of(kind, body) {
-            Ok(next) => self.take(key, base, body, next),
+            Ok(next) => {
+                self.update = (kind == OrderKind::Update).then(|| (base, body.into()));
+                self.take(key, base, body, next)
+            }
             Err(error) => Outcome::Invalid(error),
         }
     }
--- a/crates/controlplane/src/driver.rs
+++ b/crates/controlplane/src/driver.rs
@@ -5,11 +5,13 @@
 //! call that may come into force all the same with [`Answer::Unknown`].
 
 use crate::ports::{Replication, StateMachine};
+use crate::publication::Publication;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
+use streamusher_configuration::relay::Published;
 use streamusher_coordination::{Coordinator, DiskChange, Input, Message, Output};
 use streamusher_protocol::internal::{AgentSync, ClientCall, ClientMethod, ClusterView, CoreAddress};
-use streamusher_protocol::Now;
+use streamusher_protocol::{Millis, Now};
 use streamusher_scheduler::{
     Effects, Event, OperatorOrder, OrderKind, Reply, RequestId, Scheduler, Settings,
 };
@@ -87,6 +89,8 @@
     next_request: RequestId,
     outstanding: BTreeMap<RequestId, Outstanding>,
     held: VecDeque<Held>,
+    publication: Publication,
+    epoch: u64,
     actions: Vec<Action>,
 }
 
@@ -100,6 +104,8 @@
             next_request: 1,
             outstanding: BTreeMap::new(),
             held: VecDeque::new(),
+            publication: Publication::default(),
+            epoch: 0,
             actions: Vec::new(),
         }
     }
@@ -160,6 +166,22 @@
         self.scheduler.as_ref()
     }
 
+    /// The epoch of which this is the primary, while it may act as such.
+    pub fn reign(&self, now: Millis) -> Option<u64> {
+        let acts = self.scheduler.is_some() && self.replication.may_act(now);
+        acts.then_some(self.epoch)
+    }
+
+    /// Configurations of this reign that were committed since the last call, in their order, with its epoch. They are kept
+    /// while this may not act as primary.
+    pub fn take_published(&mut self, now: Millis) -> Option<(u64, Vec<Published>)> {
+        if !self.publication.is_ready() {
+            return None;
+        }
+        let epoch = self.reign(now)?;
+        Some((epoch, self.publication.take()))
+    }
+
     /// Calls handed to the scheduler and not answered yet.
     pub fn outstanding(&self) -> usize {
         self.outstanding.len()
@@ -174,6 +196,7 @@
             outputs = self.replication.append(now.steady, writes).1;
         }
         let sequence = self.replication.appended();
+        self.publication.taken(sequence, scheduler.version(), || scheduler.newest());
         for (request, reply) in replies {
             let may_refuse = !(wrote && cause == Some(request));
             self.hold(sequence, request, reply, may_refuse);
@@ -204,7 +227,12 @@
         self.leave_office(now);
         log::info!("primary from epoch {epoch} on");
         match S::recover(&self.settings, epoch, now, self.replication.state()) {
-            Ok(scheduler) => self.scheduler = Some(scheduler),
+            Ok(scheduler) => {
+                let sequence = self.replication.appended();
+                self.publication.taken(sequence, scheduler.version(), || scheduler.newest());
+                self.epoch = epoch;
+                self.scheduler = Some(scheduler);
+            }
             Err(error) => log::error!("epoch {epoch}: the state can't be recovered: {error}"),
         }
     }
@@ -214,6 +242,7 @@
             log::info!("no longer primary; {} calls are answered so", self.outstanding.len());
         }
         self.held.clear();
+        self.publication = Publication::default();
         let view = self.replication.view(now.steady);
         for (request, outstanding) in std::mem::take(&mut self.outstanding) {
             let answer = match outstanding.mutating && !outstanding.refused {
@@ -225,10 +254,12 @@
     }
 
     fn release(&mut self, now: Now) {
-        if self.held.is_empty() || !self.replication.may_act(now.steady) {
+        let waits = !self.held.is_empty() || self.publication.is_pending();
+        if !waits || !self.replication.may_act(now.steady) {
             return;
         }
         let committed = self.replication.committed();
+        self.publication.committed(committed);
         while self.held.front().is_some_and(|held| held.sequence <= committed) {
             let Some(held) = self.held.pop_front() else { return };
             self.answer(now, held);
--- a/crates/controlplane/src/internal.rs
+++ b/crates/controlplane/src/internal.rs
@@ -7,7 +7,8 @@
 use serde::de::DeserializeOwned;
 use streamusher_node::http::{empty, json, parse_json, text, Answer, Call as HttpCall};
 use streamusher_protocol::internal::{
-    NotPrimary, AGENT_SYNC_PATH, CLIENT_CALL_PATH, CLUSTER_PATH, CORE_PATH, STATUS_PATH,
+    ClusterView, NotPrimary, AGENT_SYNC_PATH, CLIENT_CALL_PATH, CLUSTER_PATH, CORE_PATH, GATE_LEASE_PATH,
+    RELAY_PATH, STATUS_PATH,
 };
 use streamusher_scheduler::Reply;
 
@@ -17,6 +18,8 @@
         (&Method::POST, CORE_PATH) => core_messages(&machine, &call),
         (&Method::POST, AGENT_SYNC_PATH) => pass_on(&machine, &call, Call::Agent).await,
         (&Method::POST, CLIENT_CALL_PATH) => pass_on(&machine, &call, Call::Client).await,
+        (&Method::POST, GATE_LEASE_PATH) => gate_lease(&machine, &call),
+        (&Method::POST, RELAY_PATH) => relay(&machine, &call),
         (&Method::GET, CLUSTER_PATH) => json(StatusCode::OK, &machine.view()),
         (&Method::GET, STATUS_PATH) => json(StatusCode::OK, &machine.status()),
         (_, path) => {
@@ -35,6 +38,30 @@
     }
 }
 
+fn gate_lease(machine: &Machine, call: &HttpCall) -> Answer {
+    match parse_json(call.body()) {
+        Ok(lease) => match machine.gate_lease(&lease) {
+            Some(reply) => json(StatusCode::OK, &reply),
+            None => not_primary(machine.view()),
+        },
+        Err(error) => text(StatusCode::BAD_REQUEST, format!("{error}\n")),
+    }
+}
+
+fn relay(machine: &Machine, call: &HttpCall) -> Answer {
+    match parse_json(call.body()) {
+        Ok(envelope) => match machine.relay(envelope) {
+            Some(()) => empty(StatusCode::NO_CONTENT),
+            None => not_primary(machine.view()),
+        },
+        Err(error) => text(StatusCode::BAD_REQUEST, format!("{error}\n")),
+    }
+}
+
+fn not_primary(view: ClusterView) -> Answer {
+    json(StatusCode::MISDIRECTED_REQUEST, &NotPrimary { view })
+}
+
 async fn pass_on<T: DeserializeOwned>(
     machine: &Machine, call: &HttpCall, of_body: impl FnOnce(T) -> Call,
 ) -> Answer {
@@ -46,7 +73,7 @@
         Outcome::Reply(Reply::Agent(orders)) => json(StatusCode::OK, &orders),
         Outcome::Reply(Reply::Client(reply)) => json(StatusCode::OK, &reply),
         Outcome::Reply(Reply::Operator(_)) => text(StatusCode::INTERNAL_SERVER_ERROR, "not an operator\n"),
-        Outcome::NotPrimary(view) => json(StatusCode::MISDIRECTED_REQUEST, &NotPrimary { view }),
+        Outcome::NotPrimary(view) => not_primary(view),
         Outcome::Unknown => text(StatusCode::GATEWAY_TIMEOUT, "outcome unknown: repeat the call\n"),
     }
 }
--- a/crates/controlplane/src/lib.rs
+++ b/crates/controlplane/src/lib.rs
@@ -1,6 +1,7 @@
 //! The control plane: primary, replicas and witnesses on the core machines.
 //!
 //! - [`driver`]: the rule by which replies leave, joining replication and scheduler; pure.
+//! - [`publication`], [`relay`]: which configurations may be told, and the root of the tree that tells them.
 //! - [`ports`]: what the driver needs of both.
 //! - [`store`], [`disk`]: what is kept on disk, and the thread that writes it.
 //! - [`machine`]: the driver with its queues, shared by the servers.
@@ -19,5 +20,7 @@
 pub mod peers;
 pub mod ports;
 pub mod program;
+pub mod publication;
+pub mod relay;
 pub mod show_disk;
 pub mod store;
--- a/crates/controlplane/src/machine.rs
+++ b/crates/controlplane/src/machine.rs
@@ -3,14 +3,16 @@
 use crate::disk::Disk;
 use crate::driver::{Action, Answer, Call, Driver};
 use crate::peers::Peers;
+use crate::relay::Relay;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
+use streamusher_configuration::relay::Envelope;
 use streamusher_configuration::store::CURRENT_KEY;
 use streamusher_coordination::{Coordinator, Input, Message, StateMap};
 use streamusher_node::{clock, logs};
-use streamusher_protocol::internal::{ClusterView, CoreAddress};
+use streamusher_protocol::internal::{ClusterView, CoreAddress, GateLease, GateLeaseReply};
 use streamusher_scheduler::{RequestId, Scheduler};
 use tokio::sync::oneshot;
 
@@ -25,12 +27,13 @@
     callers: HashMap<RequestId, oneshot::Sender<Answer>>,
     peers: Peers,
     disk: Disk,
+    relay: Relay,
 }
 
 impl Machine {
     /// Joins the parts.
     pub fn new(driver: Driver<Coordinator, Scheduler>, peers: Peers, disk: Disk) -> Machine {
-        let shared = Shared { driver, callers: HashMap::new(), peers, disk };
+        let shared = Shared { driver, callers: HashMap::new(), peers, disk, relay: Relay::default() };
         Machine { shared: Rc::new(RefCell::new(shared)) }
     }
 
@@ -60,8 +63,28 @@
     /// Time has passed.
     pub fn tick(&self) {
         let mut shared = self.shared.borrow_mut();
-        let actions = shared.driver.tick(clock::now());
+        let now = clock::now();
+        let actions = shared.driver.tick(now);
         shared.perform(actions);
+        let epoch = shared.driver.reign(now.steady);
+        shared.relay.tick(now.steady, epoch);
+    }
+
+    /// Renews a gate's lease; none where this is not the primary.
+    pub fn gate_lease(&self, lease: &GateLease) -> Option<GateLeaseReply> {
+        let now = clock::steady();
+        let shared = &mut *self.shared.borrow_mut();
+        let epoch = shared.driver.reign(now)?;
+        Some(shared.relay.lease(now, epoch, lease))
+    }
+
+    /// Takes messages of a member of the relay tree; none where this is not the primary.
+    pub fn relay(&self, envelope: Envelope) -> Option<()> {
+        let now = clock::steady();
+        let shared = &mut *self.shared.borrow_mut();
+        let epoch = shared.driver.reign(now)?;
+        shared.relay.receive(now, epoch, envelope);
+        Some(())
     }
 
     /// What is known of the control plane.
@@ -88,6 +111,7 @@
             "core": replication.status(now),
             "seeds": replication.seeds(),
             "configuration": configuration_version(&replication.state()),
+            "relay": shared.relay.status(),
             "calls": shared.driver.outstanding(),
             "scheduler": shared.driver.scheduler().map(|scheduler| scheduler.status(now)),
             "last_error": logs::last_error(),
@@ -123,6 +147,15 @@
                 Action::Answer { request, answer } => self.answer(request, answer),
             }
         }
+        self.publish();
+    }
+
+    fn publish(&mut self) {
+        let now = clock::steady();
+        let Some((epoch, published)) = self.driver.take_published(now) else { return };
+        for configuration in &published {
+            self.relay.publish(now, epoch, configuration);
+        }
     }
 
     fn answer(&mut self, request: RequestId, answer: Answer) {
--- a/crates/controlplane/src/ports.rs
+++ b/crates/controlplane/src/ports.rs
@@ -1,5 +1,6 @@
 //! What the driver needs of replication and of the scheduler, and how the real ones give it.
 
+use streamusher_configuration::relay::Published;
 use streamusher_coordination::{Coordinator, Input, Output, StateMap};
 use streamusher_protocol::internal::ClusterView;
 use streamusher_protocol::store::Write;
@@ -33,6 +34,14 @@
     fn recover(settings: &Settings, epoch: u64, now: Now, state: StateMap) -> Result<Self, RecoverError>;
     /// Takes an event.
     fn handle(&mut self, now: Now, event: Event) -> Effects;
+    /// Version of the newest configuration, committed or not; 0 for none.
+    fn version(&self) -> u64 {
+        0
+    }
+    /// The newest configuration, committed or not.
+    fn newest(&self) -> Option<Published> {
+        None
+    }
 }
 
 impl Replication for Coordinator {
@@ -73,4 +82,12 @@
     fn handle(&mut self, now: Now, event: Event) -> Effects {
         Scheduler::handle(self, now, event)
     }
+
+    fn version(&self) -> u64 {
+        self.configuration().version()
+    }
+
+    fn newest(&self) -> Option<Published> {
+        self.configuration().newest()
+    }
 }
--- /dev/null
+++ b/crates/controlplane/src/relay.rs
@@ -0,0 +1,85 @@
+//! The primary's end of the relay tree at work: leases of gates, and what goes down the tree.
+
+use streamusher_configuration::relay::{Distribution, Envelope, Peer, Published, RelayMessage, Send};
+use streamusher_node::http::Outbox;
+use streamusher_protocol::internal::{GateLease, GateLeaseReply, RELAY_PATH};
+use streamusher_protocol::Millis;
+
+/// Root and leases while this machine is the primary, and the queues to the members.
+pub struct Relay {
+    reign: Option<(u64, Distribution)>,
+    outbox: Outbox<RelayMessage>,
+}
+
+impl Default for Relay {
+    fn default() -> Relay {
+        Relay { reign: None, outbox: Outbox::new(RELAY_PATH, body_of) }
+    }
+}
+
+impl Relay {
+    /// Takes note of the epoch of which this machine is the primary, none for none, and does what is due.
+    pub fn tick(&mut self, now: Millis, epoch: Option<u64>) {
+        match self.reign_of(now, epoch) {
+            Some(distribution) => {
+                let sends = distribution.tick(now);
+                self.send(sends);
+            }
+            None => self.reign = None,
+        }
+    }
+
+    /// Publishes a configuration that is committed in this epoch.
+    pub fn publish(&mut self, now: Millis, epoch: u64, published: &Published) {
+        if let Some(distribution) = self.reign_of(now, Some(epoch)) {
+            let sends = distribution.publish(published);
+            self.send(sends);
+        }
+    }
+
+    /// Renews a gate's lease.
+    pub fn lease(&mut self, now: Millis, epoch: u64, lease: &GateLease) -> GateLeaseReply {
+        self.reign_of(now, Some(epoch)).map(|reign| reign.lease(now, lease)).unwrap_or_default()
+    }
+
+    /// Takes messages of a member.
+    pub fn receive(&mut self, now: Millis, epoch: u64, envelope: Envelope) {
+        if let Some(distribution) = self.reign_of(now, Some(epoch)) {
+            let sends = distribution.receive(now, envelope);
+            self.send(sends);
+        }
+    }
+
+    /// State for operators.
+    pub fn status(&self) -> serde_json::Value {
+        let Some((_, distribution)) = &self.reign else { return serde_json::Value::Null };
+        let children: Vec<&Peer> = distribution.root().receivers().collect();
+        serde_json::json!({
+            "published": distribution.version(),
+            "roster": distribution.leases().roster(),
+            "told": children,
+        })
+    }
+
+    fn reign_of(&mut self, now: Millis, epoch: Option<u64>) -> Option<&mut Distribution> {
+        let epoch = epoch?;
+        if self.reign.as_ref().is_none_or(|(of, _)| *of != epoch) {
+            self.reign = Some((epoch, Distribution::new(epoch, now)));
+        }
+        self.reign.as_mut().map(|(_, distribution)| distribution)
+    }
+
+    fn send(&mut self, sends: Vec<Send>) {
+        for send in sends {
+            for to in send.to {
+                if let Peer::Member(address) = to {
+                    self.outbox.send(&address, send.message.clone());
+                }
+            }
+        }
+    }
+}
+
+fn body_of(messages: Vec<RelayMessage>) -> Vec<u8> {
+    serde_json::to_vec(&Envelope { from: Peer::Core, messages }).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/controlplane/tests/relay.rs
@@ -0,0 +1,163 @@
+//! The primary of three control processes as the root of the relay tree, with members over loopback.
+
+mod support;
+
+use http::StatusCode;
+use serde_json::{json, Value};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use streamusher_configuration::relay::{Envelope, RelayMessage};
+use streamusher_node::http::{empty, parse_json, Call, Server, ServerLimits};
+use streamusher_protocol::config::{REPLACE_PATH, UPDATE_PATH};
+use streamusher_protocol::internal::{GateLease, GateLeaseReply, GATE_LEASE_PATH, RELAY_PATH};
+use support::cluster::{is_ok, story, text_of, Cluster};
+use tokio::sync::Notify;
+
+const LONGEST_WAIT: Duration = Duration::from_secs(60);
+
+/// A member that notes what it is told.
+struct Member {
+    address: SocketAddr,
+    told: Rc<RefCell<Vec<RelayMessage>>>,
+    heard: Rc<Notify>,
+}
+
+impl Member {
+    fn start() -> Member {
+        let server = Server::bind("127.0.0.1:0".parse().unwrap(), ServerLimits::default()).unwrap();
+        let address = server.local_address().unwrap();
+        let told: Rc<RefCell<Vec<RelayMessage>>> = Rc::default();
+        let heard = Rc::new(Notify::new());
+        let (notes, bell) = (Rc::clone(&told), Rc::clone(&heard));
+        tokio::task::spawn_local(server.run(move |call: Call| {
+            let envelope: Envelope = parse_json(call.body()).unwrap();
+            assert_eq!(call.uri().path(), RELAY_PATH);
+            notes.borrow_mut().extend(envelope.messages);
+            bell.notify_one();
+            std::future::ready(empty(StatusCode::NO_CONTENT))
+        }));
+        Member { address, told, heard }
+    }
+
+    fn lease(&self, roster: u64) -> GateLease {
+        GateLease { address: self.address.to_string().into(), roster }
+    }
+
+    /// Waits for a message that fits.
+    async fn until(&self, wanted: impl Fn(&RelayMessage) -> bool) {
+        let waiting = async {
+            while !self.told.borrow().iter().any(&wanted) {
+                self.heard.notified().await;
+            }
+        };
+        tokio::time::timeout(LONGEST_WAIT, waiting).await.expect("the message did not come in time");
+    }
+}
+
+fn is_whole(wanted: u64) -> impl Fn(&RelayMessage) -> bool {
+    move |message| matches!(message, RelayMessage::Whole { version, .. } if *version == wanted)
+}
+
+fn is_change(wanted: u64) -> impl Fn(&RelayMessage) -> bool {
+    move |message| match message {
+        RelayMessage::Changes(changes) => changes.last().is_some_and(|change| change.version == wanted),
+        _ => false,
+    }
+}
+
+fn is_heartbeat(wanted: u64) -> impl Fn(&RelayMessage) -> bool {
+    move |message| matches!(message, RelayMessage::Heartbeat { version, .. } if *version == wanted)
+}
+
+/// Renews a member's lease until a roster names it.
+async fn join(cluster: &mut Cluster, member: &Member, roster: u64) -> GateLeaseReply {
+    let address = member.address.to_string();
+    let answer = cluster
+        .post_until(GATE_LEASE_PATH, &member.lease(roster), |answer| {
+            let reply = parse_json::<GateLeaseReply>(answer.body()).unwrap_or_default();
+            let members = reply.members.unwrap_or_default();
+            members.iter().any(|member| **member == *address)
+        })
+        .await;
+    parse_json(answer.body()).unwrap()
+}
+
+async fn replace(cluster: &mut Cluster, base: &str, version: u64) {
+    let primary = cluster.primary().await;
+    let body = json!({"version": version, "routes": [], "services": []}).to_string();
+    let answer = cluster.order(primary, REPLACE_PATH, Some(base), &body).await;
+    assert!(is_ok(&answer), "{}", text_of(&answer));
+}
+
+#[test]
+fn given_a_member_when_orders_are_taken_then_it_is_told_the_whole_first_and_then_changes() {
+    story(async {
+        let mut cluster = Cluster::start().await;
+        let member = Member::start();
+        let reply = join(&mut cluster, &member, 0).await;
+        assert_eq!(reply.configuration, 0);
+
+        replace(&mut cluster, "0", 5).await;
+        member.until(is_whole(5)).await;
+        let primary = cluster.primary().await;
+        let update = cluster.order(primary, UPDATE_PATH, Some("5"), r#"{"version":8}"#).await;
+
+        assert!(is_ok(&update));
+        member.until(is_change(8)).await;
+        let answer = cluster.post(primary, GATE_LEASE_PATH, &member.lease(reply.roster)).await;
+        let renewed: GateLeaseReply = parse_json(answer.body()).unwrap();
+        assert_eq!((renewed.configuration, renewed.members), (8, None));
+    });
+}
+
+#[test]
+fn given_a_new_primary_when_members_renew_then_its_roster_is_newer_and_it_tells_what_was_committed() {
+    story(async {
+        let mut cluster = Cluster::start().await;
+        let member = Member::start();
+        let before = join(&mut cluster, &member, 0).await;
+        replace(&mut cluster, "0", 5).await;
+        member.until(is_whole(5)).await;
+
+        let former = cluster.primary().await;
+        cluster.stop_machine(former).await;
+        let late = Member::start();
+        join(&mut cluster, &member, before.roster).await;
+        let after = join(&mut cluster, &late, 0).await;
+
+        assert!(after.roster > before.roster);
+        assert_eq!(after.configuration, 5);
+        late.until(is_heartbeat(5)).await;
+        let question =
+            json!({"from": {"Member": late.address.to_string()}, "messages": [{"Ask": {"have": 0}}]});
+        cluster.post_until(RELAY_PATH, &question, |answer| answer.status() == StatusCode::NO_CONTENT).await;
+        late.until(is_whole(5)).await;
+        replace(&mut cluster, "5", 9).await;
+        member.until(is_whole(9)).await;
+        late.until(is_whole(9)).await;
+    });
+}
+
+#[test]
+fn given_a_machine_that_is_not_primary_when_a_member_calls_then_it_is_sent_on() {
+    story(async {
+        let mut cluster = Cluster::start().await;
+        let member = Member::start();
+        let primary = cluster.primary().await;
+        let other = (primary + 1) % 3;
+        let question = json!({"from": {"Member": member.address.to_string()}, "messages": []});
+
+        let lease = cluster.post(other, GATE_LEASE_PATH, &member.lease(0)).await;
+        let relay = cluster.post(other, RELAY_PATH, &question).await;
+        let malformed = cluster.post(primary, GATE_LEASE_PATH, &json!({"address": 7})).await;
+
+        for answer in [lease, relay] {
+            assert_eq!(answer.status(), StatusCode::MISDIRECTED_REQUEST);
+            let body: Value = parse_json(answer.body()).unwrap();
+            assert_eq!(body["view"]["primary"]["internal"], cluster.internal(primary).to_string());
+        }
+        assert_eq!(malformed.status(), StatusCode::BAD_REQUEST);
+    });
+}
--- a/crates/dataplane/src/gate/mod.rs
+++ b/crates/dataplane/src/gate/mod.rs
@@ -2,6 +2,7 @@
 
 mod passing;
 mod program;
+pub mod relay;
 mod request;
 
 pub use passing::pass;
--- a/crates/dataplane/src/gate/passing.rs
+++ b/crates/dataplane/src/gate/passing.rs
@@ -27,10 +27,12 @@
 /// A call that surely was not carried out is tried once more where another primary is known, or refused with 503. One
 /// that may have been is answered with 502 if it hands a job in: the client sends the same id again. GET and DELETE may
 /// be carried out twice, so they are tried again while the client's time lasts.
-pub async fn pass(link: &CoreLink, call: &Call) -> Answer {
+///
+/// `configuration` is the version of the gate's copy; the primary decides by its own.
+pub async fn pass(link: &CoreLink, configuration: u64, call: &Call) -> Answer {
     let until = Instant::now() + request::deadline(call).saturating_sub(KEPT_FOR_CLIENT);
     let call = match request::read(call) {
-        Ok(call) => call,
+        Ok(call) => ClientCall { configuration, ..call },
         Err(refusal) => return refusal.answer(),
     };
     let Some(first) = link.primary() else { return request::not_taken() };
--- a/crates/dataplane/src/gate/program.rs
+++ b/crates/dataplane/src/gate/program.rs
@@ -1,6 +1,7 @@
 //! The gate as a process: its listeners, its readiness, and its end.
 
 use super::passing;
+use super::relay::{Relay, RelayStatus};
 use crate::core::CoreLink;
 use crate::process;
 use http::{Method, StatusCode};
@@ -13,7 +14,7 @@
 use streamusher_node::settings::{self, Settings};
 use streamusher_node::signals::{Signal, Signals};
 use streamusher_protocol::config::Limits;
-use streamusher_protocol::internal::{ClusterView, GATE_PORT_OFFSET};
+use streamusher_protocol::internal::{ClusterView, GATE_PORT_OFFSET, RELAY_PATH};
 use streamusher_protocol::Millis;
 
 /// What the platform asks each second.
@@ -34,6 +35,21 @@
 /// Descriptors that are not for clients: the platform's 200, and this process's own calls and listeners.
 const OWN_DESCRIPTORS: u64 = 300;
 
+/// Longest body, whatever the configuration allows: a gate has little memory, and the primary takes no more.
+const MOST_BODY: u64 = 8 << 20;
+
+/// Longest head, whatever the configuration allows: each connection may hold one.
+const MOST_HEADER: u64 = 1 << 20;
+
+/// Relay messages hold whole configurations with thousands of routes.
+const INTERNAL_LIMITS: ServerLimits = ServerLimits {
+    max_body: 16 << 20,
+    max_header: 8_192,
+    body_timeout: Duration::from_secs(5),
+    idle_timeout: Duration::from_secs(10),
+    max_connections: 32,
+};
+
 /// The platform's question: nothing but a head.
 const READINESS_LIMITS: ServerLimits = ServerLimits {
     max_body: 1_024,
@@ -73,10 +89,17 @@
     check(&settings).map_err(anyhow::Error::msg)?;
     let missing = || anyhow::anyhow!("no listen.front or listen.ready");
     let mut signals = Signals::new()?;
-    let front = process::bind(settings.listen.front.ok_or_else(missing)?, client_limits(&settings)).await?;
+    let front = process::bind(
+        settings.listen.front.ok_or_else(missing)?,
+        client_limits(&settings, &Limits::default()),
+    )
+    .await?;
     let ready = process::bind(settings.listen.ready.ok_or_else(missing)?, READINESS_LIMITS).await?;
     let gate = Gate::new(&settings);
     gate.start(settings.internal_address(GATE_PORT_OFFSET));
+    let member = gate.relay().clone();
+    tokio::task::spawn_local(follow_limits(member.clone(), front.handle(), settings.clone()));
+    tokio::task::spawn_local(async move { member.run().await });
     let asked = gate.clone();
     tokio::task::spawn_local(ready.run(move |call| std::future::ready(asked.readiness(&call))));
     let handle = front.handle();
@@ -106,12 +129,21 @@
     }
 }
 
-fn client_limits(settings: &Settings) -> ServerLimits {
-    let limits = Limits::default();
+/// Applies the limits of each configuration that comes. Never ends.
+async fn follow_limits(relay: Relay, server: ServerHandle, settings: Settings) {
+    loop {
+        relay.changed().await;
+        if let Some(configuration) = relay.configuration() {
+            server.set_limits(client_limits(&settings, &configuration.limits));
+        }
+    }
+}
+
+fn client_limits(settings: &Settings, limits: &Limits) -> ServerLimits {
     let max_connections = settings.limits.max_fds.saturating_sub(OWN_DESCRIPTORS).max(16);
     ServerLimits {
-        max_body: limits.max_body_bytes as usize,
-        max_header: limits.max_header_bytes as usize,
+        max_body: limits.max_body_bytes.min(MOST_BODY) as usize,
+        max_header: limits.max_header_bytes.min(MOST_HEADER) as usize,
         body_timeout: Duration::from_millis(limits.header_timeout_ms),
         idle_timeout: Duration::from_millis(limits.idle_timeout_ms),
         max_connections: max_connections as usize,
@@ -126,6 +158,7 @@
 
 struct Shared {
     link: CoreLink,
+    relay: Relay,
     leaving: Cell<bool>,
     passed: Cell<u64>,
     refused: Cell<u64>,
@@ -140,6 +173,7 @@
     refused: u64,
     control_plane: ClusterView,
     last_error: Option<LastError>,
+    relay: RelayStatus,
 }
 
 impl Gate {
@@ -148,6 +182,7 @@
         let link = CoreLink::new(settings.core_addresses_of_seeds(), process::random_number());
         Gate {
             shared: Rc::new(Shared {
+                relay: Relay::new(link.clone(), settings.internal_address(GATE_PORT_OFFSET)),
                 link,
                 leaving: Cell::default(),
                 passed: Cell::default(),
@@ -156,12 +191,33 @@
         }
     }
 
-    /// Begins to look for the primary; serves the status at `status_address`.
-    pub fn start(&self, status_address: std::net::SocketAddr) {
+    /// Begins to look for the primary; serves status and relay messages at `address`. It becomes a member of the relay tree
+    /// only by [`Relay::run`].
+    pub fn start(&self, address: std::net::SocketAddr) {
         let link = self.shared.link.clone();
         tokio::task::spawn_local(async move { link.run().await });
         let gate = self.clone();
-        tokio::task::spawn_local(process::serve_status(status_address, move || gate.status()));
+        tokio::task::spawn_local(gate.serve_internal(address));
+    }
+
+    async fn serve_internal(self, address: std::net::SocketAddr) {
+        match process::bind(address, INTERNAL_LIMITS).await {
+            Ok(server) => server.run(move |call| std::future::ready(self.internal(&call))).await,
+            Err(error) => log::warn!("no internal interface: {error}"),
+        }
+    }
+
+    /// Answers a call at the internal interface.
+    pub fn internal(&self, call: &Call) -> Answer {
+        match call.uri().path() {
+            RELAY_PATH => self.shared.relay.answer(call),
+            _ => process::answer_status(call, || self.status()),
+        }
+    }
+
+    /// The gate as a member of the relay tree.
+    pub fn relay(&self) -> &Relay {
+        &self.shared.relay
     }
 
     /// The link to the control plane.
@@ -171,7 +227,7 @@
 
     /// Answers a client.
     pub async fn answer(self, call: Call) -> Answer {
-        let answer = passing::pass(&self.shared.link, &call).await;
+        let answer = passing::pass(&self.shared.link, self.shared.relay.version(), &call).await;
         let refused = answer.status().is_server_error();
         let counter = if refused { &self.shared.refused } else { &self.shared.passed };
         counter.set(counter.get().saturating_add(1));
@@ -217,6 +273,7 @@
             refused: self.shared.refused.get(),
             control_plane: self.shared.link.view(),
             last_error: logs::last_error(),
+            relay: self.shared.relay.status(),
         }
     }
 }
--- a/crates/dataplane/src/process.rs
+++ b/crates/dataplane/src/process.rs
@@ -47,23 +47,19 @@
     T: serde::Serialize + 'static,
     S: Fn() -> T + Clone + 'static,
 {
+    let handler = move |call: Call| std::future::ready(answer_status(&call, &status));
     match bind(address, STATUS_LIMITS).await {
-        Ok(server) => server.run(status_handler(status)).await,
+        Ok(server) => server.run(handler).await,
         Err(error) => log::warn!("no status interface: {error}"),
     }
 }
 
-fn status_handler<T, S>(status: S) -> impl Fn(Call) -> std::future::Ready<Answer> + Clone
-where
-    T: serde::Serialize + 'static,
-    S: Fn() -> T + Clone,
-{
-    move |call: Call| {
-        let known = call.method() == http::Method::GET && call.uri().path() == STATUS_PATH;
-        std::future::ready(match known {
-            true => json(http::StatusCode::OK, &status()),
-            false => text(http::StatusCode::NOT_FOUND, format!("only GET {STATUS_PATH} is here\n")),
-        })
+/// Answers `GET /internal/status` with what `status` gives, and anything else with 404.
+pub fn answer_status<T: serde::Serialize>(call: &Call, status: impl Fn() -> T) -> Answer {
+    let known = call.method() == http::Method::GET && call.uri().path() == STATUS_PATH;
+    match known {
+        true => json(http::StatusCode::OK, &status()),
+        false => text(http::StatusCode::NOT_FOUND, format!("only GET {STATUS_PATH} is here\n")),
     }
 }
 
--- a/crates/node/src/http/mod.rs
+++ b/crates/node/src/http/mod.rs
@@ -2,12 +2,14 @@
 
 mod answers;
 mod client;
+mod outbox;
 mod server;
 mod sockets;
 mod stream;
 
 pub use answers::{empty, json, parse_json, text, BodyError};
 pub use client::{CallError, Client, ClientLimits};
+pub use outbox::Outbox;
 pub use server::{Server, ServerHandle, ServerLimits};
 
 use bytes::Bytes;
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -10,6 +10,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
@@ -65,8 +66,12 @@
 #[derive(Clone, Debug)]
 pub struct ServerHandle {
     phase: Rc<watch::Sender<Phase>>,
+    limits: SharedLimits,
 }
 
+/// Limits that may change while the server runs.
+type SharedLimits = Rc<RefCell<Rc<ServerLimits>>>;
+
 impl ServerHandle {
     /// From now on answers say `Connection: close`; connections are still accepted.
     pub fn leave(&self) {
@@ -78,6 +83,12 @@
         self.advance(Phase::Closed);
     }
 
+    /// Changes the limits: for bodies from the next request on, for heads and rests with new connections. `max_connections`
+    /// stays.
+    pub fn set_limits(&self, limits: ServerLimits) {
+        *self.limits.borrow_mut() = Rc::new(limits);
+    }
+
     fn advance(&self, phase: Phase) {
         self.phase.send_if_modified(|now| {
             let later = *now < phase;
@@ -92,7 +103,7 @@
 /// A bound server.
 pub struct Server {
     listener: TcpListener,
-    limits: Rc<ServerLimits>,
+    limits: SharedLimits,
     handle: ServerHandle,
     phase: watch::Receiver<Phase>,
 }
@@ -104,8 +115,9 @@
     /// The address is not this machine's or is taken.
     pub fn bind(address: SocketAddr, limits: ServerLimits) -> io::Result<Server> {
         let (sender, phase) = watch::channel(Phase::Serving);
-        let handle = ServerHandle { phase: Rc::new(sender) };
-        Ok(Server { listener: sockets::listen(address)?, limits: Rc::new(limits), handle, phase })
+        let limits: SharedLimits = Rc::new(RefCell::new(Rc::new(limits)));
+        let handle = ServerHandle { phase: Rc::new(sender), limits: Rc::clone(&limits) };
+        Ok(Server { listener: sockets::listen(address)?, limits, handle, phase })
     }
 
     /// Where it listens.
@@ -127,7 +139,7 @@
         H: Fn(Call) -> F + Clone + 'static,
         F: Future<Output = Answer> + 'static,
     {
-        let most = self.limits.max_connections.clamp(1, MOST_CONNECTIONS as usize) as u32;
+        let most = self.limits.borrow().max_connections.clamp(1, MOST_CONNECTIONS as usize) as u32;
         let places = Arc::new(Semaphore::new(most as usize));
         let mut phase = self.phase.clone();
         loop {
@@ -177,7 +189,7 @@
 }
 
 struct Connection<H> {
-    limits: Rc<ServerLimits>,
+    limits: SharedLimits,
     phase: watch::Receiver<Phase>,
     handler: H,
 }
@@ -191,10 +203,10 @@
         if sockets::tune(&stream).is_err() {
             return;
         }
-        let limits = Rc::clone(&self.limits);
+        let limits = Rc::clone(&self.limits.borrow());
         let mut phase = self.phase.clone();
         let service = service_fn(move |request| {
-            let limits = Rc::clone(&self.limits);
+            let limits = Rc::clone(&self.limits.borrow());
             let phase = self.phase.clone();
             let handler = self.handler.clone();
             async move { Ok::<_, Infallible>(answer(&limits, &phase, handler, request).await) }
--- a/crates/node/tests/http.rs
+++ b/crates/node/tests/http.rs
@@ -219,3 +219,24 @@
     assert_eq!(answer.headers().get("content-type").unwrap(), "application/json");
     assert_eq!(answer.body(), "[1,2]");
 }
+
+#[test]
+fn given_new_limits_when_a_body_comes_then_the_next_request_is_held_to_them() {
+    run(async {
+        let limits = ServerLimits { max_body: 100, ..ServerLimits::default() };
+        let (address, handle, _running) = serve(limits.clone(), echo);
+        let client = Client::new(address);
+        assert_eq!(
+            client.call(post("/a", vec![b'x'; 101]), SOON).await.unwrap().status(),
+            StatusCode::PAYLOAD_TOO_LARGE
+        );
+
+        handle.set_limits(ServerLimits { max_body: 200, ..limits });
+
+        assert_eq!(client.call(post("/a", vec![b'x'; 200]), SOON).await.unwrap().status(), StatusCode::OK);
+        assert_eq!(
+            client.call(post("/a", vec![b'x'; 201]), SOON).await.unwrap().status(),
+            StatusCode::PAYLOAD_TOO_LARGE
+        );
+    });
+}
--- a/crates/protocol/src/internal.rs
+++ b/crates/protocol/src/internal.rs
@@ -10,6 +10,10 @@
 pub const AGENT_SYNC_PATH: &str = "/internal/agent/sync";
 /// A gate passes on a client's call: [`ClientCall`] to [`ClientReply`].
 pub const CLIENT_CALL_PATH: &str = "/internal/client/call";
+/// A gate renews its lease: [`GateLease`] to [`GateLeaseReply`].
+pub const GATE_LEASE_PATH: &str = "/internal/gate/lease";
+/// Messages of the configuration's relay tree.
+pub const RELAY_PATH: &str = "/internal/relay";
 /// Who is in the control plane: answered with [`ClusterView`].
 pub const CLUSTER_PATH: &str = "/internal/cluster";
 /// Messages between core machines.
@@ -171,3 +175,24 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub retry_after_ms: Option<Millis>,
 }
+
+/// A gate renews its lease as a member of the relay tree.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GateLease {
+    /// Internal `ip:port` of the gate.
+    pub address: Arc<str>,
+    /// Version of the roster that it knows; 0 for none.
+    pub roster: u64,
+}
+
+/// The primary's answer to a [`GateLease`].
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GateLeaseReply {
+    /// The newest configuration that is committed; 0 for none.
+    pub configuration: u64,
+    /// Version of the newest roster; 0 while a new primary has none.
+    pub roster: u64,
+    /// The newest roster's members, where the gate knows another version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub members: Option<Vec<Arc<str>>>,
+}
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -91,6 +91,11 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// The configuration and its history.
+    pub fn configuration(&self) -> &ConfigurationStore {
+        &self.configuration
+    }
+
     /// State for operators.
     pub fn status(&self, now: Millis) -> serde_json::Value {
         let workers: Vec<_> = self
