Operations of a new process wait for its first list, whose call they hurry

Change: while nothing was heard and no call has ended an operation waits, half of its time at most, and the first call begins at once (Core::enter, ListClock::awaits_first and hurry). Three tests of endings answer the first call before they send; what they assert is unchanged.

--- a/src/core/intake.rs
+++ b/src/core/intake.rs
@@ -88,10 +88,40 @@
         let (answered, started, right) = (false, false, None);
         let entered = Entered { operation, waiting, steps, winner, deadline, by, answered, started, right };
         self.operations.insert(job, entered);
-        self.inputs.push(Input::Arrived(job));
+        self.enter(now, job, deadline);
         Ok(job)
     }
 
+    /// An operation waits for the first pool config, for half of its time at most: guards against work sent by an
+    /// earlier life's list to a worker that has left since.
+    fn enter(&mut self, now: Micros, job: JobId, deadline: Micros) {
+        if !self.awaits_first() {
+            return self.inputs.push(Input::Arrived(job));
+        }
+        self.early.push(job);
+        self.at(now + deadline.saturating_sub(now) / 2, Due::Early(job));
+        self.sources.iter().for_each(|s| s.hurry());
+    }
+
+    fn awaits_first(&self) -> bool {
+        self.sources.iter().any(|s| s.awaits_first())
+    }
+
+    /// Those that waited for the first pool config go on once there is one, or none is to be had.
+    pub(super) fn admit_early(&mut self) {
+        if !self.early.is_empty() && !self.awaits_first() {
+            self.inputs.extend(std::mem::take(&mut self.early).into_iter().map(Input::Arrived));
+        }
+    }
+
+    /// One has waited long enough.
+    pub(super) fn admit_late(&mut self, job: JobId) {
+        if let Some(at) = self.early.iter().position(|j| *j == job) {
+            self.early.remove(at);
+            self.inputs.push(Input::Arrived(job));
+        }
+    }
+
     /// Kept back of a client's time.
     fn kept_back(&self, left_us: Micros) -> Micros {
         MARGIN_US + if self.keepers.is_empty() { 0 } else { BOOKING_US.min(left_us / 8) }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -103,6 +103,8 @@
     Deadline(JobId),
     /// A held answer goes out.
     Held(u64),
+    /// An operation has waited long enough for the first pool config.
+    Early(JobId),
 }
 
 struct RouteStep {
@@ -155,6 +157,8 @@
     timer_no: u64,
     next_job: u64,
     inputs: Vec<Input>,
+    /// Operations that wait for the first pool config, in the order in which they came.
+    early: Vec<JobId>,
     owed: usize,
     keepers: Vec<Rc<dyn Bookkeeper>>,
     /// Answers that wait for an entry, in the order in which they were booked.
@@ -201,6 +205,7 @@
             timer_no: 0,
             next_job: 0,
             inputs: Vec::new(),
+            early: Vec::new(),
             owed: 0,
             keepers: Vec::new(),
             held: BTreeMap::new(),
--- a/src/core/operation.rs
+++ b/src/core/operation.rs
@@ -174,4 +174,13 @@
 pub trait PoolSource {
     /// The decisions want to hear of changes from now on; it may be called while a watch runs.
     fn subscribe(&self);
+
+    /// Whether operations that come in are to wait for this source's first pool config, as what is known is from an
+    /// earlier life of this process.
+    fn awaits_first(&self) -> bool {
+        false
+    }
+
+    /// An operation waits for the first pool config.
+    fn hurry(&self) {}
 }
--- a/src/core/turn.rs
+++ b/src/core/turn.rs
@@ -15,6 +15,7 @@
     /// ends route steps.
     pub fn turn(&mut self, now: Micros) {
         let mut overdue = Vec::new();
+        self.admit_early();
         self.fall_due(now);
         self.take_in(now, &mut overdue);
         if !overdue.is_empty() {
@@ -40,6 +41,10 @@
             self.inputs.push(match due {
                 Due::Module(token) => Input::Timer(token),
                 Due::Deadline(job) => Input::Deadline(job),
+                Due::Early(job) => {
+                    self.admit_late(job);
+                    continue;
+                }
                 Due::Held(number) => {
                     self.overdue(number);
                     continue;
@@ -73,7 +78,8 @@
     fn feed(&mut self, now: Micros, input: Input, out: &mut Vec<Action>) {
         let event = match input {
             Input::Arrived(job) => {
-                let Some(entered) = self.operations.get_mut(&job) else { return };
+                // One that waited for the first list may have been answered, or its client have gone.
+                let Some(entered) = self.operations.get_mut(&job).filter(|o| !o.answered) else { return };
                 let o = &entered.operation;
                 let taken = self.quotas.as_ref().map_or(Taken::Unbound, |q| q.take(now, o.tenant.as_deref()));
                 let quota_free = taken.free();
--- a/src/list_clock.rs
+++ b/src/list_clock.rs
@@ -15,6 +15,11 @@
 //! are cut so that a call that can succeed has succeeded by then: a silent watch is broken after [`SILENCE_US`], a call
 //! is given up after [`HEAD_US`], and the longest pause between two calls leaves room for one more.
 //!
+//! A new process knows the list that its earlier life had, which may name workers that left since and are back at their
+//! addresses, not listed yet: the times above began with the change, not with the process. So operations wait for the
+//! first list ([`ListClock::awaits_first`]), and the first call begins as soon as one waits. When that call ends without
+//! a list the waiting is over: the old list is all that there is then.
+//!
 //! Where the list is asked for, discovery is one service for the whole fleet and works through its calls in turn. Each
 //! dispatcher that asks again at once after a failed call is harmless alone; when a hundred do, the calls that time out
 //! keep the queue full and none gets through. So the pause grows with each failure that heard nothing, up to a ceiling
@@ -123,6 +128,8 @@
     failures: u32,
     /// This call has brought something.
     heard: bool,
+    /// Nothing was heard yet, and no call has ended.
+    first: bool,
     rng: Pcg64Mcg,
 }
 
@@ -147,7 +154,7 @@
             }
         };
         let state = State::Resting(now.saturating_add(first));
-        ListClock { source, state, ceiling_us, failures: 0, heard: false, rng }
+        ListClock { source, state, ceiling_us, failures: 0, heard: false, first: true, rng }
     }
 
     /// When something is to be done: the next call begun, or this one given up.
@@ -187,11 +194,12 @@
     /// A list came on the watch, or the empty line that stands for none.
     pub fn heard(&mut self, now: Micros) {
         debug_assert!(matches!(self.state, State::Watching(_)), "{self:?}");
-        (self.state, self.heard, self.failures) = (State::Watching(now), true, 0);
+        (self.state, self.heard, self.failures, self.first) = (State::Watching(now), true, 0, false);
     }
 
     /// The call failed or was given up, or the watch broke; gives the pause until the next call.
     pub fn ended(&mut self, now: Micros) -> Micros {
+        self.first = false;
         let pause = if self.heard {
             self.failures = 0;
             self.spread(FIRST_US.min(self.ceiling_us), 0.5)
@@ -211,6 +219,19 @@
         (self.state, self.failures, self.heard) = (State::Resting(now), 0, false);
     }
 
+    /// Whether operations are to wait for the first list.
+    pub fn awaits_first(&self) -> bool {
+        self.first
+    }
+
+    /// An operation waits for the first list: the first call begins now. Those of a fleet that starts as one are spread
+    /// by what their clients ask then, and else by chance.
+    pub fn hurry(&mut self, now: Micros) {
+        if let (true, State::Resting(until)) = (self.first, self.state) {
+            self.state = State::Resting(until.min(now));
+        }
+    }
+
     /// The longest pause that this dispatcher takes.
     pub fn ceiling_us(&self) -> Micros {
         self.ceiling_us
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -87,6 +87,8 @@
     addr: Cell<Option<SocketAddr>>,
     /// Wakes a watch that runs, or waits to be made anew, when the address has changed.
     moved: (Sender<()>, Receiver<()>),
+    /// Wakes a watch that rests when it is due sooner.
+    hurried: (Sender<()>, Receiver<()>),
     source: usize,
     version: Cell<u64>,
     running: Cell<bool>,
@@ -98,8 +100,18 @@
         hub: Rc<Hub>, addr: Option<SocketAddr>, source: usize, version: u64, clock: ListClock,
     ) -> Rc<Watch> {
         let (version, running, addr) = (Cell::new(version), Cell::new(false), Cell::new(addr));
-        let (moved, clock) = (bounded(1), RefCell::new(clock));
-        Rc::new_cyclic(|me| Watch { me: me.clone(), hub, addr, moved, source, version, running, clock })
+        let (moved, hurried, clock) = (bounded(1), bounded(1), RefCell::new(clock));
+        Rc::new_cyclic(|me| Watch {
+            me: me.clone(),
+            hub,
+            addr,
+            moved,
+            hurried,
+            source,
+            version,
+            running,
+            clock,
+        })
     }
 
     /// Discovery is at another address from now on. Guards against a watch on the old one, which may look alive
@@ -143,8 +155,20 @@
 
     /// Comes back when the clock wants something done.
     async fn due(&self) {
-        let at = self.clock.borrow().due();
-        Timer::after(Duration::from_micros(at.saturating_sub(self.hub.now()))).await;
+        loop {
+            let at = self.clock.borrow().due();
+            let left = at.saturating_sub(self.hub.now());
+            if left == 0 {
+                return;
+            }
+            let hurried = async {
+                let _ = self.hurried.1.recv().await;
+            };
+            let timer = async {
+                Timer::after(Duration::from_micros(left)).await;
+            };
+            future::or(timer, hurried).await;
+        }
     }
 
     /// Waits for this step of the call for as long as the clock allows.
@@ -216,4 +240,13 @@
             self.hub.spawn(async move { me.keep().await });
         }
     }
+
+    fn awaits_first(&self) -> bool {
+        self.running.get() && self.clock.borrow().awaits_first()
+    }
+
+    fn hurry(&self) {
+        self.clock.borrow_mut().hurry(self.hub.now());
+        let _ = self.hurried.0.try_send(());
+    }
 }
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -20,12 +20,14 @@
 #[derive(Default)]
 struct Runner {
     sent: RefCell<Vec<StepId>>,
+    workers: RefCell<Vec<String>>,
     cancelled: RefCell<Vec<StepId>>,
 }
 
 impl Driver for Runner {
-    fn send(&self, step: StepId, _: &Arc<Operation>, _: &Member, _: Micros) {
+    fn send(&self, step: StepId, _: &Arc<Operation>, worker: &Member, _: Micros) {
         self.sent.borrow_mut().push(step);
+        self.workers.borrow_mut().push(worker.name.clone());
     }
     fn cancel(&self, step: StepId, _: &Arc<Operation>, _: &Member) {
         self.cancelled.borrow_mut().push(step);
@@ -212,6 +214,83 @@
     assert_eq!(s.core.may_begin(1_000 + after, again).is_some(), may);
 }
 
+/// A source that has told nothing yet.
+#[derive(Default)]
+struct Mute {
+    spoken: std::cell::Cell<bool>,
+    hurried: std::cell::Cell<u32>,
+}
+
+impl PoolSource for Mute {
+    fn subscribe(&self) {}
+    fn awaits_first(&self) -> bool {
+        !self.spoken.get()
+    }
+    fn hurry(&self) {
+        self.hurried.set(self.hurried.get() + 1);
+    }
+}
+
+/// How the waiting for the first list ends.
+#[derive(Clone, Copy, Debug)]
+enum First {
+    /// The list names another worker.
+    Comes,
+    /// It is not to be had.
+    Fails,
+    /// Nothing is heard.
+    Never,
+    /// The client goes.
+    Gone,
+}
+
+/// Guards against work sent by an earlier life's list, and against operations that wait for one for ever, are sent twice,
+/// or are begun for a client that went meanwhile.
+#[rstest]
+#[case(First::Comes, 2_000)]
+#[case(First::Fails, 2_000)]
+#[case(First::Never, 2_488_500)] // half of 5 s less what is kept back
+#[case(First::Gone, 2_000)]
+fn an_operation_waits_for_the_first_list(#[case] first: First, #[case] at: Micros) {
+    let mut s = site(1, "free", true);
+    let source = Rc::new(Mute::default());
+    s.core.attach_source(source.clone());
+    let job = s.submit(1_000, "a1");
+    s.core.turn(1_000);
+    s.core.turn(at - 1);
+    assert!(s.runner.sent.borrow().is_empty(), "sent by the list of an earlier life");
+    assert_eq!(source.hurried.get(), 1);
+    match first {
+        First::Comes => {
+            let new = Member { name: "s-9".into(), zone: "z".into(), weight: 1.0, ..Member::default() };
+            s.core.pool_config(s.driver, true, vec![new]);
+            source.spoken.set(true);
+        }
+        First::Fails => {
+            s.core.pool_config_failed();
+            source.spoken.set(true);
+        }
+        First::Never => {}
+        First::Gone => {
+            s.gone(at, job);
+            source.spoken.set(true);
+        }
+    }
+    s.core.turn(at);
+    let sent = s.runner.sent.borrow().clone();
+    let workers = s.runner.workers.borrow().clone();
+    match first {
+        First::Comes => assert_eq!(workers, ["s-9"]),
+        First::Fails | First::Never => assert_eq!(workers, ["s-0"]),
+        First::Gone => assert!(sent.is_empty()),
+    }
+    source.spoken.set(true);
+    s.core.turn(at + 1);
+    s.core.turn(3_000_000);
+    assert_eq!(s.core.counters.operations, 1);
+    assert!(s.runner.sent.borrow().iter().filter(|step| step.attempt == 0).count() <= 1, "taken in twice");
+}
+
 use streamusher::interface::Stage;
 
 #[test]
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -91,6 +91,15 @@
     (0..count).map(line).collect()
 }
 
+/// The first list of a watch, before which nothing is sent: nothing changed.
+fn unchanged() -> Value {
+    json!({"version": 1, "full": false, "servers": []})
+}
+
+fn say(watch: &mut TcpStream, list: &Value) {
+    write_chunk(watch, format!("{list}\n").as_bytes());
+}
+
 /// Guards against an attempt for a client that has gone, begun when its connection comes up at last. Where no cancel may
 /// be sent nothing else stops it.
 #[test]
@@ -121,13 +130,14 @@
     config["discovery"] = discovery.addr().into();
     config["settings"]["requestClasses"][0]["semantics"] = "single_shot".into();
     let program = Program::with(Files::new(), &config, None, &[&new]);
+    let mut watch = discovery.watch(1, &[unchanged()]);
+    program.logged("pool config");
     let mut client = connect(program.addr);
     client.write_all(operation("depth-log", "a1", 20_000).as_bytes()).unwrap();
     program.until("steps", 1);
     let mut leaving = slow.line("s-1");
     leaving["state"] = "draining".into();
-    let lines = [json!({"version": 2, "full": false, "servers": [leaving, new.line("ready")]})];
-    let _watch = discovery.watch(1, &lines);
+    say(&mut watch, &json!({"version": 2, "full": false, "servers": [leaving, new.line("ready")]}));
     program.logged("pool config");
     let ids = slow.open();
     assert_eq!(read_message(&mut BufReader::new(client)).unwrap().body, "log of a1");
@@ -146,12 +156,13 @@
     config["discovery"] = discovery.addr().into();
     config["settings"]["requestClasses"][2]["windowUs"] = 500_000.into();
     let program = Program::with(Files::new(), &config, None, &[]);
+    let mut watch = discovery.watch(1, &[unchanged()]);
+    program.logged("pool config");
     let mut client = connect(program.addr);
     client.write_all(operation("sample-entry", "a1", 20_000).as_bytes()).unwrap();
     let handed = accept(&breaks);
     assert!(read_message(&mut BufReader::new(&handed)).is_some());
-    let lines = [json!({"version": 2, "full": false, "servers": [slow.line("s-1")]})];
-    let _watch = discovery.watch(1, &lines);
+    say(&mut watch, &json!({"version": 2, "full": false, "servers": [slow.line("s-1")]}));
     program.logged("pool config");
     drop(handed); // it may have run; a repeat is decided on at once, and its connection does not come up
     program.until("steps", 2);
@@ -428,11 +439,12 @@
     config["settings"]["limits"]["connectTimeoutUs"] = 400_000.into();
     config["settings"]["requestClasses"][0]["semantics"] = "single_shot".into();
     let program = Program::with(Files::new(), &config, None, &[&other]);
+    let mut watch = discovery.watch(1, &[unchanged()]);
+    program.logged("pool config");
     let mut client = connect(program.addr);
     client.write_all(operation("depth-log", "a1", 20_000).as_bytes()).unwrap();
     program.until("steps", 1);
-    let _watch =
-        discovery.watch(1, &[json!({"version": 2, "full": false, "servers": [other.line("ready")]})]);
+    say(&mut watch, &json!({"version": 2, "full": false, "servers": [other.line("ready")]}));
     assert_eq!(read_message(&mut BufReader::new(client)).unwrap().body, "log of a1");
     assert_eq!(program.counters()["endings"]["not_connected"], 1);
 }
--- a/tests/list_clock.rs
+++ b/tests/list_clock.rs
@@ -194,3 +194,27 @@
         assert!(heard <= by, "{trouble:?} {source:?} seed {seed}: heard {} us after {by}", heard - by);
     }
 }
+
+#[rstest]
+fn operations_wait_for_the_first_list_and_hurry_its_call(
+    #[values(Source::Asked, Source::Pushed)] source: Source, #[values(true, false)] comes: bool,
+) {
+    let mut clock = ListClock::new(source, 300, 10 * S, 7, S);
+    assert!(clock.awaits_first());
+    clock.hurry(S + 1);
+    assert!(clock.due() <= S + 1, "the first call begins at once");
+    clock.call(S + 1);
+    clock.connected(S + 2);
+    clock.hurry(S + 2);
+    assert!(clock.due() > S + 2, "a call in hand is not given up");
+    if comes {
+        clock.opened(S + 3);
+        assert!(clock.awaits_first(), "an open watch has said nothing yet");
+        clock.heard(S + 4);
+        assert!(!clock.awaits_first());
+    }
+    let pause = clock.ended(S + 5);
+    assert!(!clock.awaits_first(), "there is a list, or none is to be had");
+    clock.hurry(S + 6);
+    assert_eq!(clock.due(), S + 5 + pause, "a later call takes its pause");
+}
--- a/tests/lists.rs
+++ b/tests/lists.rs
@@ -5,6 +5,8 @@
 
 use rstest::rstest;
 use serde_json::{json, Value};
+use std::io::{BufReader, Write};
+use std::net::TcpStream;
 use support::*;
 
 /// A program that knows `old`, and hears at this discovery.
@@ -99,7 +101,6 @@
     )]
     fault: Fault,
 ) {
-    use std::io::Write;
     let (old, new) = (Worker::start("s-1", SERVES), Worker::start("s-2", SERVES));
     let discovery = Discovery::start();
     let program = begin(mode, &discovery, &old, &new);
@@ -140,7 +141,6 @@
 /// Guards against a list of a discovery that is no longer the one: the old watch still says something after SIGHUP.
 #[rstest]
 fn a_signal_moves_the_watch_at_once(#[values("pushed", "on_request")] mode: &str) {
-    use std::io::Write;
     let (old, new) = (Worker::start("s-1", SERVES), Worker::start("s-2", SERVES));
     let [before, after] = [(); 2].map(|_| Discovery::start());
     let mut config = config(&[&old]);
@@ -195,3 +195,76 @@
         assert_eq!(read_message(&mut std::io::BufReader::new(client)).expect("an answer").status(), 200);
     }
 }
+
+/// A program that knows `old` from its earlier life and has taken an operation, `a1`, before it has heard anything; and the
+/// client that waits for its answer. Nothing may be sent yet.
+fn asked_early(discovery: &str, old: &Worker, new: &Worker) -> (Program, TcpStream) {
+    let mut config = config(&[old]);
+    config["discovery"] = discovery.into();
+    config["settings"]["discovery"] = "on_request".into();
+    let program = Program::with(Files::new(), &config, None, &[old, new]);
+    let mut client = connect(program.addr);
+    client.write_all(operation("depth-log", "a1", 20_000).as_bytes()).unwrap();
+    program.until("operations", 1);
+    (program, client)
+}
+
+fn answered(client: TcpStream) -> Message {
+    read_message(&mut BufReader::new(client)).expect("an answer")
+}
+
+/// Guards against work sent by an earlier life's list: a worker that left since then may be up at its address again, not
+/// listed yet, and discovery has had the change for long.
+#[test]
+fn a_new_process_sends_nothing_before_its_first_list() {
+    let (old, new) = (Worker::start("s-1", SERVES), Worker::start("s-2", SERVES));
+    let discovery = Discovery::start();
+    let (program, client) = asked_early(&discovery.addr(), &old, &new);
+    assert_eq!(program.counters()["steps"], 0, "sent by the list of an earlier life");
+    let mut left = handed_on(&old, &new, 2);
+    left["servers"][0]["state"] = "gone".into();
+    let _watch = discovery.watch(1, &[left]);
+    assert_eq!(answered(client).body, "log of a1");
+    assert_eq!(new.next(), Sent::Job { id: "a1".into(), key: Some("key-a1".into()), body: "core".into() });
+    assert!(old.sent.try_recv().is_err(), "new work to a worker that has left");
+}
+
+/// Guards against operations that wait for a list that is not to be had: the first call's end is the end of the waiting,
+/// and the list that is known serves.
+#[rstest]
+fn a_first_call_that_fails_ends_the_waiting(
+    #[values(Fault::Refused, Fault::CallReset, Fault::Stalled, Fault::Reset, Fault::NoList)] fault: Fault,
+) {
+    let (old, new) = (Worker::start("s-1", SERVES), Worker::start("s-2", SERVES));
+    let discovery = Discovery::start();
+    let (program, client) = asked_early(&discovery.addr(), &old, &new);
+    assert_eq!(program.counters()["steps"], 0, "sent by the list of an earlier life");
+    let (mut call, _) = discovery.call();
+    match fault {
+        Fault::Refused => call.write_all(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n").unwrap(),
+        Fault::CallReset => reset(call.try_clone().unwrap()),
+        Fault::NoList => {
+            call.write_all(WATCHED.as_bytes()).unwrap();
+            write_chunk(&mut call, b"{\"version\": \"none\"}\n");
+        }
+        Fault::Reset => {
+            call.write_all(WATCHED.as_bytes()).unwrap();
+            reset(call.try_clone().unwrap());
+        }
+        _ => {}
+    }
+    if matches!(fault, Fault::CallReset | Fault::Reset) {
+        drop(call);
+    }
+    assert_eq!(answered(client).body, "log of a1");
+    assert!(matches!(old.next(), Sent::Job { .. }), "the list that is known serves");
+}
+
+/// The same where nobody listens at discovery's address.
+#[test]
+fn a_discovery_that_is_down_holds_nothing_up() {
+    let (old, new) = (Worker::start("s-1", SERVES), Worker::start("s-2", SERVES));
+    let addr = Discovery::start().addr(); // closed again
+    let (_program, client) = asked_early(&addr, &old, &new);
+    assert_eq!(answered(client).body, "log of a1");
+}
