--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -5,7 +5,7 @@
 //! - [`job`]: what a client submits, and the states it is shown.
 //! - [`config`]: the operators' configuration.
 //! - [`internal`]: what gates and agents say to the primary.
-//! - [`unit`]: what is placed at once.
+//! - [`mod@unit`]: what is placed at once.
 //! - [`store`]: changes to the replicated state, as keys and values.
 //!
 //! Times are milliseconds unless a name says otherwise.
