--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -65,6 +65,19 @@
         agent.sequence = sync.sequence;
         agent.heard_at = now;
         agent.confirmed = if sync.epoch == epoch { sync.revision } else { 0 };
+        if agent.worker.is_none() {
+            self.name_recorded_worker(&sync.agent);
+        }
+    }
+
+    /// The worker that the record names for an agent which has reported none: the agent can then tell that it is gone.
+    fn name_recorded_worker(&mut self, name: &Arc<str>) {
+        let of_agent = |(_, worker): &(&WorkerId, &Worker)| worker.agent.as_ref() == Some(name);
+        let recorded = self.workers.iter().find(of_agent).map(|(id, _)| id.clone());
+        if let (Some(id), Some(agent)) = (recorded, self.agents.get_mut(name)) {
+            agent.worker = Some(id);
+            agent.dirty = true;
+        }
     }
 
     fn report(&mut self, now: Now, name: &Arc<str>, report: &WorkerReport) {
--- a/crates/scheduler/tests/stories.rs
+++ b/crates/scheduler/tests/stories.rs
@@ -283,3 +283,13 @@
     world.settle(&mut agent);
     assert_eq!(agent.start.len(), 1, "the stopped run never began: its room is free");
 }
+
+#[test]
+fn a_new_primary_names_the_recorded_worker_to_an_agent_that_has_heard_none() {
+    let (mut world, _) = given_a_running_task();
+    world.fail_over();
+    let mut restarted = TestAgent::new("side-1", "i-1");
+    restarted.boot = 2;
+    let orders = world.sync_without_worker(&mut restarted).expect("the agent holds no orders yet");
+    assert_eq!(orders.instance.as_deref(), Some("i-1"));
+}
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -135,6 +135,17 @@
         Some(orders)
     }
 
+    /// The call of an agent whose worker has not called it yet.
+    pub fn sync_without_worker(&mut self, agent: &mut TestAgent) -> Option<AgentOrders> {
+        let request = self.request();
+        let sync = AgentSync { worker: None, ..agent.next_call() };
+        self.handle(Event::Agent { request, sync });
+        match self.replies.remove(&request) {
+            Some(Reply::Agent(orders)) => Some(orders),
+            _ => None,
+        }
+    }
+
     /// Calls until the agent holds the newest orders.
     pub fn settle(&mut self, agent: &mut TestAgent) {
         for _ in 0..5 {
