--- a/crates/controlplane/src/store/mod.rs
+++ b/crates/controlplane/src/store/mod.rs
@@ -11,7 +11,7 @@
 pub use error::StoreError;
 pub use folders::{DISCARDED, FOLDER, FORMER, NEXT};
 
-use fjall::{Database, Keyspace, KeyspaceCreateOptions, PersistMode};
+use fjall::{CompressionType, Database, Keyspace, KeyspaceCreateOptions, PersistMode};
 use std::cell::Cell;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -248,6 +248,7 @@
         .cache_size(CACHE_BYTES)
         .max_journaling_size(JOURNAL_BYTES)
         .worker_threads(WORKER_THREADS)
+        .journal_compression(CompressionType::None)
         .manual_journal_persist(true)
         .open()
 }
