Scheduler: a worker that a restarted agent has never heard may be called gone

A worker crashed for good at 13.0 s; its agent was killed at 13.8 s and back at 15.6 s.

The report carries no heartbeat, so its sequence is 0.

At fault: Scheduler::report drops what is older than the newest heartbeat, before it looks at `gone`, and after it has renewed the lease: the runs stayed there as long as the agent called.

Change: such a report frees the runs. As its sequence no longer orders it, calls of an agent's earlier starts are known by their boot number and answered without being read.

--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -3,7 +3,7 @@
 use crate::event::RequestId;
 use crate::runs::Phase;
 use crate::scheduler::Scheduler;
-use crate::workers::{Agent, Parked, Worker};
+use crate::workers::{Parked, Worker};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use streamusher_placement::Release;
@@ -29,8 +29,7 @@
     /// An agent reports and waits for orders.
     pub(crate) fn agent(&mut self, now: Now, request: RequestId, sync: AgentSync) {
         let agent = self.agents.entry(sync.agent.clone()).or_default();
-        let is_late = agent.boot == sync.boot && sync.sequence <= agent.sequence;
-        if is_late {
+        if agent.is_late(&sync) {
             self.answer_now(request, &sync.agent);
             return;
         }
@@ -57,10 +56,7 @@
         let epoch = self.epoch;
         let agent = self.agents.entry(sync.agent.clone()).or_default();
         if agent.boot != sync.boot {
-            let revision = agent.revision;
-            *agent = Agent { worker: agent.worker.take(), revision, ..Agent::default() };
-            agent.boot = sync.boot;
-            agent.dirty = true;
+            agent.restart(sync.boot);
         }
         agent.sequence = sync.sequence;
         agent.heard_at = now;
@@ -91,6 +87,9 @@
         log_changes(name, worker, report);
         worker.lease_until = lease_until;
         if report.sequence < worker.sequence {
+            if report.gone {
+                self.note_gone(now, &id);
+            }
             return;
         }
         let is_newer = report.sequence > worker.sequence;
@@ -110,6 +109,16 @@
         }
     }
 
+    /// An agent that has heard no heartbeat of its worker since it started tells that nothing can run there any more: its
+    /// report has no heartbeat's sequence and describes nothing.
+    fn note_gone(&mut self, now: Now, id: &WorkerId) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.gone = true;
+        }
+        self.tell_placement(now.steady, id);
+        self.lose_runs(now, id);
+    }
+
     /// A machine has one worker: another instance there proves that the former one is dead.
     fn supersede(&mut self, now: Now, name: &Arc<str>, id: &WorkerId) {
         let Some(agent) = self.agents.get_mut(name) else { return };
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -1,12 +1,16 @@
 //! Workers and the agents beside them, as the primary knows them. Nothing here is replicated: a new primary hears it anew.
 
 use crate::event::RequestId;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use streamusher_protocol::heartbeat::{Resources, StartOrder, StopOrder, WorkerState};
-use streamusher_protocol::internal::WorkerReport;
+use streamusher_protocol::internal::{AgentSync, WorkerReport};
 use streamusher_protocol::unit::WorkerId;
 use streamusher_protocol::Millis;
 
+/// Earlier starts of an agent that are remembered: a call of one may come late.
+const MOST_FORMER_BOOTS: usize = 8;
+
 /// A worker.
 #[derive(Debug)]
 pub(crate) struct Worker {
@@ -103,6 +107,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Agent {
     pub(crate) boot: u64,
+    /// Its earlier starts, the newest last.
+    former_boots: VecDeque<u64>,
     pub(crate) sequence: u64,
     pub(crate) worker: Option<WorkerId>,
     pub(crate) heard_at: Millis,
@@ -114,3 +120,22 @@
     /// Its orders must be made anew.
     pub(crate) dirty: bool,
 }
+
+impl Agent {
+    /// Whether a call was overtaken by a newer one, or comes from an earlier start.
+    pub(crate) fn is_late(&self, sync: &AgentSync) -> bool {
+        let overtaken = self.boot == sync.boot && sync.sequence <= self.sequence;
+        overtaken || self.former_boots.contains(&sync.boot)
+    }
+
+    /// The agent has started anew: of what was known of it only its worker and the count of its orders stay.
+    pub(crate) fn restart(&mut self, boot: u64) {
+        let mut former_boots = std::mem::take(&mut self.former_boots);
+        former_boots.push_back(self.boot);
+        if former_boots.len() > MOST_FORMER_BOOTS {
+            former_boots.pop_front();
+        }
+        let (worker, revision) = (self.worker.take(), self.revision);
+        *self = Agent { boot, former_boots, worker, revision, dirty: true, ..Agent::default() };
+    }
+}
--- a/crates/scheduler/tests/stories.rs
+++ b/crates/scheduler/tests/stories.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use streamusher_protocol::heartbeat::WorkerState;
-use streamusher_protocol::internal::ClientMethod;
+use streamusher_protocol::internal::{ClientMethod, WorkerReport};
 use streamusher_protocol::task::RunEnd;
 use support::{TestAgent, World, HOLD_MAX_MS, JOB};
 
@@ -293,3 +293,43 @@
     let orders = world.sync_without_worker(&mut restarted).expect("the agent holds no orders yet");
     assert_eq!(orders.instance.as_deref(), Some("i-1"));
 }
+
+/// The agent of a running task's worker starts anew, and the worker does not call it.
+fn given_a_restarted_agent_that_hears_no_worker() -> (World, TestAgent) {
+    let (mut world, mut agent) = given_a_running_task();
+    agent.boot = 2;
+    world.sync_without_worker(&mut agent);
+    agent.report = WorkerReport { sequence: 0, running: Vec::new(), ..agent.report };
+    (world, agent)
+}
+
+#[test]
+fn what_ran_at_a_worker_that_a_restarted_agent_calls_gone_runs_elsewhere() {
+    let (mut world, mut agent) = given_a_restarted_agent_that_hears_no_worker();
+    agent.report.gone = true;
+    world.settle(&mut agent);
+
+    let mut second = TestAgent::new("side-2", "i-2");
+    world.settle(&mut second);
+    world.wait(300);
+    world.settle(&mut second);
+
+    assert_eq!(second.start.len(), 1);
+    assert_eq!(second.start[0].1, 2, "a new run");
+}
+
+#[test]
+fn a_late_call_of_an_agents_earlier_start_is_not_taken_for_news() {
+    let (mut world, mut agent) = given_a_restarted_agent_that_hears_no_worker();
+    world.settle(&mut agent);
+    let mut earlier = TestAgent::new("side-1", "i-1");
+    earlier.report = WorkerReport { gone: true, ..agent.report };
+
+    world.settle(&mut earlier);
+
+    let mut second = TestAgent::new("side-2", "i-2");
+    world.settle(&mut second);
+    world.wait(300);
+    world.settle(&mut second);
+    assert!(second.start.is_empty(), "the run may still be held at the first worker");
+}
