Scheduler: a late call of an agent's earlier start no longer shuts its successor out

Agent 2 called every 15 ms and was answered as one that is late.

At the new primary the new start of the agent (13.4 s) called first, then a call of the old one came late; the list of former starts then held the living one, for good.

Change: no list of former starts. A primary makes a new revision of an agent's orders when another start of it calls; a report without a heartbeat's sequence counts only from a caller that has confirmed such a revision, which nothing older can have.

--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -3,7 +3,7 @@
 use crate::event::RequestId;
 use crate::runs::Phase;
 use crate::scheduler::Scheduler;
-use crate::workers::{Parked, Worker};
+use crate::workers::{Agent, Parked, Worker};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use streamusher_placement::Release;
@@ -87,7 +87,7 @@
         log_changes(name, worker, report);
         worker.lease_until = lease_until;
         if report.sequence < worker.sequence {
-            if report.gone {
+            if report.gone && self.agents.get(name).is_some_and(Agent::is_at_work) {
                 self.note_gone(now, &id);
             }
             return;
@@ -110,7 +110,7 @@
     }
 
     /// An agent that has heard no heartbeat of its worker since it started tells that nothing can run there any more: its
-    /// report has no heartbeat's sequence and describes nothing.
+    /// report has no heartbeat's sequence and describes nothing. The caller knows that the agent's call is not a late one.
     fn note_gone(&mut self, now: Now, id: &WorkerId) {
         if let Some(worker) = self.workers.get_mut(id) {
             worker.gone = true;
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -1,16 +1,12 @@
 //! Workers and the agents beside them, as the primary knows them. Nothing here is replicated: a new primary hears it anew.
 
 use crate::event::RequestId;
-use std::collections::VecDeque;
 use std::sync::Arc;
 use streamusher_protocol::heartbeat::{Resources, StartOrder, StopOrder, WorkerState};
 use streamusher_protocol::internal::{AgentSync, WorkerReport};
 use streamusher_protocol::unit::WorkerId;
 use streamusher_protocol::Millis;
 
-/// Earlier starts of an agent that are remembered: a call of one may come late.
-const MOST_FORMER_BOOTS: usize = 8;
-
 /// A worker.
 #[derive(Debug)]
 pub(crate) struct Worker {
@@ -107,8 +103,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Agent {
     pub(crate) boot: u64,
-    /// Its earlier starts, the newest last.
-    former_boots: VecDeque<u64>,
+    /// The first revision that was made since this start of it called: who confirms that is not an earlier start.
+    first_revision: u64,
     pub(crate) sequence: u64,
     pub(crate) worker: Option<WorkerId>,
     pub(crate) heard_at: Millis,
@@ -122,20 +118,21 @@
 }
 
 impl Agent {
-    /// Whether a call was overtaken by a newer one, or comes from an earlier start.
+    /// Whether a call was overtaken by a newer one.
     pub(crate) fn is_late(&self, sync: &AgentSync) -> bool {
-        let overtaken = self.boot == sync.boot && sync.sequence <= self.sequence;
-        overtaken || self.former_boots.contains(&sync.boot)
+        self.boot == sync.boot && sync.sequence <= self.sequence
     }
 
-    /// The agent has started anew: of what was known of it only its worker and the count of its orders stay.
+    /// A call of another start has come: of what was known only the worker and the count of orders stay.
     pub(crate) fn restart(&mut self, boot: u64) {
-        let mut former_boots = std::mem::take(&mut self.former_boots);
-        former_boots.push_back(self.boot);
-        if former_boots.len() > MOST_FORMER_BOOTS {
-            former_boots.pop_front();
-        }
-        let (worker, revision) = (self.worker.take(), self.revision);
-        *self = Agent { boot, former_boots, worker, revision, dirty: true, ..Agent::default() };
+        let worker = self.worker.take();
+        let first_revision = self.revision + 1;
+        *self =
+            Agent { boot, first_revision, revision: first_revision, worker, dirty: true, ..Agent::default() };
+    }
+
+    /// Whether the newest call came from the start that is at work now: one of an earlier start may come late.
+    pub(crate) fn is_at_work(&self) -> bool {
+        self.confirmed >= self.first_revision
     }
 }
--- a/crates/scheduler/tests/stories.rs
+++ b/crates/scheduler/tests/stories.rs
@@ -300,6 +300,7 @@
     agent.boot = 2;
     world.sync_without_worker(&mut agent);
     agent.report = WorkerReport { sequence: 0, running: Vec::new(), ..agent.report };
+    world.settle(&mut agent);
     (world, agent)
 }
 
@@ -321,15 +322,19 @@
 #[test]
 fn a_late_call_of_an_agents_earlier_start_is_not_taken_for_news() {
     let (mut world, mut agent) = given_a_restarted_agent_that_hears_no_worker();
-    world.settle(&mut agent);
     let mut earlier = TestAgent::new("side-1", "i-1");
-    earlier.report = WorkerReport { gone: true, ..agent.report };
+    earlier.report = WorkerReport { gone: true, ..agent.report.clone() };
 
-    world.settle(&mut earlier);
+    world.sync(&mut earlier);
 
     let mut second = TestAgent::new("side-2", "i-2");
     world.settle(&mut second);
     world.wait(300);
     world.settle(&mut second);
     assert!(second.start.is_empty(), "the run may still be held at the first worker");
+    agent.report.gone = true;
+    world.settle(&mut agent);
+    world.wait(300);
+    world.settle(&mut second);
+    assert_eq!(second.start.len(), 1, "the start that is at work is heard again");
 }
