Gates and agents watch a member for the next epoch; calls to a former primary end at once

A call that was under way to the frozen one was given up after 1.5 s.

Change: each gate and agent keeps one call at a member other than the primary, answered as soon as that member knows a newer epoch (/internal/cluster/watch, at most 3 s). A call to a primary is given up as unknown once another process is known as primary; an agent's report goes to the new one at once, and waits for one where none is known.

--- a/crates/controlplane/src/internal.rs
+++ b/crates/controlplane/src/internal.rs
@@ -7,8 +7,8 @@
 use serde::de::DeserializeOwned;
 use streamusher_node::http::{empty, json, parse_json, text, Answer, Call as HttpCall};
 use streamusher_protocol::internal::{
-    ClusterView, NotPrimary, AGENT_SYNC_PATH, CLIENT_CALL_PATH, CLUSTER_PATH, CORE_PATH, GATE_LEASE_PATH,
-    RELAY_PATH, STATUS_PATH,
+    ClusterView, NotPrimary, AGENT_SYNC_PATH, CLIENT_CALL_PATH, CLUSTER_PATH, CLUSTER_WATCH_PATH, CORE_PATH,
+    GATE_LEASE_PATH, RELAY_PATH, STATUS_PATH,
 };
 use streamusher_scheduler::Reply;
 
@@ -21,6 +21,7 @@
         (&Method::POST, GATE_LEASE_PATH) => gate_lease(&machine, &call),
         (&Method::POST, RELAY_PATH) => relay(&machine, &call),
         (&Method::GET, CLUSTER_PATH) => json(StatusCode::OK, &machine.view()),
+        (&Method::POST, CLUSTER_WATCH_PATH) => cluster_watch(&machine, &call).await,
         (&Method::GET, STATUS_PATH) => json(StatusCode::OK, &machine.status()),
         (_, path) => {
             text(StatusCode::NOT_FOUND, format!("nothing is served at {path} on the internal port\n"))
@@ -58,6 +59,13 @@
     }
 }
 
+async fn cluster_watch(machine: &Machine, call: &HttpCall) -> Answer {
+    match parse_json(call.body()) {
+        Ok(watch) => json(StatusCode::OK, &machine.view_after(watch).await),
+        Err(error) => text(StatusCode::BAD_REQUEST, format!("{error}\n")),
+    }
+}
+
 fn not_primary(view: ClusterView) -> Answer {
     json(StatusCode::MISDIRECTED_REQUEST, &NotPrimary { view })
 }
--- a/crates/controlplane/src/machine.rs
+++ b/crates/controlplane/src/machine.rs
@@ -8,13 +8,16 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 use streamusher_configuration::relay::Envelope;
 use streamusher_configuration::store::CURRENT_KEY;
 use streamusher_coordination::{Coordinator, Input, Message, StateMap};
 use streamusher_node::{clock, logs};
-use streamusher_protocol::internal::{ClusterView, CoreAddress, GateLease, GateLeaseReply};
+use streamusher_protocol::internal::{ClusterView, ClusterWatch, CoreAddress, GateLease, GateLeaseReply};
+use streamusher_protocol::Millis;
 use streamusher_scheduler::{RequestId, Scheduler};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
+use tokio::time::timeout;
 
 /// The machine, shared by its servers and its loop. Each borrow ends before anything is waited for.
 #[derive(Clone)]
@@ -28,12 +31,18 @@
     peers: Peers,
     disk: Disk,
     relay: Relay,
+    /// The newest epoch known, for callers that wait for the next.
+    epochs: watch::Sender<u64>,
 }
 
+/// The longest time for which a call that waits for the next epoch is held.
+const LONGEST_WATCH_MS: Millis = 10_000;
+
 impl Machine {
     /// Joins the parts.
     pub fn new(driver: Driver<Coordinator, Scheduler>, peers: Peers, disk: Disk) -> Machine {
-        let shared = Shared { driver, callers: HashMap::new(), peers, disk, relay: Relay::default() };
+        let epochs = watch::Sender::new(driver.replication().epoch());
+        let shared = Shared { driver, callers: HashMap::new(), peers, disk, relay: Relay::default(), epochs };
         Machine { shared: Rc::new(RefCell::new(shared)) }
     }
 
@@ -92,6 +101,15 @@
         self.shared.borrow().driver.replication().view(clock::steady())
     }
 
+    /// The same once a newer epoch is known than the caller knows, or when its time is over.
+    pub async fn view_after(&self, watch: ClusterWatch) -> ClusterView {
+        let mut epochs = self.shared.borrow().epochs.subscribe();
+        let wait = Duration::from_millis(watch.wait_ms.min(LONGEST_WATCH_MS));
+        // Whichever comes first: the view is answered all the same.
+        let _ = timeout(wait, epochs.wait_for(|epoch| *epoch > watch.epoch)).await;
+        self.view()
+    }
+
     /// Replaces the seeds, as after a change of the settings file.
     pub fn set_seeds(&self, seeds: Vec<CoreAddress>) {
         self.shared.borrow_mut().driver.set_seeds(seeds);
@@ -148,6 +166,13 @@
             }
         }
         self.publish();
+        self.tell_epoch();
+    }
+
+    /// Wakes callers that wait for a newer epoch.
+    fn tell_epoch(&self) {
+        let newest = self.driver.replication().epoch();
+        self.epochs.send_if_modified(|known| std::mem::replace(known, newest) != newest);
     }
 
     fn publish(&mut self) {
--- a/crates/controlplane/tests/loopback.rs
+++ b/crates/controlplane/tests/loopback.rs
@@ -7,7 +7,9 @@
 use serde_json::{json, Value};
 use streamusher_node::http::Answer;
 use streamusher_protocol::config::{READ_PATH, REPLACE_PATH, UPDATE_PATH};
-use streamusher_protocol::internal::{AgentOrders, NotPrimary, AGENT_SYNC_PATH, CLIENT_CALL_PATH};
+use streamusher_protocol::internal::{
+    AgentOrders, ClusterWatch, NotPrimary, AGENT_SYNC_PATH, CLIENT_CALL_PATH,
+};
 use support::cluster::{is_ok, story, text_of, Cluster};
 
 const JOB: &str = "/queue/5c0e7a21d94b36f8";
@@ -184,3 +186,21 @@
         assert_eq!(serde_json::from_slice::<Value>(read.body()).unwrap()["version"], 5);
     });
 }
+
+#[test]
+fn given_a_watch_at_another_machine_when_the_primary_hands_over_then_it_is_answered_with_the_next() {
+    story(async {
+        let (mut cluster, primary) = configured().await;
+        let other = (0..3).find(|machine| *machine != primary).unwrap();
+        let known = cluster.view(other).await;
+        let watch = ClusterWatch { epoch: known.epoch, wait_ms: 10_000 };
+        let mut watching = cluster.watcher(other);
+        let watched = tokio::task::spawn_local(async move { watching.watch(&watch).await });
+
+        cluster.stop_machine(primary).await;
+
+        let view = watched.await.unwrap();
+        assert!(view.epoch > known.epoch, "{view:?}");
+        assert_ne!(view.primary, known.primary);
+    });
+}
--- a/crates/dataplane/src/agent_program.rs
+++ b/crates/dataplane/src/agent_program.rs
@@ -1,7 +1,7 @@
 //! The agent as a process: carries heartbeats to the state machine and its syncs to the primary.
 
 use crate::agent::{Agent, AgentAction, AgentEvent, AgentSettings, AgentStatus};
-use crate::core::{CoreLink, Outcome};
+use crate::core::{CoreLink, Outcome, Target};
 use crate::process;
 use http::{Method, StatusCode};
 use serde::Serialize;
@@ -21,6 +21,7 @@
 };
 use streamusher_protocol::Millis;
 use tokio::sync::{oneshot, Notify};
+use tokio::time::Instant;
 
 /// Beyond the time that the primary may hold a sync: for the way and a busy primary.
 const SYNC_SLACK_MS: Millis = 700;
@@ -228,10 +229,22 @@
         }
     }
 
+    /// The primary's answer; of the next primary, where there is one before that comes.
     async fn orders(&self, sync: &AgentSync) -> Option<AgentOrders> {
-        let target = self.shared.link.primary()?;
+        let link = &self.shared.link;
+        let known_by = Instant::now() + Duration::from_millis(sync.wait_ms);
+        let first = link.wait_for_primary(known_by).await?;
+        let orders = self.orders_of(&first, sync).await;
+        let next = link.primary().filter(|next| orders.is_none() && next.address() != first.address());
+        match next {
+            Some(next) => self.orders_of(&next, sync).await,
+            None => orders,
+        }
+    }
+
+    async fn orders_of(&self, target: &Target, sync: &AgentSync) -> Option<AgentOrders> {
         let deadline = Duration::from_millis(sync.wait_ms.saturating_add(SYNC_SLACK_MS));
-        let Outcome::Answered(answer) = self.shared.link.post(&target, AGENT_SYNC_PATH, sync, deadline).await
+        let Outcome::Answered(answer) = self.shared.link.post(target, AGENT_SYNC_PATH, sync, deadline).await
         else {
             return None;
         };
@@ -246,7 +259,7 @@
             }
         };
         if let Some(view) = &orders.view {
-            self.shared.link.learn(&target, view);
+            self.shared.link.learn(target, view);
         }
         Some(orders)
     }
--- a/crates/dataplane/src/core/finder.rs
+++ b/crates/dataplane/src/core/finder.rs
@@ -34,6 +34,8 @@
     /// Questions under way, by address.
     asked: BTreeMap<Arc<str>, Millis>,
     next_round_at: Millis,
+    /// Which member is watched: its place among those that are not the primary.
+    watched: usize,
     jitter: Jitter,
 }
 
@@ -50,8 +52,10 @@
             turn: VecDeque::new(),
             asked: BTreeMap::new(),
             next_round_at: 0,
+            watched: 0,
             jitter: Jitter { state: seed },
         };
+        finder.watched = finder.jitter.draw(0..MOST_KNOWN as Millis) as usize;
         finder.set_seeds(seeds);
         finder
     }
@@ -129,6 +133,24 @@
         }
     }
 
+    /// Whether a call to `address` is to be given up: another process is the primary by now.
+    pub fn is_superseded(&self, address: &str) -> bool {
+        self.primary().is_some_and(|primary| *primary.internal != *address)
+    }
+
+    /// A member besides the primary, which learns of the next epoch without it. Each process draws its own.
+    pub fn watched(&self) -> Option<Arc<str>> {
+        let others: Vec<&CoreAddress> =
+            self.members.iter().filter(|member| !self.is_primary(&member.internal)).collect();
+        let place = self.watched.checked_rem(others.len())?;
+        Some(Arc::clone(&others[place].internal))
+    }
+
+    /// The member that was watched does not answer, or knows less than this process: the next one is watched.
+    pub fn watch_another(&mut self) {
+        self.watched = self.watched.wrapping_add(1);
+    }
+
     /// Whom to ask now for the cluster's view. Each is asked once at a time: tell [`CoreFinder::learn`] or
     /// [`CoreFinder::failed`] what came of it.
     pub fn questions(&mut self, now: Millis) -> Vec<Arc<str>> {
--- a/crates/dataplane/src/core/link.rs
+++ b/crates/dataplane/src/core/link.rs
@@ -13,13 +13,22 @@
 use std::time::Duration;
 use streamusher_node::clock;
 use streamusher_node::http::{parse_json, Answer, Call, CallError, Client};
-use streamusher_protocol::internal::{ClusterView, CoreAddress, NotPrimary, CLUSTER_PATH};
+use streamusher_protocol::internal::{
+    ClusterView, ClusterWatch, CoreAddress, NotPrimary, CLUSTER_PATH, CLUSTER_WATCH_PATH,
+};
 use streamusher_protocol::Millis;
 use tokio::sync::Notify;
 
 /// How long a question may take.
 const QUESTION_DEADLINE: Duration = Duration::from_millis(400);
 
+/// How long a member holds a watch, and how much later its answer may come.
+const WATCH_MS: Millis = 3_000;
+const WATCH_SLACK_MS: Millis = 400;
+
+/// Before another member is watched.
+const WATCH_PAUSE: Duration = Duration::from_millis(100);
+
 /// A process to call: its address, and the client that does.
 #[derive(Clone)]
 pub struct Target {
@@ -68,8 +77,13 @@
         CoreLink { shared: Rc::new(shared) }
     }
 
-    /// Asks whenever the finder has questions. Never ends; within a `LocalSet`.
+    /// Asks whenever the finder has questions, and watches one member for the next epoch. Never ends; within a
+    /// `LocalSet`.
     pub async fn run(&self) {
+        tokio::join!(self.ask_when_due(), self.watch());
+    }
+
+    async fn ask_when_due(&self) {
         loop {
             let changed = self.shared.changed.notified();
             let now = clock::steady();
@@ -90,6 +104,40 @@
         }
     }
 
+    /// A primary that falls silent tells nobody: another member's word on the next epoch comes sooner than a time-out.
+    async fn watch(&self) {
+        loop {
+            let changed = self.shared.changed.notified();
+            let (watched, epoch) = {
+                let finder = self.shared.finder.borrow();
+                (finder.watched(), finder.epoch())
+            };
+            let Some(target) = watched.and_then(|address| self.target(&address)) else {
+                changed.await;
+                continue;
+            };
+            let view = watch_question(&target.client, epoch).await.filter(|view| view.epoch >= epoch);
+            match view {
+                Some(view) => self.learn(&target, &view),
+                None => {
+                    self.shared.finder.borrow_mut().watch_another();
+                    tokio::time::sleep(WATCH_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Comes back once another process than `target` is the primary.
+    async fn superseded(&self, target: &Target) {
+        loop {
+            let changed = self.shared.changed.notified();
+            if self.shared.finder.borrow().is_superseded(&target.address) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// The primary, where one is known.
     pub fn primary(&self) -> Option<Target> {
         let address = self.shared.finder.borrow().primary().map(|primary| Arc::clone(&primary.internal))?;
@@ -135,12 +183,18 @@
         self.change(|finder, now| finder.learn(now, &target.address, view));
     }
 
-    /// Posts `body` to `target` and notes what that says of the primary.
+    /// Posts `body` to `target` and notes what that says of the primary. Gives up once another one is the primary: the
+    /// former may never answer.
     pub async fn post<T: Serialize>(
         &self, target: &Target, path: &str, body: &T, deadline: Duration,
     ) -> Outcome {
         let Ok(call) = post_call(path, body) else { return Outcome::NotDone };
-        match target.client.call(call, deadline).await {
+        let answered = tokio::select! {
+            biased;
+            answered = target.client.call(call, deadline) => answered,
+            () = self.superseded(target) => return Outcome::Unknown,
+        };
+        match answered {
             Ok(answer) if answer.status() == StatusCode::MISDIRECTED_REQUEST => {
                 let refusal = parse_json::<NotPrimary>(answer.body()).unwrap_or_default();
                 self.change(|finder, now| finder.refused(now, &target.address, &refusal.view));
@@ -229,7 +283,17 @@
 
 async fn question(client: &Client) -> Option<ClusterView> {
     let call = http::Request::get(CLUSTER_PATH).body(Bytes::new()).ok()?;
-    let answer = client.call(call, QUESTION_DEADLINE).await.ok()?;
+    view(client, call, QUESTION_DEADLINE).await
+}
+
+async fn watch_question(client: &Client, epoch: u64) -> Option<ClusterView> {
+    let watch = ClusterWatch { epoch, wait_ms: WATCH_MS };
+    let call = post_call(CLUSTER_WATCH_PATH, &watch).ok()?;
+    view(client, call, Duration::from_millis(WATCH_MS + WATCH_SLACK_MS)).await
+}
+
+async fn view(client: &Client, call: Call, deadline: Duration) -> Option<ClusterView> {
+    let answer = client.call(call, deadline).await.ok()?;
     if !answer.status().is_success() {
         return None;
     }
--- a/crates/dataplane/tests/finder.rs
+++ b/crates/dataplane/tests/finder.rs
@@ -187,3 +187,31 @@
     assert!(finder.questions(0).is_empty());
     assert!(finder.due_at() > 0);
 }
+
+#[test]
+fn given_members_when_one_is_watched_then_it_is_never_the_primary_and_each_other_in_turn() {
+    let mut finder = finder();
+    assert_eq!(finder.watched(), None, "no member is known yet");
+    finder.learn(0, &internal(1), &view(1, Some(1), &[1, 2, 3]));
+
+    let first = finder.watched();
+    finder.watch_another();
+    let second = finder.watched();
+
+    let mut watched = [first.unwrap(), second.unwrap()];
+    watched.sort();
+    assert_eq!(watched, [internal(2), internal(3)]);
+}
+
+#[test]
+fn given_a_doubted_primary_when_no_other_is_known_then_calls_to_it_are_not_superseded() {
+    let mut finder = finder();
+    finder.learn(0, &internal(1), &view(1, Some(1), &[1, 2]));
+    finder.failed(10, &internal(1));
+    assert!(!finder.is_superseded(&internal(1)));
+
+    finder.learn(20, &internal(2), &view(2, Some(2), &[1, 2]));
+
+    assert!(finder.is_superseded(&internal(1)));
+    assert!(!finder.is_superseded(&internal(2)));
+}
--- a/crates/protocol/src/internal.rs
+++ b/crates/protocol/src/internal.rs
@@ -16,6 +16,8 @@
 pub const RELAY_PATH: &str = "/internal/relay";
 /// Who is in the control plane: answered with [`ClusterView`].
 pub const CLUSTER_PATH: &str = "/internal/cluster";
+/// The same as soon as a newer epoch is known: [`ClusterWatch`] to [`ClusterView`].
+pub const CLUSTER_WATCH_PATH: &str = "/internal/cluster/watch";
 /// Messages between core machines.
 pub const CORE_PATH: &str = "/internal/core/messages";
 /// Status of any process, for operators.
@@ -48,6 +50,15 @@
     pub members: Vec<CoreAddress>,
 }
 
+/// Asks a core machine for its view once it knows a newer epoch, or when the time is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClusterWatch {
+    /// The newest epoch that the caller knows.
+    pub epoch: u64,
+    /// How long the answer may be held.
+    pub wait_ms: Millis,
+}
+
 /// The answer (status 421) of a process that is not the primary to what only the primary does. Nothing was done.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NotPrimary {
