Gate: refused clients come back after a quarter of a second, later as an outage lasts

Change: Retry-After is a quarter of a second at first, then as long as no primary has been known, 2 s at most.

--- a/crates/dataplane/src/core/link.rs
+++ b/crates/dataplane/src/core/link.rs
@@ -5,7 +5,7 @@
 use http::header::CONTENT_TYPE;
 use http::StatusCode;
 use serde::Serialize;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -63,6 +63,8 @@
 struct Shared {
     finder: RefCell<CoreFinder>,
     clients: RefCell<BTreeMap<Arc<str>, Client>>,
+    /// Since when no primary is known.
+    lost_since: Cell<Option<Millis>>,
     changed: Notify,
 }
 
@@ -72,6 +74,7 @@
         let shared = Shared {
             finder: RefCell::new(CoreFinder::new(seeds, seed)),
             clients: RefCell::default(),
+            lost_since: Cell::new(Some(clock::steady())),
             changed: Notify::new(),
         };
         CoreLink { shared: Rc::new(shared) }
@@ -144,6 +147,11 @@
         self.target(&address)
     }
 
+    /// How long no primary has been known; 0 while one is.
+    pub fn outage(&self) -> Millis {
+        self.shared.lost_since.get().map_or(0, |since| clock::steady().saturating_sub(since))
+    }
+
     /// Waits for a primary, at most until `deadline`.
     pub async fn wait_for_primary(&self, deadline: tokio::time::Instant) -> Option<Target> {
         let found = async {
@@ -236,10 +244,17 @@
         let was_known = self.shared.finder.borrow().primary().is_some();
         self.shared.finder.borrow_mut().succeeded(clock::steady(), address);
         if !was_known {
+            self.note_outage();
             self.shared.changed.notify_waiters();
         }
     }
 
+    fn note_outage(&self) {
+        let known = self.shared.finder.borrow().primary().is_some();
+        let since = self.shared.lost_since.get().unwrap_or_else(clock::steady);
+        self.shared.lost_since.set((!known).then_some(since));
+    }
+
     fn change(&self, change: impl FnOnce(&mut CoreFinder, Millis)) {
         {
             let mut finder = self.shared.finder.borrow_mut();
@@ -247,6 +262,7 @@
             change(&mut finder, clock::steady());
             log_change(before.as_ref(), &finder);
         }
+        self.note_outage();
         self.forget_clients();
         self.shared.changed.notify_waiters();
     }
--- a/crates/dataplane/src/gate/mod.rs
+++ b/crates/dataplane/src/gate/mod.rs
@@ -7,4 +7,4 @@
 
 pub use passing::pass;
 pub use program::{check, run, Gate};
-pub use request::{read, Refusal, DEADLINE_HEADER};
+pub use request::{read, retry_after_outage, Refusal, DEADLINE_HEADER};
--- a/crates/dataplane/src/gate/passing.rs
+++ b/crates/dataplane/src/gate/passing.rs
@@ -35,12 +35,12 @@
         Ok(call) => ClientCall { configuration, ..call },
         Err(refusal) => return refusal.answer(),
     };
-    let Some(first) = link.primary() else { return request::not_taken() };
+    let Some(first) = link.primary() else { return request::not_taken(link.outage()) };
     match attempt(link, &first, &call, until).await {
         Attempt::Answered(answer) => answer,
         Attempt::NotDone => match other_primary(link, &first) {
             Some(second) => last_attempt(link, &second, &call, until).await,
-            None => request::not_taken(),
+            None => request::not_taken(link.outage()),
         },
         Attempt::Unknown if call.method == ClientMethod::Post => request::unknown(),
         Attempt::Unknown => repeat(link, &call, until).await,
@@ -85,7 +85,7 @@
 async fn last_attempt(link: &CoreLink, target: &Target, call: &ClientCall, until: Instant) -> Answer {
     match attempt(link, target, call, until).await {
         Attempt::Answered(answer) => answer,
-        Attempt::NotDone => request::not_taken(),
+        Attempt::NotDone => request::not_taken(link.outage()),
         Attempt::Unknown => request::unknown(),
     }
 }
--- a/crates/dataplane/src/gate/request.rs
+++ b/crates/dataplane/src/gate/request.rs
@@ -14,8 +14,10 @@
 /// How long clients wait that do not say it.
 const DEFAULT_DEADLINE: Duration = Duration::from_millis(3_000);
 
-/// When a client comes back that was refused for want of a primary: longer than most takeovers' rest.
-pub(super) const NO_PRIMARY_RETRY_MS: Millis = 1_000;
+/// When a client comes back that was refused for want of a primary: after the usual rest of a takeover at first, and as the
+/// outage lasts after as long again, so that its few tries reach beyond a long one.
+const FIRST_RETRY_MS: Millis = 250;
+const LONGEST_RETRY_MS: Millis = 2_000;
 
 /// Why a request is refused by the gate itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -85,14 +87,19 @@
     bytes::Bytes::copy_from_slice(text.as_bytes())
 }
 
-/// 503: the call was not taken, and will not be.
-pub(super) fn not_taken() -> Answer {
+/// 503: the call was not taken, and will not be. `outage` is how long no primary has been known.
+pub(super) fn not_taken(outage: Millis) -> Answer {
     log::info!("a client's call is refused: no primary takes it");
     let mut answer = text(StatusCode::SERVICE_UNAVAILABLE, "no primary takes calls now: come back\n");
-    set_retry_after(&mut answer, NO_PRIMARY_RETRY_MS);
+    set_retry_after(&mut answer, retry_after_outage(outage));
     answer
 }
 
+/// When a client comes back while no primary has been known for `outage`.
+pub fn retry_after_outage(outage: Millis) -> Millis {
+    outage.clamp(FIRST_RETRY_MS, LONGEST_RETRY_MS)
+}
+
 /// 502: the call may have been taken.
 pub(super) fn unknown() -> Answer {
     text(StatusCode::BAD_GATEWAY, "the primary did not answer: send the same id again\n")
@@ -103,8 +110,10 @@
     text(StatusCode::BAD_GATEWAY, "the primary's reply was not understood: send the same id again\n")
 }
 
-/// Whole seconds, rounded up, one at least.
+/// Seconds, with decimals where they are not whole, as clients of this protocol read them.
 fn set_retry_after(answer: &mut Answer, retry_after_ms: Millis) {
-    let seconds = retry_after_ms.div_ceil(1_000).max(1);
-    answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
+    let seconds = retry_after_ms.max(1) as f64 / 1_000.0;
+    if let Ok(value) = HeaderValue::try_from(seconds.to_string()) {
+        answer.headers_mut().insert(RETRY_AFTER, value);
+    }
 }
