Hedged tasks get a second copy while their run is in doubt; the first that is done wins

Change: the job record may keep an earlier run of a hedged task beside its newest (JobBook::hedge), with its room, on disk and after a failover. Placement gives the copy room that is free, at a worker that has no run of the task, and stops nothing for it. The scheduler asks for it once, where worker or agent is silent, the run does not begin, stands still, or its worker is twice as slow as usual. The first end that is done stops the other; each failed end counts as an attempt.

--- a/crates/jobs/src/assigned.rs
+++ b/crates/jobs/src/assigned.rs
@@ -2,7 +2,7 @@
 
 use crate::changes::AssignedRun;
 use crate::job::Job;
-use crate::steps::Step;
+use crate::steps::{EarlierRun, Step};
 use streamusher_protocol::task::RunId;
 
 impl Job {
@@ -14,31 +14,49 @@
         for (&iteration, content) in self.iterations.iter().filter(|(_, i)| i.assigned > 0) {
             for (index, step) in content.steps.iter().enumerate() {
                 for member in 0..step.members.len() {
-                    list.extend(self.assigned_run(iteration, index, step, member));
+                    list.extend(self.newest_run(iteration, index, step, member));
+                    list.extend(self.earlier_run(iteration, index, step, member));
                 }
             }
         }
     }
 
-    fn assigned_run(&self, iteration: u32, index: usize, step: &Step, member: usize) -> Option<AssignedRun> {
-        let request = self.plan.request.steps.get(index)?;
+    fn newest_run(&self, iteration: u32, index: usize, step: &Step, member: usize) -> Option<AssignedRun> {
         let holder = &step.members[member];
-        let unit = step.unit_of(member);
-        let state = &step.units[unit];
-        Some(AssignedRun {
+        let unit = &step.units[step.unit_of(member)];
+        let sits = EarlierRun {
+            run: unit.run,
             worker: holder.worker.clone()?,
-            run: RunId { task: self.task_id(iteration, index, member), run: state.run },
+            stopping: holder.stopping,
+            started_from: unit.started_from.clone(),
+        };
+        self.assigned_run(iteration, index, step, member, sits)
+    }
+
+    fn earlier_run(&self, iteration: u32, index: usize, step: &Step, member: usize) -> Option<AssignedRun> {
+        let sits = step.members[member].earlier.clone()?;
+        self.assigned_run(iteration, index, step, member, sits)
+    }
+
+    fn assigned_run(
+        &self, iteration: u32, index: usize, step: &Step, member: usize, sits: EarlierRun,
+    ) -> Option<AssignedRun> {
+        let request = self.plan.request.steps.get(index)?;
+        Some(AssignedRun {
+            worker: sits.worker,
+            run: RunId { task: self.task_id(iteration, index, member), run: sits.run },
             resources: request.resources,
             priority: self.terms.priority,
-            unit: self.unit_id(iteration, index, unit),
+            unit: self.unit_id(iteration, index, step.unit_of(member)),
             service: self.terms.service.clone(),
             spec: self.plan.request.spec.clone(),
-            checkpoint: state.started_from.clone(),
+            checkpoint: sits.started_from,
             estimated_ms: request.estimated_ms,
             checkpoints: request.checkpoints,
             long_running: request.long_running,
             gang: request.gang,
-            stopping: holder.stopping || self.end.is_some(),
+            hedged: self.is_hedged(index),
+            stopping: sits.stopping || self.end.is_some(),
         })
     }
 }
--- a/crates/jobs/src/book.rs
+++ b/crates/jobs/src/book.rs
@@ -170,11 +170,22 @@
         self.change(&run.task.job, |job, fx| job.stalled(run, fx));
     }
 
+    /// Lets a second run of a hedged task wait for room that is free while the only one goes on: whichever is done
+    /// first counts, and the other one is stopped. False where the run is not its task's only one, or the step is not
+    /// hedged.
+    pub fn hedge(&mut self, run: &RunId) -> bool {
+        self.change(&run.task.job, |job, fx| job.hedge(run, fx)).unwrap_or(false)
+    }
+
     /// Whether a run is assigned and its result wanted.
     pub fn is_current(&self, run: &RunId) -> bool {
         let Some(job) = self.kept(&run.task.job).filter(|job| job.end.is_none()) else { return false };
         let Some(place) = job.place_of_run(run) else { return false };
-        job.state_of(place).is_some_and(|(_, member)| !member.stopping)
+        let Some((_, member)) = job.state_of(place) else { return false };
+        match &member.earlier {
+            Some(earlier) if place.is_earlier => !earlier.stopping,
+            _ => !member.stopping,
+        }
     }
 
     /// All runs that occupy a worker, for use after a recovery: it looks at every job.
--- a/crates/jobs/src/changes.rs
+++ b/crates/jobs/src/changes.rs
@@ -61,6 +61,8 @@
     pub long_running: bool,
     /// It is one of a gang.
     pub gang: bool,
+    /// Copies of its task may run at the same time.
+    pub hedged: bool,
     /// Its result is not wanted any more; it still occupies the worker until it is over.
     pub stopping: bool,
 }
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -13,6 +13,9 @@
 use streamusher_protocol::unit::{Unit, UnitId};
 use streamusher_protocol::{Millis, Now};
 
+/// A second copy of a task that is at work goes behind all that has waited for less than this.
+const SPARE_BEHIND_MS: Millis = 600_000;
+
 /// A job that has not ended, or of which runs are left.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -218,13 +221,15 @@
         let unit = id.index.unwrap_or(0) as usize;
         let state = entry.units.get(unit).filter(|s| s.phase == Phase::Waiting)?;
         let due = self.plan.due_at(iteration).max(self.submitted);
+        let spare = entry.members_of(unit).any(|m| entry.members[m].earlier.is_some());
+        let behind = if spare { SPARE_BEHIND_MS } else { 0 };
         Some(Unit {
             id: id.clone(),
             tasks: entry.members_of(unit).map(|m| self.task_id(iteration, step, m)).collect(),
             resources: request.resources,
             service: self.terms.service.clone(),
             priority: self.terms.priority,
-            order: due.saturating_add(self.terms.target_latency_ms),
+            order: due.saturating_add(self.terms.target_latency_ms).saturating_add(behind),
             node_selector: request.node_selector.clone(),
             affinity: request.affinity.clone(),
             anti_affinity: request.anti_affinity,
@@ -232,6 +237,8 @@
             estimated_ms: request.estimated_ms,
             checkpoints: request.checkpoints,
             long_running: request.long_running,
+            hedged: self.is_hedged(step),
+            spare,
             avoid: state.avoid.clone(),
         })
     }
@@ -241,6 +248,12 @@
 fn abandon(job: &JobId, iteration: u32, step: usize, entry: &mut Step, fx: &mut Effects) {
     for unit in 0..entry.units.len() {
         let members = entry.members_of(unit);
+        for index in members.clone() {
+            if let Some(earlier) = &entry.members[index].earlier {
+                let task = TaskId { job: job.clone(), iteration, step: step as u32, index: index as u32 };
+                fx.stop.insert(RunId { task, run: earlier.run });
+            }
+        }
         let state = &mut entry.units[unit];
         match state.phase {
             Phase::Waiting => fx.revoke(unit_id(job, iteration, step, unit, entry.gang)),
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -2,8 +2,9 @@
 //!
 //! [`JobBook`] is a state machine without I/O. It is told the time and what happened, and hands out through
 //! [`JobBook::take_changes`] the writes to the replicated state, the units that became ready or were taken back, and
-//! the runs to stop. The book holds for every task that at most one run of it is assigned at any time, that run
-//! numbers rise and never repeat, that a step waits for the steps it depends on, and that attempts are limited.
+//! the runs to stop. The book holds for every task that at most one run of it is assigned at any time (two where its
+//! step is hedged and [`JobBook::hedge`] asks for it), that run numbers rise and never repeat, that a step waits for the
+//! steps it depends on, and that attempts are limited.
 
 mod answers;
 mod assigned;
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -16,6 +16,8 @@
     pub unit: usize,
     /// The task within the step.
     pub member: usize,
+    /// The run meant is the one beside which a newer one waits or runs.
+    pub is_earlier: bool,
 }
 
 impl Job {
@@ -27,15 +29,19 @@
             return None;
         }
         let unit = step.unit_of(member);
-        Some(Place { iteration: task.iteration, step: task.step as usize, unit, member })
+        let (iteration, step) = (task.iteration, task.step as usize);
+        Some(Place { iteration, step, unit, member, is_earlier: false })
     }
 
     /// Where a run stands that is recorded as assigned.
     pub fn place_of_run(&self, run: &RunId) -> Option<Place> {
         let place = self.place(&run.task)?;
-        let step = self.step_at(place.iteration, place.step)?;
-        let is_assigned = step.members[place.member].worker.is_some();
-        (is_assigned && step.units[place.unit].run == run.run).then_some(place)
+        let (unit, member) = self.state_of(place)?;
+        if member.worker.is_some() && unit.run == run.run {
+            return Some(place);
+        }
+        let is_earlier = member.earlier.as_ref().is_some_and(|earlier| earlier.run == run.run);
+        is_earlier.then_some(Place { is_earlier, ..place })
     }
 
     /// A step of an iteration that is not over.
@@ -64,6 +70,11 @@
         self.plan.request.steps.get(step).is_some_and(|s| s.long_running)
     }
 
+    /// Whether copies of a step's tasks may run at the same time.
+    pub fn is_hedged(&self, step: usize) -> bool {
+        self.plan.request.steps.get(step).is_some_and(|s| s.hedged && !s.gang && !s.long_running)
+    }
+
     /// A unit's identifier.
     pub fn unit_id(&self, iteration: u32, step: usize, unit: usize) -> UnitId {
         let gang = self.plan.request.steps.get(step).is_some_and(|s| s.gang);
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -1,6 +1,7 @@
 //! The stored forms of jobs and tasks, as JSON under `job/ID` and `task/ID.TIME.STEP.INDEX`.
 
 use crate::error::RecordError;
+use crate::steps::EarlierRun;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -79,6 +80,9 @@
     /// Workers to avoid.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub avoid: Vec<WorkerId>,
+    /// A run that goes on beside the newest.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub earlier: Option<EarlierRun>,
 }
 
 /// What a key names.
--- a/crates/jobs/src/runs.rs
+++ b/crates/jobs/src/runs.rs
@@ -4,7 +4,7 @@
 use crate::effects::Effects;
 use crate::job::Job;
 use crate::place::Place;
-use crate::steps::{Iteration, Phase, Step};
+use crate::steps::{EarlierRun, Iteration, Phase, Step};
 use std::sync::Arc;
 use streamusher_protocol::job::JobState;
 use streamusher_protocol::task::{RunEnd, RunId, TaskId};
@@ -98,7 +98,8 @@
     /// Takes the newest checkpoint over, which counts for the whole unit.
     pub fn note_checkpoint(&mut self, place: Place, checkpoint: &str) {
         let writes = self.plan.request.steps.get(place.step).is_some_and(|s| s.checkpoints);
-        if !writes || checkpoint.is_empty() {
+        // The newest run's checkpoints count: two runs that report in turn would write the record each time.
+        if !writes || checkpoint.is_empty() || place.is_earlier {
             return;
         }
         let Some(step) = self.step_mut(place.iteration, place.step) else { return };
@@ -115,10 +116,15 @@
         let content = self.iterations.get_mut(&place.iteration)?;
         let step = &mut content.steps[place.step];
         let member = &mut step.members[place.member];
-        let worker = member.worker.take();
-        member.stopping = false;
-        member.reported = None;
-        step.units[place.unit].assigned -= 1;
+        let worker = match place.is_earlier {
+            true => member.earlier.take().map(|earlier| earlier.worker),
+            false => {
+                member.stopping = false;
+                member.reported = None;
+                step.units[place.unit].assigned -= 1;
+                member.worker.take()
+            }
+        };
         let first = step.first_member(place.unit);
         content.assigned -= 1;
         self.assigned -= 1;
@@ -147,8 +153,9 @@
             worker.iter().for_each(|w| {
                 state.avoid(w);
             });
-            if state.counted != state.run {
-                state.counted = state.run;
+            // All members of a gang share a run, which counts once; an earlier run is a single task's.
+            if place.is_earlier || state.counted != state.run {
+                state.counted = if place.is_earlier { state.counted } else { state.run };
                 state.failed = state.failed.saturating_add(1);
             }
         }
@@ -157,7 +164,44 @@
             self.finish(JobState::Failed, fx);
             return;
         }
-        self.stop_or_wait(now, place, fx);
+        match place.is_earlier {
+            true => self.go_on_alone(place, fx),
+            false => self.stop_or_wait(now, place, fx),
+        }
+    }
+
+    /// The run beside a unit's newest is over: a copy that waits for spare room is now the task's only one.
+    fn go_on_alone(&mut self, place: Place, fx: &mut Effects) {
+        let id = self.unit_id(place.iteration, place.step, place.unit);
+        let state = self.unit_mut(place.iteration, place.step, place.unit);
+        if state.is_some_and(|state| state.phase == Phase::Waiting) {
+            fx.renew(id);
+        }
+    }
+
+    /// Lets a second run of a hedged task wait for a worker while the only one goes on. False where the run is not the
+    /// only one, or its task is not hedged.
+    pub fn hedge(&mut self, run: &RunId, fx: &mut Effects) -> bool {
+        let Some(place) = self.place_of_run(run).filter(|place| !place.is_earlier) else { return false };
+        if self.end.is_some() || !self.is_hedged(place.step) {
+            return false;
+        }
+        let id = self.unit_id(place.iteration, place.step, place.unit);
+        let Some(step) = self.step_mut(place.iteration, place.step) else { return false };
+        let (unit, member) = (&mut step.units[place.unit], &mut step.members[place.member]);
+        if unit.phase != Phase::Assigned || member.stopping || member.earlier.is_some() {
+            return false;
+        }
+        let Some(worker) = member.worker.take() else { return false };
+        unit.avoid(&worker);
+        unit.assigned -= 1;
+        unit.phase = Phase::Waiting;
+        member.reported = None;
+        let started_from = unit.started_from.clone();
+        member.earlier = Some(EarlierRun { run: unit.run, worker, stopping: false, started_from });
+        fx.tasks.insert(run.task.clone());
+        fx.ready.insert(id);
+        true
     }
 
     /// Stops the members that are left; with none left, the unit waits again.
@@ -180,20 +224,34 @@
         let mut marked = Vec::new();
         for index in step.members_of(place.unit) {
             let member = &mut step.members[index];
+            let (iteration, step) = (place.iteration, place.step as u32);
+            let task = TaskId { job: job.clone(), iteration, step, index: index as u32 };
             if member.worker.is_some() && !member.stopping {
                 member.stopping = true;
-                let (iteration, step, index) = (place.iteration, place.step as u32, index as u32);
-                let task = TaskId { job: job.clone(), iteration, step, index };
                 fx.tasks.insert(task.clone());
-                marked.push(RunId { task, run });
+                marked.push(RunId { task: task.clone(), run });
+            }
+            if let Some(earlier) = member.earlier.as_mut().filter(|earlier| !earlier.stopping) {
+                earlier.stopping = true;
+                fx.tasks.insert(task.clone());
+                marked.push(RunId { task, run: earlier.run });
             }
         }
         marked
     }
 
-    /// Notes that a unit is done. The others of a gang end by themselves at the same time: they are not stopped.
+    /// Notes that a unit is done. The others of a gang end by themselves at the same time: they are not stopped, as the
+    /// copies of a hedged task are.
     fn unit_done(&mut self, now: Now, place: Place, fx: &mut Effects) {
-        self.mark_stopping(place, fx);
+        let others = self.mark_stopping(place, fx);
+        if self.is_hedged(place.step) {
+            fx.stop.extend(others);
+        }
+        let id = self.unit_id(place.iteration, place.step, place.unit);
+        let state = self.unit_mut(place.iteration, place.step, place.unit);
+        if state.is_some_and(|state| state.phase == Phase::Waiting) {
+            fx.revoke(id);
+        }
         let Some(content) = self.iterations.get_mut(&place.iteration) else { return };
         let freed = content.unit_done(&self.plan, place.step, place.unit);
         let is_complete = content.open_steps == 0;
@@ -236,7 +294,9 @@
     pub fn stalled(&mut self, run: &RunId, fx: &mut Effects) {
         let Some(place) = self.place_of_run(run) else { return };
         let Some(step) = self.step_mut(place.iteration, place.step) else { return };
-        let Some(worker) = step.members[place.member].worker.clone() else { return };
+        let member = &step.members[place.member];
+        let earlier = member.earlier.as_ref().filter(|_| place.is_earlier);
+        let Some(worker) = earlier.map(|e| &e.worker).or(member.worker.as_ref()).cloned() else { return };
         let first = step.first_member(place.unit);
         if step.units[place.unit].avoid(&worker) {
             fx.tasks.insert(self.task_id(place.iteration, place.step, first));
--- a/crates/jobs/src/steps.rs
+++ b/crates/jobs/src/steps.rs
@@ -4,6 +4,7 @@
 //! a member has only the worker at which the unit's newest run of it sits.
 
 use crate::plan::Plan;
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use streamusher_protocol::unit::WorkerId;
 use streamusher_protocol::Millis;
@@ -66,6 +67,21 @@
     }
 }
 
+/// A run of a hedged task beside which a newer one waits or runs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct EarlierRun {
+    /// Its number.
+    pub run: u32,
+    /// Where it sits.
+    pub worker: WorkerId,
+    /// Its result is not wanted any more.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub stopping: bool,
+    /// What it was started with.
+    #[serde(default, skip_serializing_if = "str::is_empty")]
+    pub started_from: Arc<str>,
+}
+
 /// A task of a unit.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Member {
@@ -75,6 +91,8 @@
     pub stopping: bool,
     /// The checkpoint that this run reported last.
     pub reported: Option<Arc<str>>,
+    /// A run that goes on beside the newest; of hedged tasks only.
+    pub earlier: Option<EarlierRun>,
 }
 
 /// One step of one iteration.
--- a/crates/jobs/src/stored.rs
+++ b/crates/jobs/src/stored.rs
@@ -40,6 +40,7 @@
             run: unit.run,
             worker: member.worker.clone(),
             stopping: member.stopping,
+            earlier: member.earlier.clone(),
             ..TaskRecord::default()
         };
         if step.first_member(place.unit) == place.member {
@@ -93,6 +94,11 @@
             content.assigned += 1;
             self.assigned += 1;
         }
+        if record.earlier.is_some() {
+            content.assigned += 1;
+            self.assigned += 1;
+        }
+        member.earlier = record.earlier;
         member.worker = record.worker;
         member.stopping = record.stopping;
         if is_first {
--- a/crates/placement/benches/cost.rs
+++ b/crates/placement/benches/cost.rs
@@ -48,6 +48,8 @@
         estimated_ms: random.random_range(mean_run_ms / 2..mean_run_ms * 3 / 2),
         checkpoints: random.random_bool(0.5),
         long_running: false,
+        hedged: false,
+        spare: false,
         avoid: Vec::new(),
     }
 }
--- a/crates/placement/src/claim.rs
+++ b/crates/placement/src/claim.rs
@@ -25,7 +25,8 @@
     pub(crate) fn admits(&self, now: Millis, key: Key, waiting: &Waiting, slot: Slot) -> bool {
         let unit = &waiting.unit;
         let Some(worker) = self.workers.get(slot).filter(|worker| worker.info.open) else { return false };
-        if !worker.free().covers(&unit.resources) || !spreads(worker, waiting) {
+        let is_barred = worker.runs_copy_of(unit) || !spreads(worker, waiting);
+        if is_barred || !worker.free().covers(&unit.resources) {
             return false;
         }
         let Some(service) = self.services.get(&unit.service) else { return false };
@@ -39,7 +40,7 @@
 
     /// A unit that has waited long in a service with much free room takes any room that there is.
     pub(crate) fn takes_any(&self, now: Millis, waiting: &Waiting, service: &Service) -> bool {
-        waiting.waited(now) >= ANYWHERE_MS && service.is_lightly_used()
+        !waiting.unit.spare && waiting.waited(now) >= ANYWHERE_MS && service.is_lightly_used()
     }
 
     /// How much a unit may take of what is kept at a worker. What was stopped for others goes to small tasks only:
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -230,6 +230,13 @@
         gangs
     }
 
+    /// How much longer than usual a worker's runs have lately taken; 1 where nothing tells.
+    pub fn slowness(&self, now: Millis, worker: &WorkerId) -> f64 {
+        let found = self.workers.slot_of(worker).and_then(|slot| self.workers.get(slot));
+        let usual = found.and_then(|worker| self.services.get(&worker.info.service));
+        found.zip(usual).map_or(1.0, |(worker, usual)| worker.speed.slowness(now, &usual.speed))
+    }
+
     /// How many units wait.
     pub fn waiting(&self) -> usize {
         self.queue.len()
--- a/crates/placement/src/ranking.rs
+++ b/crates/placement/src/ranking.rs
@@ -40,13 +40,14 @@
 }
 
 impl Placement {
-    /// What never changes while the unit waits: service, label, size.
+    /// What hardly changes while the unit waits: service, label, size, and that no copy of it is there.
     pub(crate) fn is_eligible(&self, unit: &Unit, slot: Slot) -> bool {
         let Some(worker) = self.workers.get(slot) else { return false };
         worker.info.open
             && worker.info.service == unit.service
             && worker.info.capacity.covers(&unit.resources)
             && unit.node_selector.as_ref().is_none_or(|label| worker.has_label(label))
+            && !worker.runs_copy_of(unit)
     }
 
     /// Eligible workers, best first; avoided ones come last.
--- a/crates/placement/src/room.rs
+++ b/crates/placement/src/room.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use streamusher_protocol::heartbeat::Resources;
 use streamusher_protocol::task::TaskId;
-use streamusher_protocol::unit::{StepId, WorkerId};
+use streamusher_protocol::unit::{StepId, Unit, WorkerId};
 use streamusher_protocol::Millis;
 
 /// Room kept at a worker for a unit that waits.
@@ -166,6 +166,11 @@
         self.info.labels.iter().any(|own| &**own == label)
     }
 
+    /// Whether a run of one of the unit's tasks is here: of a hedged task another one may be sought.
+    pub fn runs_copy_of(&self, unit: &Unit) -> bool {
+        unit.spare && unit.tasks.iter().any(|task| self.runs.contains_key(task))
+    }
+
     pub fn add_copy(&mut self, key: Key, asked: &Resources) -> bool {
         let new = self.queue.insert(key);
         if new {
--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -64,6 +64,8 @@
         estimated_ms: 1_000,
         checkpoints: false,
         long_running: false,
+        hedged: false,
+        spare: false,
         avoid: Vec::new(),
     }
 }
--- a/crates/protocol/src/unit.rs
+++ b/crates/protocol/src/unit.rs
@@ -57,6 +57,11 @@
     pub checkpoints: bool,
     /// Its tasks run until the job is cancelled.
     pub long_running: bool,
+    /// Copies of it may run at the same time.
+    pub hedged: bool,
+    /// A copy of a hedged task that is at work: it takes room that is free, at another worker, and nothing is stopped for
+    /// it.
+    pub spare: bool,
     /// Workers at which a run of it failed or stood still: taken only where no other can.
     pub avoid: Vec<WorkerId>,
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -8,11 +8,13 @@
 //! - `runs`: the runs that take room at workers, from the order to the proven end.
 //! - `workers`: workers and the agents beside them: reports, leases, orders.
 //! - `clients`, `operators`: the calls of clients and operators.
+//! - `hedging`: second copies of hedged tasks whose run is in doubt.
 //! - `share_debt`: what users have lately used, where it is switched on.
 //! - `watch`: what happens by time alone: leases that end, tasks that stand still, workers that leave.
 
 mod clients;
 pub mod event;
+mod hedging;
 mod operators;
 mod orders;
 mod recovery;
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -107,6 +107,7 @@
                 estimated_ms: assigned.estimated_ms,
                 long_running: assigned.long_running,
                 gang: assigned.gang,
+                hedged: assigned.hedged,
                 since: now,
                 percent: 0.0,
                 moved_at: now,
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -96,6 +96,7 @@
         worker.sequence = report.sequence;
         worker.agent = Some(name.clone());
         worker.silent = report.silent_ms > SILENT_WORKER_MS;
+        worker.silent_ms = report.silent_ms;
         worker.agent_silent = false;
         let changed = worker.describe(now.steady, report);
         if changed || worker.open != worker.takes_work() {
--- a/crates/scheduler/src/runs.rs
+++ b/crates/scheduler/src/runs.rs
@@ -30,6 +30,8 @@
     pub(crate) estimated_ms: Millis,
     pub(crate) long_running: bool,
     pub(crate) gang: bool,
+    /// A second copy may be started while it goes on, and none was asked for yet.
+    pub(crate) hedged: bool,
     /// When it was ordered or, once seen, when it was first seen.
     pub(crate) since: Millis,
     pub(crate) percent: f64,
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -200,6 +200,7 @@
                 estimated_ms: unit.estimated_ms,
                 long_running: unit.long_running,
                 gang: unit.id.index.is_none(),
+                hedged: unit.hedged,
                 since: now.steady,
                 percent: 0.0,
                 moved_at: now.steady,
--- a/crates/scheduler/src/watch.rs
+++ b/crates/scheduler/src/watch.rs
@@ -90,6 +90,7 @@
             self.move_from_standstill(&id);
         }
         self.withdraw_from_silent(now);
+        self.hedge_doubtful(now.steady);
         let leaving: Vec<RunId> = self
             .runs
             .all()
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -25,6 +25,8 @@
     pub(crate) gone: bool,
     /// It has not called its agent for too long to be given work.
     pub(crate) silent: bool,
+    /// For how long it had not called its agent at the newest report.
+    pub(crate) silent_ms: Millis,
     /// Its agent has not been heard for too long, or not by this primary.
     pub(crate) agent_silent: bool,
     /// Ends up to this number are taken note of.
@@ -50,6 +52,7 @@
             leaves_at: None,
             gone: false,
             silent: false,
+            silent_ms: 0,
             agent_silent: false,
             last_seen: 0,
             lease_until,
--- a/crates/scheduler/tests/stories.rs
+++ b/crates/scheduler/tests/stories.rs
@@ -338,3 +338,63 @@
     world.settle(&mut second);
     assert_eq!(second.start.len(), 1, "the start that is at work is heard again");
 }
+
+const ONE_HEDGED_TASK: &str = r#"[{"count":1,"cpu":600,"mem_mb":10,"estimated_ms":500,"hedged":true}]"#;
+
+/// A hedged task runs at the first worker; a second one is idle.
+fn given_a_hedged_run_and_an_idle_worker() -> (World, TestAgent, TestAgent) {
+    let mut world = World::new();
+    let (mut first, mut second) = (TestAgent::new("side-1", "i-1"), TestAgent::new("side-2", "i-2"));
+    world.settle(&mut first);
+    assert_eq!(world.submit(ONE_HEDGED_TASK).status, 200);
+    world.settle(&mut first);
+    first.begin_all();
+    world.settle(&mut first);
+    world.settle(&mut second);
+    (world, first, second)
+}
+
+#[test]
+fn a_hedged_task_whose_machine_falls_silent_runs_elsewhere_within_its_lease() {
+    let (mut world, mut first, mut second) = given_a_hedged_run_and_an_idle_worker();
+    for _ in 0..6 {
+        world.wait(250);
+        world.settle(&mut second);
+    }
+    assert_eq!(second.start.len(), 1, "a second copy while the lease of the first lasts");
+
+    first.end_all(RunEnd::Done);
+    world.settle(&mut first);
+    world.settle(&mut second);
+
+    assert!(world.state_of_job().contains("succeeded"), "whichever is done first counts");
+    assert!(second.start.is_empty(), "the other copy is withdrawn");
+}
+
+#[test]
+fn a_hedged_task_that_stands_still_gets_a_second_copy_at_another_worker_only() {
+    let (mut world, mut first, mut second) = given_a_hedged_run_and_an_idle_worker();
+    for _ in 0..5 {
+        first.report.sequence += 1;
+        world.settle(&mut first);
+        world.settle(&mut second);
+        world.wait(250);
+    }
+    world.settle(&mut first);
+    world.settle(&mut second);
+    assert!(first.start.is_empty());
+    assert_eq!(second.start.len(), 1);
+}
+
+#[test]
+fn a_hedged_task_that_moves_on_runs_once() {
+    let (mut world, mut first, mut second) = given_a_hedged_run_and_an_idle_worker();
+    for percent in 1..10 {
+        first.report.sequence += 1;
+        first.report.running[0].3 = f64::from(percent * 10);
+        world.settle(&mut first);
+        world.settle(&mut second);
+        world.wait(250);
+    }
+    assert!(second.start.is_empty());
+}
