Scheduler: a run stands still after 1.5 s in which its worker was heard; lasting tasks too

Cause: lasting runs never counted as standing still; others did after 2.5 s, and their worker was charged only when the stop had ended, up to 0.9 s later, and took new tasks until then.

Change: 1.5 s, counted only while worker and agent are heard (0.8 s); a lasting run below 95% counts; the worker is charged at once (Placement::stands_still replaces Release::StoodStill, its tests ask the same of it). Second copies start only where less than half of the service is in use.

--- a/crates/placement/src/claim.rs
+++ b/crates/placement/src/claim.rs
@@ -30,6 +30,9 @@
             return false;
         }
         let Some(service) = self.services.get(&unit.service) else { return false };
+        if unit.spare && !service.is_lightly_used() {
+            return false;
+        }
         let insistence = self.insistence(now, waiting, service, worker);
         let ends_at = now as f64 + self.expected_ms(now, unit, worker, service);
         let allowed = worker.runs.len() < service.most_runs(now, worker)
--- a/crates/placement/src/learning.rs
+++ b/crates/placement/src/learning.rs
@@ -54,9 +54,17 @@
             Release::Ended { how: RunEnd::Done, .. } => (KEPT_AFTER_SUCCESS, 0.0),
             Release::Ended { how: RunEnd::Failed, .. } => (1.0, CHARGE_OF_FAILURE),
             Release::Ended { how: RunEnd::Refused, .. } => (1.0, CHARGE_OF_REFUSAL),
-            Release::StoodStill => (1.0, CHARGE_OF_STANDSTILL),
             _ => return 0.0,
         };
+        self.change(now, kept, added)
+    }
+
+    /// Learns that a run makes no progress; answers by how much the charge has changed.
+    pub fn learn_standstill(&mut self, now: Millis) -> f64 {
+        self.change(now, 1.0, CHARGE_OF_STANDSTILL)
+    }
+
+    fn change(&mut self, now: Millis, kept: f64, added: f64) -> f64 {
         let before = self.at(now);
         let after = (before * kept + added).min(HIGHEST_CHARGE);
         *self = Charge { value: after, at: now };
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -149,6 +149,16 @@
         }
     }
 
+    /// A run makes no progress at its worker: others are kept from there at once, before its own end is proven.
+    pub fn stands_still(&mut self, now: Millis, worker: &WorkerId) {
+        let Some(slot) = self.workers.slot_of(worker) else { return };
+        let Some(found) = self.workers.get_mut(slot) else { return };
+        let change = found.charge.learn_standstill(now);
+        if let Some(service) = self.services.get_mut(&found.info.service) {
+            service.change_charges(now, change);
+        }
+    }
+
     /// A run has done this share of its work, in percent.
     pub fn progress(&mut self, now: Millis, task: &TaskId, worker: &WorkerId, percent: f64) {
         let Some(slot) = self.workers.slot_of(worker) else { return };
--- a/crates/placement/src/types.rs
+++ b/crates/placement/src/types.rs
@@ -73,8 +73,6 @@
     Lost,
     /// It was withdrawn before it began.
     Withdrawn,
-    /// It was stopped because it made no progress.
-    StoodStill,
 }
 
 /// What is to be done.
--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -225,6 +225,11 @@
         self.placement.release(self.now, task, worker, how);
     }
 
+    /// A run at a worker makes no progress.
+    pub fn stands_still(&mut self, worker: &WorkerId) {
+        self.placement.stands_still(self.now, worker);
+    }
+
     /// Ends all that runs at a worker.
     pub fn end_all_at(&mut self, worker: &str) {
         let here: Vec<TaskId> =
--- a/crates/placement/tests/lessons.rs
+++ b/crates/placement/tests/lessons.rs
@@ -4,7 +4,6 @@
 
 use common::*;
 use rstest::rstest;
-use streamusher_placement::Release;
 use streamusher_protocol::task::RunEnd;
 use streamusher_protocol::unit::Unit;
 
@@ -59,11 +58,11 @@
 }
 
 #[test]
-fn given_a_task_that_stood_still_when_the_next_comes_then_it_goes_elsewhere() {
+fn given_a_task_that_stands_still_when_the_next_comes_then_it_goes_elsewhere() {
     let mut cluster = three();
     cluster.enqueue(unit(1, 500, 2));
     let (_, at) = cluster.place().remove(0);
-    cluster.release(&task(1), &at, Release::StoodStill);
+    cluster.stands_still(&at);
     for number in 2..20 {
         cluster.enqueue(unit(number, 500, 2));
     }
--- a/crates/placement/tests/search.rs
+++ b/crates/placement/tests/search.rs
@@ -8,7 +8,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::BTreeMap;
-use streamusher_placement::{Release, WorkerInfo};
+use streamusher_placement::WorkerInfo;
 use streamusher_protocol::heartbeat::Resources;
 use streamusher_protocol::task::{RunEnd, TaskId};
 use streamusher_protocol::unit::{Unit, UnitId, WorkerId};
@@ -115,7 +115,8 @@
             }
             let unit = self.cluster.runs[&(task.clone(), at.clone())].unit.clone();
             if how == RunEnd::Failed && self.random.random_bool(0.3) {
-                self.cluster.release(&task, &at, Release::StoodStill);
+                self.cluster.stands_still(&at);
+                self.cluster.end(&task, &at, RunEnd::Stopped);
             } else {
                 self.cluster.end(&task, &at, how);
             }
--- a/crates/scheduler/src/hedging.rs
+++ b/crates/scheduler/src/hedging.rs
@@ -6,12 +6,10 @@
 
 use crate::runs::{Phase, Run};
 use crate::scheduler::Scheduler;
+use crate::watch::HEARD_MS;
 use streamusher_protocol::task::RunId;
 use streamusher_protocol::Millis;
 
-/// Workers at work call their agent every 20 ms or so, agents report three times a second.
-const DOUBTFUL_SILENCE_MS: Millis = 400;
-const DOUBTFUL_AGENT_SILENCE_MS: Millis = 800;
 /// An order usually begins within 0.1 s, and within 0.6 s where much is ordered at once.
 const DOUBTFUL_START_MS: Millis = 800;
 /// A run whose progress does not rise for so long, at three reports a second, does not just run slowly.
@@ -42,16 +40,11 @@
     }
 
     fn is_doubtful(&self, now: Millis, run: &Run) -> bool {
-        let Some(worker) = self.workers.get(&run.worker) else { return true };
-        let agent = worker.agent.as_ref().and_then(|name| self.agents.get(name));
-        let heard_at = agent.map_or(0, |agent| agent.heard_at);
-        let is_silent = worker.gone
-            || worker.silent_ms > DOUBTFUL_SILENCE_MS
-            || now.saturating_sub(heard_at) > DOUBTFUL_AGENT_SILENCE_MS;
+        let is_gone = self.workers.get(&run.worker).is_none_or(|worker| worker.gone);
         // A new primary hears all agents before it doubts any of them.
         let is_known_for = now.saturating_sub(run.since);
-        if is_silent {
-            return is_known_for > DOUBTFUL_AGENT_SILENCE_MS;
+        if is_gone || self.silence_of(now, &run.worker) > HEARD_MS {
+            return is_known_for > HEARD_MS;
         }
         match run.phase {
             Phase::Ordered => is_known_for > DOUBTFUL_START_MS,
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -112,7 +112,6 @@
                 percent: 0.0,
                 moved_at: now,
                 missing: 0,
-                stood_still: false,
             };
             self.runs.insert(assigned.run, run);
         }
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -166,10 +166,9 @@
         let known = self.runs.get(id).filter(|run| run.worker == *worker);
         let Some(run) = known else { return };
         let ran_ms = now.steady.saturating_sub(run.since);
-        let release = if run.stood_still { Release::StoodStill } else { Release::Ended { how, ran_ms } };
         self.debt_of_end(now.steady, id, how, checkpoint);
         self.jobs.ended(now, id, how, checkpoint);
-        self.free(now.steady, id, release);
+        self.free(now.steady, id, Release::Ended { how, ran_ms });
     }
 
     fn note_running(&mut self, now: Now, worker: &WorkerId, report: &WorkerReport) {
--- a/crates/scheduler/src/runs.rs
+++ b/crates/scheduler/src/runs.rs
@@ -39,8 +39,6 @@
     pub(crate) moved_at: Millis,
     /// Reports in a row that should have contained it.
     pub(crate) missing: u8,
-    /// It was stopped because its progress did not rise.
-    pub(crate) stood_still: bool,
 }
 
 impl Run {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -205,7 +205,6 @@
                 percent: 0.0,
                 moved_at: now.steady,
                 missing: 0,
-                stood_still: false,
             };
             self.debt_begins(now.steady, &started.run, &unit.resources);
             self.runs.insert(started.run, run);
--- a/crates/scheduler/src/watch.rs
+++ b/crates/scheduler/src/watch.rs
@@ -13,8 +13,13 @@
 const LEASE_MARGIN_MS: Millis = 60;
 /// An agent calls several times a second; without a call for so long its worker is given no more work.
 const SILENT_AGENT_MS: Millis = 1_800;
-/// A run whose progress does not rise for so long stands still, where its estimate does not allow more.
-const STANDS_STILL_MS: Millis = 2_500;
+/// A run whose progress does not rise for so long stands still, where its estimate does not allow more: it is reported three
+/// times a second.
+const STANDS_STILL_MS: Millis = 1_500;
+/// Agents report at least three times a second: after this silence nothing is known of a worker's runs.
+pub(crate) const HEARD_MS: Millis = 800;
+/// A task that lasts is at work from here on, and tells no more progress. Rounding may leave it a little below 100.
+const AT_WORK_PERCENT: f64 = 95.0;
 /// Progress is told in percent: a run may take this many hundredths of its estimate for one, being slow.
 const SLOW_PERCENTS: Millis = 12;
 /// An order that has not begun after so long is withdrawn: agents hand orders on within a second.
@@ -79,15 +84,15 @@
     }
 
     fn watch_runs(&mut self, now: Now) {
+        self.pause_progress_of_unheard(now.steady);
         let still: Vec<RunId> = self
             .runs
             .all()
-            .filter(|(_, run)| stands_still(now.steady, run, self.settings.bounds.gang_ms))
-            .filter(|(_, run)| self.workers.get(&run.worker).is_some_and(|w| !w.silent && !w.agent_silent))
+            .filter(|(_, run)| self.stands_still(now.steady, run))
             .map(|(id, _)| id.clone())
             .collect();
         for id in still {
-            self.move_from_standstill(&id);
+            self.move_from_standstill(now.steady, &id);
         }
         self.withdraw_from_silent(now);
         self.hedge_doubtful(now.steady);
@@ -124,26 +129,51 @@
         }
     }
 
-    fn move_from_standstill(&mut self, id: &RunId) {
+    fn move_from_standstill(&mut self, now: Millis, id: &RunId) {
         log::warn!("run {} of {} stands still and is moved", id.run, id.task);
-        if let Some(run) = self.runs.get_mut(id) {
-            run.stood_still = true;
+        if let Some(run) = self.runs.get(id) {
+            self.placement.stands_still(now, &run.worker);
         }
         self.jobs.stalled(id);
         self.stop_run(id);
     }
 
+    /// Whether a run makes no progress although its worker is heard.
+    fn stands_still(&self, now: Millis, run: &Run) -> bool {
+        if run.phase != Phase::Running || run.stopping || self.silence_of(now, &run.worker) > HEARD_MS {
+            return false;
+        }
+        if run.long_running && run.percent >= AT_WORK_PERCENT {
+            return false;
+        }
+        let bounds = &self.settings.bounds;
+        let together = if run.gang { bounds.gang_ms } else { 0 };
+        let restored = if run.checkpoint.is_empty() { 0 } else { bounds.restore_ms };
+        let patience = STANDS_STILL_MS.max(run.estimated_ms * SLOW_PERCENTS / 100) + together + restored;
+        now.saturating_sub(run.moved_at) > patience
+    }
+
+    /// While a worker is not heard nothing is known of its runs: that time does not count as one without progress.
+    fn pause_progress_of_unheard(&mut self, now: Millis) {
+        let unheard = self.workers.keys().filter(|id| self.silence_of(now, id) > HEARD_MS);
+        let runs: Vec<RunId> = unheard.flat_map(|id| self.runs.ids_at(id)).collect();
+        for id in runs {
+            if let Some(run) = self.runs.get_mut(&id) {
+                run.moved_at = now;
+            }
+        }
+    }
+
+    /// How long ago the newest known heartbeat of a worker was; the longest time where nothing is known of it.
+    pub(crate) fn silence_of(&self, now: Millis, worker: &WorkerId) -> Millis {
+        let Some(worker) = self.workers.get(worker) else { return Millis::MAX };
+        let agent = worker.agent.as_ref().and_then(|name| self.agents.get(name));
+        let since_report = agent.map_or(Millis::MAX, |agent| now.saturating_sub(agent.heard_at));
+        since_report.saturating_add(worker.silent_ms)
+    }
+
     fn ends_too_late(&self, now: Millis, run: &Run) -> bool {
         let leaves_at = self.workers.get(&run.worker).and_then(|worker| worker.leaves_at);
         leaves_at.is_some_and(|at| run.long_running || now + run.expected_rest(now) + LEAVING_MARGIN_MS > at)
     }
 }
-
-fn stands_still(now: Millis, run: &Run, gang_ms: Millis) -> bool {
-    if run.phase != Phase::Running || run.stopping || run.long_running {
-        return false;
-    }
-    let together = if run.gang { gang_ms } else { 0 };
-    let patience = STANDS_STILL_MS.max(run.estimated_ms * SLOW_PERCENTS / 100) + together;
-    now.saturating_sub(run.moved_at) > patience
-}
--- a/crates/scheduler/tests/stories.rs
+++ b/crates/scheduler/tests/stories.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use rstest::rstest;
 use streamusher_protocol::heartbeat::WorkerState;
 use streamusher_protocol::internal::{ClientMethod, WorkerReport};
 use streamusher_protocol::task::RunEnd;
@@ -398,3 +399,41 @@
     }
     assert!(second.start.is_empty());
 }
+
+#[rstest]
+#[case::in_its_start(30.0, true)]
+#[case::at_work(99.0, false)]
+fn a_task_that_lasts_is_moved_only_while_it_stands_still_in_its_start(
+    #[case] percent: f64, #[case] is_moved: bool,
+) {
+    let mut world = World::new();
+    let mut agent = TestAgent::new("side-1", "i-1");
+    world.settle(&mut agent);
+    let lasting = r#"[{"count":1,"cpu":600,"mem_mb":10,"long_running":true}]"#;
+    assert_eq!(world.submit(lasting).status, 200);
+    world.settle(&mut agent);
+    agent.begin_all();
+    agent.report.running[0].3 = percent;
+    for _ in 0..20 {
+        agent.report.sequence += 1;
+        world.settle(&mut agent);
+        world.wait(200);
+    }
+    assert_eq!(!agent.stop.is_empty(), is_moved);
+}
+
+#[test]
+fn what_runs_at_a_machine_that_is_not_heard_does_not_count_as_standing_still() {
+    let (mut world, mut agent) = given_a_running_task();
+    for _ in 0..10 {
+        agent.report.silent_ms += 200;
+        world.settle(&mut agent);
+        world.wait(200);
+    }
+    assert!(agent.stop.is_empty(), "its worker is silent");
+    agent.report.silent_ms = 0;
+    world.settle(&mut agent);
+    world.wait(1_700);
+    world.settle(&mut agent);
+    assert!(agent.stop.is_empty(), "its agent was silent");
+}
