Front: clients' connections and the order in which they give way stand in a file of their own

src/net/front.rs had 511 lines with two jobs: serving requests, and keeping book of connections. The second is src/net/connections.rs now, with the field's names (ClientConnection, ClientConnections, Activity, BodyReservation); its fields are no longer read from outside but by methods. No behaviour changes. Measured: all tests of the package pass.

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,5 +1,6 @@
-//! Front sockets: clients' operations, workers' call-backs, `GET /up` and `GET /counters` on one listener.
+//! The front: clients' operations, workers' call-backs, `GET /up` and `GET /counters` on one listener.
 
+use super::connections::{after, Activity, BodyReservation, ClientConnection, ClientConnections};
 use super::http::{self, Bad, Conn, Head};
 use super::pool::no_descriptors;
 use super::request::{self, busy, path, Reply};
@@ -7,12 +8,9 @@
 use crate::config::Limits;
 use crate::core::{Operation, Receipt};
 use crate::runtime::Hub;
-use async_channel::{bounded, Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::future;
 use slog::{info, warn};
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -22,11 +20,6 @@
 /// connection is there. Guards against silent connections, half requests and heads that come in drop by drop: each
 /// holds a descriptor. A bad client is owed an end within 3 s.
 const REQUEST: Duration = Duration::from_millis(2_500);
-/// Longest time for a connection to stay silent after it is there: a usual client opens one to ask at once.
-const SILENCE: Duration = Duration::from_secs(1);
-/// Longest time between requests for a connection that has asked, but for no operation that was taken: guards
-/// against hundreds that ask whether the program is up, and stay.
-const ASKED: Duration = Duration::from_millis(2_500);
 /// Longest time for a client to read its answer.
 const ANSWER: Duration = Duration::from_secs(5);
 /// Connections that may wait to be accepted. Guards against floods of hundreds at once: what finds no place, usual
@@ -36,238 +29,27 @@
 const NO_ROOM: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
-/// What a front socket is at, in the order in which they give way to new ones.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum At {
-    /// It was answered and is closed; what still comes is thrown away.
-    Leaving,
-    /// Between requests, none of which was an operation or a call-back so far.
-    Asked,
-    /// Nothing has come yet.
-    Silent,
-    /// A request is coming in.
-    Reading,
-    /// Between requests, with an operation or a call-back among them. These are usual clients' and go last.
-    Idle,
-    /// A request is in hand.
-    Busy,
-}
-
-struct Entry {
-    at: At,
-    since: Instant,
-    worker: bool,
-    /// Dropping it closes the front socket, unless a request is in hand.
-    _keep: Sender<()>,
-}
-
-/// All front sockets, and what each is at. Any without a request in hand can be closed to make room.
-pub(crate) struct Sockets {
-    open: Cell<usize>,
-    workers: Cell<usize>,
-    entries: RefCell<BTreeMap<u64, Entry>>,
-    next: Cell<u64>,
-    closing: Cell<(bool, bool)>,
-    /// Bytes of bodies that are coming in or in hand, and their bound.
-    bodies: Rc<Cell<usize>>,
-    most_bodies: usize,
-    most_idle: usize,
-    /// Closed when a successor takes the clients' address over.
-    hand_over: (Sender<()>, Receiver<()>),
-}
-
-impl Sockets {
-    /// Another process serves at the same address: the listener takes what waits for it, and closes.
-    pub(crate) fn hand_over(&self) {
-        self.hand_over.0.close();
-    }
-
-    /// Front sockets that are not known to be workers'.
-    pub(crate) fn clients(&self) -> usize {
-        self.open.get() - self.workers.get()
-    }
-
-    /// Closes all clients' that are between requests, now and from now on; workers' too if told so. One that has
-    /// sent nothing yet is nobody's so far and stays: guards against turning away call-backs during a stop, as
-    /// workers open connections for them.
-    pub(crate) fn close_idle(&self, workers: bool) {
-        self.closing.set((true, workers));
-        self.entries.borrow_mut().retain(|_, e| match e.at {
-            At::Idle | At::Asked => e.worker && !workers,
-            At::Silent => !workers,
-            _ => true,
-        });
-    }
-
-    /// Closes the one that can best be done without, if there is any: of the first kind in the order of [`At`] the
-    /// oldest. Guards against floods of connections that never say anything, or never end it, in the place of
-    /// those that usual clients keep.
-    pub(crate) fn make_room(&self) -> bool {
-        let mut entries = self.entries.borrow_mut();
-        let gives_way = |e: &Entry| match e.at {
-            At::Busy => false,
-            At::Reading => !e.worker, // the oldest: a usual client's comes in at once
-            _ => true,
-        };
-        let candidates = entries.iter().filter(|(_, e)| gives_way(e));
-        let Some(number) = candidates.min_by_key(|(_, e)| (e.at, e.since)).map(|(n, _)| *n) else {
-            return false;
-        };
-        entries.remove(&number).is_some()
-    }
-
-    /// Closes the clients' that are idle for longest, of more than may be kept. Guards against clients that open a
-    /// connection for each request and keep them all: they may hold so many in all, and could open no more.
-    fn trim_idle(&self) {
-        let mut entries = self.entries.borrow_mut();
-        let idle = entries.iter().filter(|(_, e)| e.at == At::Idle && !e.worker);
-        let mut idle: Vec<(Instant, u64)> = idle.map(|(number, e)| (e.since, *number)).collect();
-        idle.sort_unstable();
-        for (_, number) in &idle[..idle.len().saturating_sub(self.most_idle)] {
-            entries.remove(number);
-        }
-    }
-
-    /// Sets memory aside for a body; none if there is no more.
-    fn body(&self, length: usize) -> Option<Held> {
-        let held = self.bodies.get() + length;
-        (held <= self.most_bodies).then(|| {
-            self.bodies.set(held);
-            Held(self.bodies.clone(), length)
-        })
-    }
-}
-
-/// Memory set aside, until it is dropped.
-struct Held(Rc<Cell<usize>>, usize);
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - self.1);
-    }
-}
-
-/// One front socket, counted while it is open.
-struct FrontSocket {
-    sockets: Rc<Sockets>,
-    number: u64,
-    closed: Receiver<()>,
-    worker: bool,
-    /// An operation or a call-back came on it and was taken.
-    proven: bool,
-    /// It stands in the reserve, which is for workers' call-backs.
-    reserved: bool,
-}
-
-impl FrontSocket {
-    fn new(sockets: &Rc<Sockets>) -> FrontSocket {
-        let (keep, closed) = bounded::<()>(1);
-        let number = sockets.next.replace(sockets.next.get() + 1);
-        let entry = Entry { at: At::Silent, since: Instant::now(), worker: false, _keep: keep };
-        sockets.entries.borrow_mut().insert(number, entry);
-        sockets.open.set(sockets.open.get() + 1);
-        FrontSocket {
-            sockets: sockets.clone(),
-            number,
-            closed,
-            worker: false,
-            proven: false,
-            reserved: false,
-        }
-    }
-
-    fn is_worker(&mut self) {
-        self.proven = true;
-        if !std::mem::replace(&mut self.worker, true) {
-            self.sockets.workers.set(self.sockets.workers.get() + 1);
-        }
-    }
-
-    fn is_at(&self, at: At) {
-        if let Some(entry) = self.sockets.entries.borrow_mut().get_mut(&self.number) {
-            (entry.at, entry.since, entry.worker) = (at, Instant::now(), self.worker);
-        }
-    }
-
-    /// Comes back when the socket is to be closed to make room, or at the end.
-    async fn given_up(&self) {
-        let _ = self.closed.recv().await;
-    }
-
-    /// Waits for the next request; false if the connection is to be closed instead.
-    async fn next_request(&self, conn: &mut Conn, first: bool) -> bool {
-        if conn.has_input() {
-            return true;
-        }
-        if !first {
-            let (clients, workers) = self.sockets.closing.get();
-            if clients && (!self.worker || workers) {
-                return false;
-            }
-            self.is_at(if self.proven { At::Idle } else { At::Asked });
-            self.sockets.trim_idle();
-        }
-        // A usual client keeps its connection for as long as it likes; one that never asked for work is not one.
-        let time = match (first, self.proven) {
-            (true, _) => SILENCE,
-            (false, true) => Duration::MAX,
-            (false, false) => ASKED,
-        };
-        let input = async { conn.wait_input().await.is_ok() };
-        let closed = async {
-            future::or(self.given_up(), after(time)).await;
-            false
-        };
-        future::or(input, closed).await // in this order: what has come already is not given up
-    }
-}
-
-impl Drop for FrontSocket {
-    fn drop(&mut self) {
-        self.sockets.entries.borrow_mut().remove(&self.number);
-        self.sockets.open.set(self.sockets.open.get() - 1);
-        self.sockets.workers.set(self.sockets.workers.get() - usize::from(self.worker));
-    }
-}
-
-async fn after(time: Duration) {
-    match Instant::now().checked_add(time) {
-        Some(when) => drop(Timer::at(when).await),
-        None => future::pending().await,
-    }
-}
-
 /// Listens and serves from now on.
 pub(crate) fn listen(
     hub: &Rc<Hub>, addr: SocketAddr, limits: &Limits,
-) -> io::Result<(Rc<Sockets>, SocketAddr)> {
+) -> io::Result<(Rc<ClientConnections>, SocketAddr)> {
     let listener = Async::new(shared_listener(addr)?)?;
     let addr = listener.get_ref().local_addr()?;
     let (most, reserve) = (limits.front_sockets(), limits.front_reserve());
-    let sockets = Rc::new(Sockets {
-        open: Cell::default(),
-        workers: Cell::default(),
-        entries: RefCell::default(),
-        next: Cell::default(),
-        closing: Cell::default(),
-        bodies: Rc::default(),
-        most_bodies: limits.body_bytes(),
-        most_idle: limits.idle_front_sockets(),
-        hand_over: bounded(1),
-    });
-    let (hub, all) = (hub.clone(), sockets.clone());
+    let connections = Rc::new(ClientConnections::new(limits));
+    let (hub, all) = (hub.clone(), connections.clone());
     hub.clone().spawn(async move {
         loop {
             let handed_over = async {
-                let _ = all.hand_over.1.recv().await;
+                all.handed_over().await;
                 Err(io::Error::from(io::ErrorKind::ConnectionAborted))
             };
             match future::or(listener.accept(), handed_over).await {
-                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted && all.hand_over.1.is_closed() => {
+                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted && all.is_handed_over() => {
                     // What waits in the queue is taken, then the listener closes: later ones reach the successor.
                     while let Ok((stream, _)) = listener.get_ref().accept() {
                         let Ok(stream) = Async::new(stream) else { continue };
-                        let (served, socket) = (hub.clone(), FrontSocket::new(&all));
+                        let (served, socket) = (hub.clone(), ClientConnection::new(&all));
                         hub.with(|core, _| core.counters.front_sockets += 1);
                         hub.spawn(async move { serve(served, stream, socket).await });
                     }
@@ -275,13 +57,13 @@
                     return info!(hub.log, "the clients' address is left to the successor");
                 }
                 Ok((stream, _)) => {
-                    let mut socket = FrontSocket::new(&all);
-                    while all.open.get() > most && all.make_room() {
+                    let mut socket = ClientConnection::new(&all);
+                    while all.open() > most && all.make_room() {
                         future::yield_now().await; // lets the one given up close
                     }
                     hub.with(|core, _| core.counters.front_sockets += 1);
-                    socket.reserved = all.open.get() > most;
-                    if all.open.get() > most + reserve {
+                    socket.reserved = all.open() > most;
+                    if all.open() > most + reserve {
                         // Guards against connections that queue up outside, where they would hear nothing.
                         hub.with(|core, _| core.counters.front_sockets_refused += 1);
                         let conn = Conn::new(stream);
@@ -305,7 +87,7 @@
             }
         }
     });
-    Ok((sockets, addr))
+    Ok((connections, addr))
 }
 
 /// A listener that a second process of the same user may share while it replaces this one.
@@ -324,18 +106,20 @@
 struct Received {
     head: Head,
     body: Vec<u8>,
-    _held: Option<Held>,
+    _held: Option<BodyReservation>,
 }
 
 /// Reads a request. An error that its head alone shows is told before its body is read.
-async fn receive(hub: &Hub, conn: &mut Conn, socket: &FrontSocket) -> Result<Result<Received, Reply>, Bad> {
+async fn receive(
+    hub: &Hub, conn: &mut Conn, socket: &ClientConnection,
+) -> Result<Result<Received, Reply>, Bad> {
     let head = conn.request().await?;
     let mut held = None;
     if is_operation(&head) {
         if let Err(reply) = request::check(&hub.classes.borrow(), &head.method, &head.target) {
             return Ok(Err(reply));
         }
-        held = socket.sockets.body(http::body_length(&head)?);
+        held = socket.all.reserve_body(http::body_length(&head)?);
         if held.is_none() || socket.reserved {
             return Ok(Err(busy("no room for another operation")));
         }
@@ -349,7 +133,7 @@
     Ok(Ok(Received { head, body, _held: held }))
 }
 
-async fn serve(hub: Rc<Hub>, stream: Async<TcpStream>, mut socket: FrontSocket) {
+async fn serve(hub: Rc<Hub>, stream: Async<TcpStream>, mut socket: ClientConnection) {
     let mut conn = Conn::new(stream);
     let mut by = Instant::now() + REQUEST;
     let mut first = true;
@@ -357,7 +141,7 @@
         if !std::mem::take(&mut first) {
             by = Instant::now() + REQUEST;
         }
-        socket.is_at(At::Reading);
+        socket.set_activity(Activity::Reading);
         let late = async {
             Timer::at(by).await;
             Err(Bad::Late)
@@ -367,7 +151,7 @@
             Err(Bad::Ended)
         };
         let read = future::or(receive(&hub, &mut conn, &socket), future::or(late, given_up)).await;
-        socket.is_at(At::Busy);
+        socket.set_activity(Activity::Busy);
         let mut receipt = Receipt::default();
         let (reply, close) = match read {
             Ok(Ok(Received { head, body, _held })) => {
@@ -392,7 +176,7 @@
         if bad {
             hub.with(|core, _| core.counters.bad_requests += 1);
         }
-        let close = close || bad || socket.sockets.closing.get().0 && !socket.worker;
+        let close = close || bad || socket.all.is_closing() && !socket.worker;
         // Guards against a client that does not read: it would hold its socket for ever.
         let written = future::or(async { conn.write(&bytes(&reply, close)).await.is_ok() }, async {
             after(ANSWER).await;
@@ -403,15 +187,15 @@
         }
         receipt.written();
         if close {
-            socket.is_at(At::Leaving);
+            socket.set_activity(Activity::Leaving);
             return future::or(conn.close(Closing::in_order()), socket.given_up()).await;
         }
     }
     // Between requests, or before the first. Bytes may come in this very moment, a request among them: it is not taken, and
     // its client sends it once more elsewhere. One that gives way to others has no time to linger.
-    socket.is_at(At::Leaving);
-    let stopping = socket.sockets.closing.get().0;
-    match socket.closed.is_closed() && !stopping {
+    socket.set_activity(Activity::Leaving);
+    let stopping = socket.all.is_closing();
+    match socket.is_given_up() && !stopping {
         true => conn.close(Closing::at_once()).await,
         false => conn.close(Closing::resting()).await,
     }
@@ -458,11 +242,11 @@
 
 /// Answers one request; none if its client has gone away.
 async fn respond(
-    hub: &Rc<Hub>, conn: &mut Conn, socket: &mut FrontSocket, head: &Head, body: Vec<u8>,
+    hub: &Rc<Hub>, conn: &mut Conn, socket: &mut ClientConnection, head: &Head, body: Vec<u8>,
 ) -> Option<(Reply, Receipt)> {
     let reply = match (path(&head.target), head.method.as_str()) {
         (CALL_BACKS, "POST") => {
-            socket.is_worker();
+            socket.mark_worker();
             super::callback::call_back(hub, &body, true)
         }
         (CALL_BACKS, _) => Reply::only("POST"),
@@ -486,7 +270,7 @@
 }
 
 async fn dispatch(
-    hub: &Rc<Hub>, conn: &mut Conn, socket: &mut FrontSocket, operation: Operation,
+    hub: &Rc<Hub>, conn: &mut Conn, socket: &mut ClientConnection, operation: Operation,
 ) -> Option<(Reply, Receipt)> {
     let class = operation.class.0 as usize;
     let told = |reply: &Reply| {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod callback;
 mod close;
+pub(crate) mod connections;
 pub(crate) mod discovery;
 pub(crate) mod front;
 pub(crate) mod handover;
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -59,7 +59,7 @@
     /// The other process that listens at the same address while one replaces the other.
     pub(crate) other: Cell<Option<u32>>,
     /// The clients' connections.
-    sockets: RefCell<Option<Rc<net::front::Sockets>>>,
+    sockets: RefCell<Option<Rc<net::connections::ClientConnections>>>,
     /// What is shared with other dispatchers, where anything is.
     fleet: RefCell<Option<fleet::Fleet>>,
 }
@@ -348,7 +348,7 @@
 /// open: until shortly before the end, as a client that loses its connection finds nobody here until the restart.
 /// All that is taken is answered before the end.
 async fn drain(
-    hub: &Rc<Hub>, sockets: &net::front::Sockets, addr: std::net::SocketAddr,
+    hub: &Rc<Hub>, sockets: &net::connections::ClientConnections, addr: std::net::SocketAddr,
     jobs: Option<&drmaa::front::JobTable>,
 ) {
     let longest = hub.classes.borrow().iter().map(|c| c.deadline_us).max().unwrap_or(0);
