Operators ask why a job waits; the debts have a settings file

Change: streamusher-control explain job ID | user NAME asks the acting primary (/internal/explain). Debts stay off by default.

Measured: tests of each reason, of good and wrong files, of the command line, and over loopback.

--- a/crates/controlplane/src/cluster_status/ask.rs
+++ b/crates/controlplane/src/cluster_status/ask.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use streamusher_node::http::{Call, Client};
-use streamusher_protocol::internal::STATUS_PATH;
+use streamusher_protocol::internal::{Explain, EXPLAIN_PATH, STATUS_PATH};
 use tokio::task::JoinSet;
 
 /// How long an answer may take: a machine that is up answers within milliseconds, also when it is busy.
@@ -52,6 +52,19 @@
     serde_json::from_slice(answer.body()).map_err(|error| format!("the answer is not a status: {error}"))
 }
 
+/// What the primary at `address` knows of one job or user.
+pub async fn explain(address: SocketAddr, asked: &Explain) -> Result<Value, String> {
+    let body = serde_json::to_vec(asked).map_err(|error| error.to_string())?;
+    let mut call = Call::new(Bytes::from(body));
+    *call.method_mut() = Method::POST;
+    *call.uri_mut() = http::Uri::from_static(EXPLAIN_PATH);
+    let answer = Client::new(address).call(call, DEADLINE).await.map_err(|error| error.to_string())?;
+    if !answer.status().is_success() {
+        return Err(String::from_utf8_lossy(answer.body()).trim().to_owned());
+    }
+    serde_json::from_slice(answer.body()).map_err(|error| format!("the answer is not understood: {error}"))
+}
+
 /// Internal addresses of the core machines that a status names: a core machine's record, or what a process of the data
 /// plane knows of the control plane.
 fn members_in(status: &Value) -> Vec<SocketAddr> {
--- a/crates/controlplane/src/cluster_status/mod.rs
+++ b/crates/controlplane/src/cluster_status/mod.rs
@@ -11,6 +11,7 @@
 use std::io;
 use std::net::SocketAddr;
 use streamusher_node::runtime;
+use streamusher_protocol::internal::Explain;
 
 /// What came of the questions, for the exit code.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,6 +32,22 @@
     Ok((text, health(&answers)))
 }
 
+/// Asks the acting primary about one job or user; gives the text to print.
+///
+/// # Errors
+/// The event loop can't be made, no primary acts, or it knows nothing of what is asked.
+pub fn explain(addresses: Vec<SocketAddr>, asked: &Explain) -> anyhow::Result<String> {
+    runtime::block_on(ask_primary(addresses, asked))?
+}
+
+async fn ask_primary(addresses: Vec<SocketAddr>, asked: &Explain) -> anyhow::Result<String> {
+    let answers = ask::ask_all(addresses).await;
+    let acting = answers.iter().find(|(_, answer)| answer.as_ref().is_ok_and(report::is_acting));
+    let (address, _) = acting.ok_or_else(|| anyhow::anyhow!("no primary acts: look at the status"))?;
+    let known = ask::explain(*address, asked).await.map_err(anyhow::Error::msg)?;
+    Ok(format!("{known:#}\n"))
+}
+
 /// Whether all answered and one acts.
 pub fn health(answers: &Answers) -> Health {
     let all = !answers.is_empty() && answers.values().all(Result::is_ok);
--- a/crates/controlplane/src/internal.rs
+++ b/crates/controlplane/src/internal.rs
@@ -1,14 +1,14 @@
 //! The internal interface: core machines, agents and gates.
 
 use crate::driver::{Answer as Outcome, Call};
-use crate::machine::Machine;
+use crate::machine::{Explained, Machine};
 use crate::peers::Envelope;
 use http::{Method, StatusCode};
 use serde::de::DeserializeOwned;
 use streamusher_node::http::{empty, json, parse_json, text, Answer, Call as HttpCall};
 use streamusher_protocol::internal::{
     ClusterView, NotPrimary, AGENT_SYNC_PATH, CLIENT_CALL_PATH, CLUSTER_PATH, CLUSTER_WATCH_PATH, CORE_PATH,
-    GATE_LEASE_PATH, RELAY_PATH, STATUS_PATH,
+    EXPLAIN_PATH, GATE_LEASE_PATH, RELAY_PATH, STATUS_PATH,
 };
 use streamusher_scheduler::Reply;
 
@@ -22,6 +22,7 @@
         (&Method::POST, RELAY_PATH) => relay(&machine, &call),
         (&Method::GET, CLUSTER_PATH) => json(StatusCode::OK, &machine.view()),
         (&Method::POST, CLUSTER_WATCH_PATH) => cluster_watch(&machine, &call).await,
+        (&Method::POST, EXPLAIN_PATH) => explain(&machine, &call),
         (&Method::GET, STATUS_PATH) => json(StatusCode::OK, &machine.status()),
         (_, path) => {
             text(StatusCode::NOT_FOUND, format!("nothing is served at {path} on the internal port\n"))
@@ -66,6 +67,17 @@
     }
 }
 
+fn explain(machine: &Machine, call: &HttpCall) -> Answer {
+    match parse_json(call.body()) {
+        Ok(asked) => match machine.explain(&asked) {
+            Explained::Known(value) => json(StatusCode::OK, &value),
+            Explained::Unknown(reason) => text(StatusCode::NOT_FOUND, format!("{reason}\n")),
+            Explained::NotPrimary => not_primary(machine.view()),
+        },
+        Err(error) => text(StatusCode::BAD_REQUEST, format!("{error}\n")),
+    }
+}
+
 fn not_primary(view: ClusterView) -> Answer {
     json(StatusCode::MISDIRECTED_REQUEST, &NotPrimary { view })
 }
--- a/crates/controlplane/src/lib.rs
+++ b/crates/controlplane/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod program;
 pub mod publication;
 pub mod relay;
+pub mod share_debt_file;
 pub mod show_disk;
 pub mod store;
--- a/crates/controlplane/src/machine.rs
+++ b/crates/controlplane/src/machine.rs
@@ -13,7 +13,9 @@
 use streamusher_configuration::store::CURRENT_KEY;
 use streamusher_coordination::{Coordinator, Input, Message, StateMap};
 use streamusher_node::{clock, logs};
-use streamusher_protocol::internal::{ClusterView, ClusterWatch, CoreAddress, GateLease, GateLeaseReply};
+use streamusher_protocol::internal::{
+    ClusterView, ClusterWatch, CoreAddress, Explain, GateLease, GateLeaseReply,
+};
 use streamusher_protocol::Millis;
 use streamusher_scheduler::{RequestId, Scheduler};
 use tokio::sync::{oneshot, watch};
@@ -35,6 +37,17 @@
     epochs: watch::Sender<u64>,
 }
 
+/// What is known of something that an operator asks about.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Explained {
+    /// This.
+    Known(serde_json::Value),
+    /// Nothing, and why.
+    Unknown(&'static str),
+    /// Only the primary knows.
+    NotPrimary,
+}
+
 /// The longest time for which a call that waits for the next epoch is held.
 const LONGEST_WATCH_MS: Millis = 10_000;
 
@@ -136,6 +149,27 @@
         })
     }
 
+    /// What is known of one job or user.
+    pub fn explain(&self, asked: &Explain) -> Explained {
+        let now = clock::steady();
+        let shared = self.shared.borrow();
+        let acts = shared.driver.reign(now).is_some();
+        let Some(scheduler) = shared.driver.scheduler().filter(|_| acts) else {
+            return Explained::NotPrimary;
+        };
+        let (known, unknown) = match asked {
+            Explain::Job(id) => (
+                scheduler.explain_job(now, id).map(|job| serde_json::json!(job)),
+                "no such job: it was not accepted, or ended long ago",
+            ),
+            Explain::User(user) => (
+                scheduler.explain_user(now, user).map(|debt| serde_json::json!(debt)),
+                "debts are off: start the control plane with --share-debt or --share-debt-settings",
+            ),
+        };
+        known.map_or(Explained::Unknown(unknown), Explained::Known)
+    }
+
     fn abandon(&self, request: RequestId) {
         let mut shared = self.shared.borrow_mut();
         shared.callers.remove(&request);
--- a/crates/controlplane/src/main.rs
+++ b/crates/controlplane/src/main.rs
@@ -6,13 +6,15 @@
 use std::process::ExitCode;
 use streamusher_configuration::check_file;
 use streamusher_controlplane::cluster_status::{self, Health};
-use streamusher_controlplane::options::{parse, Task};
+use streamusher_controlplane::options::{parse, ShareDebt, Task};
 use streamusher_controlplane::parameters::places;
 use streamusher_controlplane::program;
+use streamusher_controlplane::share_debt_file;
 use streamusher_controlplane::show_disk::{self, ShowError};
 use streamusher_controlplane::store::StoreError;
 use streamusher_node::options::EXIT_MISUSE;
 use streamusher_node::{logs, settings};
+use streamusher_protocol::internal::Explain;
 use streamusher_share_debt as share_debt;
 
 fn main() -> ExitCode {
@@ -22,12 +24,15 @@
             print!("{text}");
             ExitCode::SUCCESS
         }
-        Ok(Task::CheckSettings) => with_settings(|_| ExitCode::SUCCESS),
         Ok(Task::CheckConfiguration(path)) => check_configuration(&path),
         Ok(Task::Status { addresses, settings, json }) => status(addresses, settings.as_deref(), json),
+        Ok(Task::Explain { asked, addresses, settings }) => explain(&asked, addresses, settings.as_deref()),
         Ok(Task::ShowDisk(folder)) => show_disk(&folder),
+        Ok(Task::CheckSettings(share_debt)) => {
+            with_share_debt(share_debt, |_| with_settings(|_| ExitCode::SUCCESS))
+        }
         Ok(Task::Run { log_level, share_debt }) => {
-            with_settings(|settings| run(settings, log_level, share_debt))
+            with_share_debt(share_debt, |debts| with_settings(|settings| run(settings, log_level, debts)))
         }
         Err(reason) => misuse(&reason),
     }
@@ -44,6 +49,19 @@
     }
 }
 
+fn with_share_debt(
+    source: Option<ShareDebt>, next: impl FnOnce(Option<share_debt::Settings>) -> ExitCode,
+) -> ExitCode {
+    match source {
+        None => next(None),
+        Some(ShareDebt::Given(settings)) => next(Some(settings)),
+        Some(ShareDebt::File(path)) => match share_debt_file::load(&path) {
+            Ok(settings) => next(Some(settings)),
+            Err(error) => misuse(&error.to_string()),
+        },
+    }
+}
+
 fn run(
     settings: settings::Settings, log_level: Option<LevelFilter>, share_debt: Option<share_debt::Settings>,
 ) -> ExitCode {
@@ -65,14 +83,36 @@
     }
 }
 
-fn status(mut addresses: Vec<SocketAddr>, file: Option<&Path>, json: bool) -> ExitCode {
-    if addresses.is_empty() {
-        let settings = file.map_or_else(settings::load, settings::load_from);
-        match settings {
-            Ok(settings) => addresses = seeds_of(&settings),
-            Err(error) => return misuse(&format!("{error}, or name the address of a process")),
+/// The addresses to ask first: those given, or the seeds of the settings file.
+fn first_asked(given: Vec<SocketAddr>, file: Option<&Path>) -> Result<Vec<SocketAddr>, String> {
+    if !given.is_empty() {
+        return Ok(given);
+    }
+    let settings = file.map_or_else(settings::load, settings::load_from);
+    settings
+        .map(|settings| seeds_of(&settings))
+        .map_err(|error| format!("{error}, or name the address of a process"))
+}
+
+fn explain(asked: &Explain, addresses: Vec<SocketAddr>, file: Option<&Path>) -> ExitCode {
+    let addresses = match first_asked(addresses, file) {
+        Ok(addresses) => addresses,
+        Err(error) => return misuse(&error),
+    };
+    match cluster_status::explain(addresses, asked) {
+        Ok(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
         }
+        Err(error) => failure(&error.to_string()),
     }
+}
+
+fn status(addresses: Vec<SocketAddr>, file: Option<&Path>, json: bool) -> ExitCode {
+    let addresses = match first_asked(addresses, file) {
+        Ok(addresses) => addresses,
+        Err(error) => return misuse(&error),
+    };
     match cluster_status::run(addresses, json) {
         Ok((text, health)) => {
             print!("{text}");
--- a/crates/controlplane/tests/command_line.rs
+++ b/crates/controlplane/tests/command_line.rs
@@ -8,8 +8,9 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::time::{Duration, Instant};
-use streamusher_controlplane::options::{parse, Task};
+use streamusher_controlplane::options::{parse, ShareDebt, Task};
 use streamusher_controlplane::store::{Store, FOLDER, FORMAT};
+use streamusher_protocol::internal::Explain;
 use streamusher_share_debt as share_debt;
 use support::TestFolder;
 
@@ -58,9 +59,18 @@
 #[case(&[], Task::Run { log_level: None, share_debt: None })]
 #[case(&["--log-level", "debug"], Task::Run { log_level: Some(log::LevelFilter::Debug), share_debt: None })]
 #[case(&["--share-debt", "600"],
-    Task::Run { log_level: None, share_debt: Some(share_debt::Settings::with_half_life(600_000)) })]
-#[case(&["--check"], Task::CheckSettings)]
-#[case(&["check"], Task::CheckSettings)]
+    Task::Run { log_level: None, share_debt: Some(ShareDebt::Given(share_debt::Settings::with_half_life(600_000))) })]
+#[case(&["--share-debt-settings", "debts.toml"],
+    Task::Run { log_level: None, share_debt: Some(ShareDebt::File("debts.toml".into())) })]
+#[case(&["--check"], Task::CheckSettings(None))]
+#[case(&["check"], Task::CheckSettings(None))]
+#[case(&["check", "--share-debt-settings", "debts.toml"],
+    Task::CheckSettings(Some(ShareDebt::File("debts.toml".into()))))]
+#[case(&["explain", "job", "5c0e7a21d94b36f8"], Task::Explain {
+    asked: Explain::Job("5c0e7a21d94b36f8".parse().unwrap()), addresses: Vec::new(), settings: None })]
+#[case(&["explain", "user", "scans", "10.0.0.1:7300", "--settings", "core.toml"], Task::Explain {
+    asked: Explain::User("scans".into()), addresses: vec!["10.0.0.1:7300".parse().unwrap()],
+    settings: Some("core.toml".into()) })]
 #[case(&["check", "--configuration", "c.toml"], Task::CheckConfiguration("c.toml".into()))]
 #[case(&["show-disk", "data"], Task::ShowDisk("data".into()))]
 #[case(&["status"], Task::Status { addresses: vec![], settings: None, json: false })]
@@ -84,6 +94,11 @@
 #[case(&["--log-level", "loud"], "loud")]
 #[case(&["status", "somewhere"], "somewhere")]
 #[case(&["check", "c.json"], "c.json")]
+#[case(&["--share-debt", "600", "--share-debt-settings", "d.toml"], "give one of them")]
+#[case(&["--share-debt-settings", "/nowhere/debts.toml"], "/nowhere/debts.toml")]
+#[case(&["explain"], "explain job ID")]
+#[case(&["explain", "job", "xyz"], "xyz")]
+#[case(&["explain", "user", "scans", "somewhere"], "somewhere")]
 #[case(&["show-disk"], "data folder")]
 #[case(&["show-disk", "a", "b"], "\"b\"")]
 fn given_wrong_arguments_then_one_line_names_them_and_the_code_is_2(
--- a/crates/controlplane/tests/loopback.rs
+++ b/crates/controlplane/tests/loopback.rs
@@ -8,7 +8,7 @@
 use streamusher_node::http::Answer;
 use streamusher_protocol::config::{READ_PATH, REPLACE_PATH, UPDATE_PATH};
 use streamusher_protocol::internal::{
-    AgentOrders, ClusterWatch, NotPrimary, AGENT_SYNC_PATH, CLIENT_CALL_PATH,
+    AgentOrders, ClusterWatch, Explain, NotPrimary, AGENT_SYNC_PATH, CLIENT_CALL_PATH, EXPLAIN_PATH,
 };
 use support::cluster::{is_ok, story, text_of, Cluster};
 
@@ -204,3 +204,27 @@
         assert_ne!(view.primary, known.primary);
     });
 }
+
+#[test]
+fn given_a_job_that_waits_when_an_operator_asks_then_the_primary_says_why() {
+    story(async {
+        let (mut cluster, _) = configured().await;
+        cluster.post_until(CLIENT_CALL_PATH, &submit(), |answer| client_status(answer) == 200).await;
+        let job = Explain::Job("5c0e7a21d94b36f8".parse().unwrap());
+
+        let waits = cluster.post_until(EXPLAIN_PATH, &job, is_ok).await;
+        let unknown = Explain::Job("0000000000000001".parse().unwrap());
+        let unknown = cluster.post_until(EXPLAIN_PATH, &unknown, |a| !is_misdirected(a)).await;
+        let user = cluster.post_until(EXPLAIN_PATH, &Explain::User("r".into()), |a| !is_misdirected(a)).await;
+
+        let waits: Value = serde_json::from_slice(waits.body()).unwrap();
+        assert_eq!((&waits["state"], &waits["queue"]), (&json!("pending"), &json!("r")));
+        assert_eq!(waits["waiting"][0]["reason"], "no_worker_takes_work");
+        assert_eq!(unknown.status(), StatusCode::NOT_FOUND);
+        assert!(text_of(&user).contains("--share-debt"), "{}", text_of(&user));
+    });
+}
+
+fn is_misdirected(answer: &Answer) -> bool {
+    answer.status() == StatusCode::MISDIRECTED_REQUEST
+}
--- /dev/null
+++ b/crates/controlplane/tests/share_debt_file.rs
@@ -0,0 +1,47 @@
+//! The settings file of the debts: what it need not have is as usual, what is wrong is named.
+
+mod support;
+
+use rstest::rstest;
+use std::fs;
+use streamusher_controlplane::share_debt_file::load;
+use streamusher_share_debt::Settings;
+use support::TestFolder;
+
+fn loaded(text: &str) -> Result<Settings, String> {
+    let folder = TestFolder::new();
+    let path = folder.path().join("debts.toml");
+    fs::write(&path, text).unwrap();
+    load(&path).map_err(|error| error.to_string())
+}
+
+#[test]
+fn given_a_half_life_alone_when_loaded_then_all_else_is_as_usual_for_it() {
+    assert_eq!(loaded("half_life_ms = 600000\n"), Ok(Settings::with_half_life(600_000)));
+}
+
+#[test]
+fn given_weights_and_teams_when_loaded_then_they_replace_what_is_usual() {
+    let text = "half_life_ms = 600000\ngpu_millicores = 4000\n[weights]\nlogs = 2000\n[user_of_queue]\nr-1 = \"logs\"\n";
+
+    let settings = loaded(text).unwrap();
+
+    assert_eq!((settings.gpu_millicores, settings.weights["logs"]), (4_000, 2_000));
+    assert_eq!(&*settings.user_of(&"r-1".into()), "logs");
+    assert_eq!(settings.most_delay_ms, Settings::with_half_life(600_000).most_delay_ms);
+}
+
+#[rstest]
+#[case::no_half_life("gpu_millicores = 1\n", "half_life_ms")]
+#[case::unknown_key("half_life_ms = 600000\nhalf_live = 1\n", "half_live")]
+#[case::wrong_type("half_life_ms = \"soon\"\n", "half_life_ms")]
+#[case::negative("half_life_ms = -1\n", "half_life_ms")]
+#[case::out_of_range("half_life_ms = 9000\n", "give 10000")]
+#[case::weight_of_nothing("half_life_ms = 600000\n[weights]\nlogs = 0\n", "logs")]
+#[case::not_toml("half_life_ms", "debts.toml")]
+fn given_a_file_that_is_wrong_when_loaded_then_the_key_is_named(#[case] text: &str, #[case] named: &str) {
+    let error = loaded(text).unwrap_err();
+
+    assert!(error.contains(named), "{error}");
+    assert!(error.contains("debts.toml"), "{error}");
+}
--- a/crates/jobs/tests/hedging.rs
+++ b/crates/jobs/tests/hedging.rs
@@ -67,7 +67,7 @@
     assert!(world.end(winner, RunEnd::Done));
 
     assert_eq!(world.status(1), Some(JobState::Succeeded));
-    assert_eq!(world.last.stop, [loser.clone()]);
+    assert_eq!(world.last.stop, std::slice::from_ref(loser));
     assert!(!world.book.is_current(loser));
     assert!(world.end(loser, RunEnd::Stopped), "its room is held until it is over");
     assert_eq!(world.status(1), Some(JobState::Succeeded));
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -6,11 +6,13 @@
 //! - `room`, `run`: what takes a worker's room, how long still, and what stopping it would lose.
 //! - `queue`, `reorder`, `copies`, `ranking`, `claim`: copies of a unit wait at several workers, the first with room claims it.
 //! - `gather`, `gang`, `preempt`: room for all members at once, and for what is urgent.
+//! - `explain`: why a unit waits, for operators.
 //! - `headroom`, `learning`: room kept for urgent work; workers that fail or are slow.
 
 mod amounts;
 mod claim;
 mod copies;
+mod explain;
 mod gang;
 mod gather;
 mod headroom;
@@ -25,5 +27,6 @@
 mod service;
 mod types;
 
+pub use explain::{WaitReason, WaitingUnit};
 pub use placement::Placement;
 pub use types::{Decision, Held, Release, Settings, WorkerInfo, WorkerStatus};
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -127,6 +127,11 @@
         self.timers.insert((due, key));
     }
 
+    /// How many units come before one.
+    pub fn before(&self, key: Key) -> usize {
+        self.units.range(..key).count()
+    }
+
     /// Whether any unit is to be looked at again.
     pub fn is_due(&self, now: Millis) -> bool {
         self.timers.first().is_some_and(|(due, _)| *due <= now)
--- a/crates/protocol/src/internal.rs
+++ b/crates/protocol/src/internal.rs
@@ -1,7 +1,7 @@
 //! What gates and agents say to the control plane, over HTTP/1.1 with JSON bodies on the internal port.
 
 use crate::heartbeat::{FinishedRun, Resources, RunningTask, StartOrder, StopOrder, WorkerState};
-use crate::task::RunId;
+use crate::task::{JobId, RunId};
 use crate::Millis;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -23,6 +23,9 @@
 /// Status of any process, for operators.
 pub const STATUS_PATH: &str = "/internal/status";
 
+/// What the primary knows of one job or user: [`Explain`].
+pub const EXPLAIN_PATH: &str = "/internal/explain";
+
 /// Offset in the machine's port range of the control plane's internal port.
 pub const CONTROL_PORT_OFFSET: u16 = 0;
 /// Offset in the machine's port range of the gate's internal port.
@@ -59,6 +62,16 @@
     pub wait_ms: Millis,
 }
 
+/// An operator asks the primary about one thing.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Explain {
+    /// Where a job stands, and why what waits of it waits.
+    Job(JobId),
+    /// What a user has lately used.
+    User(Arc<str>),
+}
+
 /// The answer (status 421) of a process that is not the primary to what only the primary does. Nothing was done.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NotPrimary {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -9,11 +9,13 @@
 //! - `workers`: workers and the agents beside them: reports, leases, orders.
 //! - `clients`, `operators`: the calls of clients and operators.
 //! - `hedging`: second copies of hedged tasks whose run is in doubt.
+//! - [`explain`]: answers to operators about one job or user.
 //! - `share_debt`: what users have lately used, where it is switched on.
 //! - `watch`: what happens by time alone: leases that end, tasks that stand still, workers that leave.
 
 mod clients;
 pub mod event;
+pub mod explain;
 mod hedging;
 mod operators;
 mod orders;
--- a/crates/scheduler/src/runs.rs
+++ b/crates/scheduler/src/runs.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use streamusher_protocol::task::{RunId, TaskId};
+use streamusher_protocol::task::{JobId, RunId, TaskId};
 use streamusher_protocol::unit::WorkerId;
 use streamusher_protocol::Millis;
 
@@ -105,6 +105,14 @@
         self.runs.range(first..=last).find(|(_, run)| run.worker == *worker).map(|(id, _)| id.clone())
     }
 
+    /// The runs of a job.
+    pub(crate) fn of_job(&self, job: &JobId) -> impl Iterator<Item = (&RunId, &Run)> {
+        let task = TaskId { job: job.clone(), iteration: 0, step: 0, index: 0 };
+        let of_job = self.runs.range(RunId { task, run: 0 }..);
+        let job = job.clone();
+        of_job.take_while(move |(id, _)| id.task.job == job)
+    }
+
     pub(crate) fn all(&self) -> impl Iterator<Item = (&RunId, &Run)> {
         self.runs.iter()
     }
--- a/crates/scheduler/src/share_debt.rs
+++ b/crates/scheduler/src/share_debt.rs
@@ -8,7 +8,7 @@
 use streamusher_protocol::task::{JobId, RunEnd, RunId};
 use streamusher_protocol::unit::{Unit, UnitId};
 use streamusher_protocol::Millis;
-use streamusher_share_debt::{Charge, DebtBook, Settings, Version};
+use streamusher_share_debt::{Charge, DebtBook, Settings, Shown, Version};
 
 /// Waiting units that are looked at after each watch: bounded work, however many wait.
 const LOOKED_AT: usize = 256;
@@ -46,6 +46,11 @@
         })
     }
 
+    /// What a user has lately used.
+    pub(crate) fn show(&self, now: Millis, user: &Arc<str>) -> Shown {
+        self.book.show(now, user)
+    }
+
     /// What a delay must change by to move a unit that waits.
     fn least_move(&self) -> Millis {
         self.book.settings().most_delay_ms / MOVED_SHARE
@@ -138,7 +143,7 @@
     }
 
     /// Who pays for a job's tasks.
-    fn user_of(&self, job: &JobId) -> Option<Arc<str>> {
+    pub(crate) fn user_of(&self, job: &JobId) -> Option<Arc<str>> {
         let debt = self.share_debt.as_ref()?;
         let queue = self.jobs.queue_of(job)?;
         Some(debt.book.settings().user_of(&queue))
--- a/crates/scheduler/tests/stories.rs
+++ b/crates/scheduler/tests/stories.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use rstest::rstest;
+use streamusher_placement::WaitReason;
 use streamusher_protocol::heartbeat::WorkerState;
 use streamusher_protocol::internal::{ClientMethod, WorkerReport};
 use streamusher_protocol::task::RunEnd;
@@ -437,3 +438,21 @@
     world.settle(&mut agent);
     assert!(agent.stop.is_empty(), "its agent was silent");
 }
+
+#[test]
+fn a_job_is_explained_by_its_runs_and_by_what_waits() {
+    let (mut world, mut agent) = given_a_running_task();
+    let second = "0000000000000001";
+    let body = format!(r#"{{"spec":"text","steps":{ONE_TASK}}}"#);
+    world.call(ClientMethod::Post, &format!("/q/{second}"), &body);
+    world.settle(&mut agent);
+
+    let runs = world.scheduler.explain_job(world.now, &JOB.parse().unwrap()).unwrap();
+    let waits = world.scheduler.explain_job(world.now, &second.parse().unwrap()).unwrap();
+
+    assert_eq!((runs.runs.len(), runs.waiting.len()), (1, 0));
+    assert!(runs.runs[0].begun && &*runs.runs[0].worker == "i-1");
+    assert_eq!((waits.runs.len(), waits.waiting.len()), (0, 1));
+    assert_eq!(waits.waiting[0].waiting.reason, WaitReason::NoRoomIsFree);
+    assert_eq!(world.scheduler.explain_job(world.now, &"0000000000000009".parse().unwrap()), None);
+}
