In-memory fleet: tolerance of two, seven core machines, short holds, long stops, guarding workers

Drawn fleets now have 3 to 7 core machines with tolerance 1 or 2, one of three sets of bounds (hold of 3 s with stops of 2 s is new) and workers that guard their room in a quarter of them.

--- a/crates/emulator/src/fleet/setup.rs
+++ b/crates/emulator/src/fleet/setup.rs
@@ -10,6 +10,8 @@
 
 /// The services of the emulated deployment.
 pub const SERVICES: [&str; 2] = ["alpha", "beta"];
+/// Core machines, and how many of them may lose their disks at once, in drawn fleets.
+const CORES_AND_TOLERANCE: [(usize, usize); 4] = [(3, 1), (5, 1), (5, 2), (7, 2)];
 /// Workers of one rack.
 const RACK_SIZE: usize = 3;
 
@@ -26,6 +28,8 @@
     pub worker_count: usize,
     /// Core machines that may lose their disks at once.
     pub tolerance: usize,
+    /// Workers reject what does not fit.
+    pub guards: bool,
     /// Bounds.
     pub bounds: Bounds,
     /// First jobs.
@@ -49,6 +53,7 @@
             gates: 2,
             worker_count: 6,
             tolerance: 1,
+            guards: false,
             bounds: Bounds::default(),
             traffic_from: 2_000,
             traffic_until: 16_000,
@@ -61,12 +66,14 @@
     /// The small fleet, with sizes that differ from seed to seed.
     pub fn drawn(seed: u64) -> Setup {
         let mut random = Random::new(seed, 5);
-        let cores = if random.chance(0.5) { 3 } else { 5 };
-        let bounds = match random.below(2) {
+        let (cores, tolerance) = CORES_AND_TOLERANCE[random.below(CORES_AND_TOLERANCE.len())];
+        let bounds = match random.below(3) {
             0 => Bounds::default(),
-            _ => Bounds { hold_max_ms: 10_000, stop_ms: 400, restore_ms: 100, ..Bounds::default() },
+            1 => Bounds { hold_max_ms: 10_000, stop_ms: 400, restore_ms: 100, ..Bounds::default() },
+            _ => Bounds { hold_max_ms: 3_000, stop_ms: 2_000, ..Bounds::default() },
         };
-        Setup { cores, bounds, worker_count: 5 + random.below(4), ..Setup::small(seed) }
+        let guards = random.chance(0.25);
+        Setup { cores, tolerance, bounds, guards, worker_count: 5 + random.below(4), ..Setup::small(seed) }
     }
 
     /// The workers: some of each service, with racks and kinds.
@@ -90,7 +97,7 @@
             labels: vec![kind, rack.clone()],
             rack,
             capacity,
-            guards: false,
+            guards: self.guards,
             clock: WorkerClock { slow_per_mille: random.between(0, 20) },
         })
     }
--- a/crates/emulator/tests/stories.rs
+++ b/crates/emulator/tests/stories.rs
@@ -126,6 +126,38 @@
 
 // 9. Leases and holds.
 
+#[test]
+fn given_a_worker_lost_for_good_and_its_agent_restarted_when_its_hold_is_over_then_others_run_its_tasks() {
+    for seed in 0..6 {
+        let worker = seed as usize % 4;
+        let schedule = quiet()
+            .with(7_000, Fault::CrashWorker { worker, back_ms: None })
+            .with(7_600, Fault::KillAgent { worker, down_ms: 1_500 });
+        played_with(with_jobs(small(160 + seed), 60), schedule);
+    }
+}
+
+#[test]
+fn given_all_processes_killed_and_a_frozen_primary_when_old_calls_come_late_then_every_job_goes_on() {
+    for seed in 0..6 {
+        let schedule = quiet()
+            .with(6_000, Fault::FreezeCore { core: Core::Primary, for_ms: 5_000 })
+            .with(6_500, Fault::KillEverything { down_ms: 900 });
+        played_with(with_jobs(small(170 + seed), 60), schedule);
+    }
+}
+
+#[test]
+fn given_hanging_workers_when_hedged_tasks_run_there_then_they_are_done_elsewhere_and_counted_once() {
+    for seed in 0..6 {
+        let schedule = quiet()
+            .with(4_000, Fault::SlowWorker { worker: 0, speed: 0.0, for_ms: 5_000 })
+            .with(6_000, Fault::CutAgent { worker: 2, one_way: false, for_ms: 5_000 })
+            .with(9_000, Fault::KillCore { core: Core::Primary, down_ms: 1_500 });
+        played_with(with_jobs(small(180 + seed), 80), schedule);
+    }
+}
+
 #[test]
 fn given_a_worker_cut_off_for_longer_than_its_lease_when_its_tasks_are_given_away_then_none_runs_twice() {
     for worker in 0..6 {
