One reload of settings for three programs; the scheduler's stories of doubt in a file of their own

The same eight lines stood in the gate, the agent and the control plane; they are streamusher_node::settings::reload now. Stories of lost, silent, hanging and slow workers moved from stories.rs (439 lines) to doubt.rs, what both begin with to support/given.rs; no assertion changed.

--- a/crates/controlplane/src/program.rs
+++ b/crates/controlplane/src/program.rs
@@ -184,11 +184,5 @@
 /// Reads the settings anew and takes over the seeds. Addresses and bounds hold for a process's life; a file that is wrong
 /// is told at once.
 fn reload(machine: &Machine) {
-    match settings::load() {
-        Ok(settings) => {
-            log::info!("settings read again: seeds {:?}", settings.seeds);
-            machine.set_seeds(settings.core_addresses_of_seeds());
-        }
-        Err(error) => log::error!("{error}; the former settings stay"),
-    }
+    settings::reload(|settings| machine.set_seeds(settings.core_addresses_of_seeds()));
 }
--- a/crates/dataplane/src/agent_program.rs
+++ b/crates/dataplane/src/agent_program.rs
@@ -288,13 +288,7 @@
     }
 
     fn reload(&self) {
-        match settings::load() {
-            Ok(settings) => {
-                log::info!("settings read again: seeds {:?}", settings.seeds);
-                self.shared.link.set_seeds(settings.core_addresses_of_seeds());
-            }
-            Err(error) => log::error!("{error}; the former settings stay"),
-        }
+        settings::reload(|settings| self.shared.link.set_seeds(settings.core_addresses_of_seeds()));
     }
 
     fn status(&self) -> Status {
--- a/crates/node/src/settings/load.rs
+++ b/crates/node/src/settings/load.rs
@@ -65,6 +65,17 @@
     parse(&text, &name)
 }
 
+/// Reads the file again, as after SIGHUP, and hands it to `take_over`. A file that is wrong is told and changes nothing.
+pub fn reload(take_over: impl FnOnce(&Settings)) {
+    match load() {
+        Ok(settings) => {
+            log::info!("settings read again: seeds {:?}", settings.seeds);
+            take_over(&settings);
+        }
+        Err(error) => log::error!("{error}; the former settings stay"),
+    }
+}
+
 /// Reads the text of a settings file; `path` is its name in errors.
 ///
 /// # Errors
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -2,7 +2,7 @@
 
 mod load;
 
-pub use load::{load, load_from, parse, SettingsError, DEFAULT_PATH, PATH_VARIABLE};
+pub use load::{load, load_from, parse, reload, SettingsError, DEFAULT_PATH, PATH_VARIABLE};
 
 use serde::Deserialize;
 use std::collections::BTreeMap;
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! A scheduler with hand-driven agents, in virtual time. Its replicated state is a map that a successor takes over.
 #![allow(dead_code)]
 
+pub mod given;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use streamusher_protocol::heartbeat::{FinishedRun, Resources, RunningTask, StartOrder, WorkerState};
