Core machines take as many connections as their descriptors allow

Cause: ServerLimits' default of 1,024 connections held for the control plane's internal port. Each agent takes two or three (the call that waits, the one with news, idle ones); those beyond the bound waited in the kernel's queue, had no lease, gave up and came again.

Ruled out: processor time at the core (27.6% at most), memory (46 MB), the election (all sizes have the same).

Change: the internal port takes what limits.max_fds leaves beside 556 descriptors of its own (MachineLimits::connections, which gates use too); agents keep two idle connections to a core machine in place of eight; 4,096 connections may wait to be accepted.

--- a/crates/controlplane/src/program.rs
+++ b/crates/controlplane/src/program.rs
@@ -29,6 +29,10 @@
 const LONGEST_LEAVE_MS: Millis = 3_000;
 /// After handing over, answers that are on their way get this long.
 const CLOSING: Duration = Duration::from_millis(300);
+/// Descriptors for the store, the other core machines and the rest of the process.
+const OWN_DESCRIPTORS: u64 = 300;
+/// Connections of operators and redirected workers at once.
+const MOST_OPERATORS: usize = 256;
 /// A whole copy of the state comes in parts; a configuration with thousands of routes in one piece.
 const MOST_BODY: usize = 16 << 20;
 
@@ -69,9 +73,9 @@
     Ok((Machine::new(driver, peers, disk), disk_events))
 }
 
-async fn start_servers(machine: &Machine, places: &Places) -> Result<Vec<Running>> {
-    let inside = bind(places.internal).await?;
-    let outside = bind(places.control).await?;
+async fn start_servers(machine: &Machine, places: &Places, most_connections: usize) -> Result<Vec<Running>> {
+    let inside = bind(places.internal, most_connections).await?;
+    let outside = bind(places.control, MOST_OPERATORS).await?;
     let me = places.core_address().control;
     let handles = [inside.handle(), outside.handle()];
     let to_internal = machine.clone();
@@ -83,8 +87,8 @@
 }
 
 /// Listens at `address`; an earlier process may not be gone yet.
-async fn bind(address: SocketAddr) -> Result<Server> {
-    let limits = ServerLimits { max_body: MOST_BODY, ..Default::default() };
+async fn bind(address: SocketAddr, max_connections: usize) -> Result<Server> {
+    let limits = ServerLimits { max_body: MOST_BODY, max_connections, ..Default::default() };
     for _ in 1..BIND_TRIES {
         if let Ok(server) = Server::bind(address, limits.clone()) {
             return Ok(server);
@@ -116,7 +120,8 @@
     pub async fn start(settings: &Settings, share_debt: Option<share_debt::Settings>) -> Result<Process> {
         let places = parameters::places(settings)?;
         let (machine, disk_events) = start_machine(settings, &places, share_debt)?;
-        let servers = start_servers(&machine, &places).await?;
+        let most_connections = settings.limits.connections(OWN_DESCRIPTORS + MOST_OPERATORS as u64);
+        let servers = start_servers(&machine, &places, most_connections).await?;
         let longest_leave_ms = LONGEST_LEAVE_MS.min(settings.bounds.grace_ms() / 2);
         Ok(Process { machine, servers, longest_leave_ms, disk_events })
     }
--- a/crates/dataplane/src/agent_program.rs
+++ b/crates/dataplane/src/agent_program.rs
@@ -29,6 +29,9 @@
 /// How long the answers under way have at the end; the worker's holds go on without this process.
 const LEAVING: Duration = Duration::from_millis(250);
 
+/// Kept to each core machine: a call waits at the primary, and news takes a second one.
+const RESTING_CONNECTIONS: usize = 2;
+
 /// Longest id of a worker.
 const MOST_INSTANCE_BYTES: usize = 200;
 
@@ -118,7 +121,7 @@
         };
         let shared = Shared {
             agent: RefCell::new(Agent::new(agent_settings, clock::steady())),
-            link: CoreLink::new(settings.core_addresses_of_seeds(), boot),
+            link: CoreLink::new(settings.core_addresses_of_seeds(), boot, RESTING_CONNECTIONS),
             waiting: RefCell::default(),
             last_request: Cell::new(0),
             wakeup_changed: Notify::new(),
--- a/crates/dataplane/src/core/link.rs
+++ b/crates/dataplane/src/core/link.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use streamusher_node::clock;
-use streamusher_node::http::{parse_json, Answer, Call, CallError, Client};
+use streamusher_node::http::{parse_json, Answer, Call, CallError, Client, ClientLimits};
 use streamusher_protocol::internal::{
     ClusterView, ClusterWatch, CoreAddress, NotPrimary, CLUSTER_PATH, CLUSTER_WATCH_PATH,
 };
@@ -61,6 +61,7 @@
 }
 
 struct Shared {
+    limits: ClientLimits,
     finder: RefCell<CoreFinder>,
     clients: RefCell<BTreeMap<Arc<str>, Client>>,
     /// Since when no primary is known.
@@ -69,9 +70,11 @@
 }
 
 impl CoreLink {
-    /// A link that knows the seeds; [`CoreLink::run`] makes it find the primary.
-    pub fn new(seeds: Vec<CoreAddress>, seed: u64) -> CoreLink {
+    /// A link that knows the seeds; [`CoreLink::run`] makes it find the primary. `resting` is how many connections to one
+    /// member are kept while nothing is called: each takes a descriptor there too.
+    pub fn new(seeds: Vec<CoreAddress>, seed: u64, resting: usize) -> CoreLink {
         let shared = Shared {
+            limits: ClientLimits { max_idle: resting, ..ClientLimits::default() },
             finder: RefCell::new(CoreFinder::new(seeds, seed)),
             clients: RefCell::default(),
             lost_since: Cell::new(Some(clock::steady())),
@@ -272,7 +275,7 @@
         if let Some(client) = clients.get(address) {
             return Some(Target { address: Arc::clone(address), client: client.clone() });
         }
-        let client = Client::new(address.parse::<SocketAddr>().ok()?);
+        let client = Client::with_limits(address.parse::<SocketAddr>().ok()?, self.shared.limits.clone());
         clients.insert(Arc::clone(address), client.clone());
         Some(Target { address: Arc::clone(address), client })
     }
--- a/crates/dataplane/src/gate/program.rs
+++ b/crates/dataplane/src/gate/program.rs
@@ -35,6 +35,9 @@
 /// Descriptors that are not for clients: the platform's 200, and this process's own calls and listeners.
 const OWN_DESCRIPTORS: u64 = 300;
 
+/// Kept to each core machine: clients' calls come several at once.
+const RESTING_CONNECTIONS: usize = 8;
+
 /// Longest body, whatever the configuration allows: a gate has little memory, and the primary takes no more.
 const MOST_BODY: u64 = 8 << 20;
 
@@ -140,13 +143,13 @@
 }
 
 fn client_limits(settings: &Settings, limits: &Limits) -> ServerLimits {
-    let max_connections = settings.limits.max_fds.saturating_sub(OWN_DESCRIPTORS).max(16);
+    let max_connections = settings.limits.connections(OWN_DESCRIPTORS);
     ServerLimits {
         max_body: limits.max_body_bytes.min(MOST_BODY) as usize,
         max_header: limits.max_header_bytes.min(MOST_HEADER) as usize,
         body_timeout: Duration::from_millis(limits.header_timeout_ms),
         idle_timeout: Duration::from_millis(limits.idle_timeout_ms),
-        max_connections: max_connections as usize,
+        max_connections,
     }
 }
 
@@ -179,7 +182,8 @@
 impl Gate {
     /// A gate that knows the settings' seeds; [`Gate::start`] makes it work.
     pub fn new(settings: &Settings) -> Gate {
-        let link = CoreLink::new(settings.core_addresses_of_seeds(), process::random_number());
+        let link =
+            CoreLink::new(settings.core_addresses_of_seeds(), process::random_number(), RESTING_CONNECTIONS);
         Gate {
             shared: Rc::new(Shared {
                 relay: Relay::new(link.clone(), settings.internal_address(GATE_PORT_OFFSET)),
--- a/crates/dataplane/tests/relay.rs
+++ b/crates/dataplane/tests/relay.rs
@@ -125,7 +125,7 @@
 impl Member {
     fn start(core: &Core) -> Member {
         let server = Server::bind("127.0.0.1:0".parse().unwrap(), ServerLimits::default()).unwrap();
-        let link = CoreLink::new(settings(core.address).core_addresses_of_seeds(), 7);
+        let link = CoreLink::new(settings(core.address).core_addresses_of_seeds(), 7, 2);
         let relay = Relay::new(link.clone(), server.local_address().unwrap());
         let handle = server.handle();
         let (serving, member) = (relay.clone(), relay.clone());
--- a/crates/dataplane/tests/takeover.rs
+++ b/crates/dataplane/tests/takeover.rs
@@ -74,7 +74,7 @@
     for member in [&first, &second] {
         member.learns(1, &first, &[&first, &second]);
     }
-    let link = CoreLink::new(vec![core(first.address)], 1);
+    let link = CoreLink::new(vec![core(first.address)], 1, 2);
     let running = link.clone();
     tokio::task::spawn_local(async move { running.run().await });
     link.wait_for_primary(tokio::time::Instant::now() + SOON).await.expect("a primary");
--- a/crates/node/src/http/sockets.rs
+++ b/crates/node/src/http/sockets.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 
-/// New connections that may wait: a full queue drops the opening packet, which is sent again only after seconds.
-const BACKLOG: i32 = 1_024;
+/// New connections that may wait: a full queue drops the opening packet, which is sent again only after seconds. After a
+/// failover every agent connects at once.
+const BACKLOG: i32 = 4_096;
 
 /// Bytes that a peer leaves unacknowledged so long end the connection: a dead machine says nothing. Above the first two
 /// resends of a lost packet.
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -107,6 +107,16 @@
     pub disk_mb: f64,
 }
 
+/// However few descriptors there are, so many connections are taken.
+const LEAST_CONNECTIONS: u64 = 16;
+
+impl MachineLimits {
+    /// Connections that a server may hold, where the process needs so many descriptors besides.
+    pub fn connections(&self, besides: u64) -> usize {
+        self.max_fds.saturating_sub(besides).max(LEAST_CONNECTIONS) as usize
+    }
+}
+
 impl Default for MachineLimits {
     fn default() -> MachineLimits {
         MachineLimits {
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -1,7 +1,7 @@
 //! The settings file: what is read, what is ignored, and what errors say.
 
 use rstest::rstest;
-use streamusher_node::settings::{parse, Settings, SettingsError};
+use streamusher_node::settings::{parse, MachineLimits, Settings, SettingsError};
 
 const GIVEN: &str = r#"
 node_name = "front-1"
@@ -109,3 +109,15 @@
 
     assert!(error.to_string().contains("STREAMUSHER_SETTINGS"), "{error}");
 }
+
+#[rstest]
+#[case::usual(4_096, 556, 3_540)]
+#[case::few(600, 556, 44)]
+#[case::too_few(256, 556, 16)]
+fn given_descriptors_when_a_server_takes_its_part_then_the_rest_is_for_connections(
+    #[case] max_fds: u64, #[case] besides: u64, #[case] connections: usize,
+) {
+    let limits = MachineLimits { max_fds, ..MachineLimits::default() };
+
+    assert_eq!(limits.connections(besides), connections);
+}
