DRMAA front: sessions and templates stand in files of their own

src/drmaa/front.rs had 541 lines: jobs, the sessions that call for them, and the reading of templates. They are front/mod.rs (325), session.rs and template.rs now; no behaviour changes.

--- a/src/drmaa/front.rs
+++ b/src/drmaa/front/mod.rs
@@ -1,25 +1,26 @@
 //! The DRMAA front: job sessions of batch tools. Jobs outlive the connection that ran them.
+//!
+//! - `session`: connections and their calls.
+//! - `template`: what a job is asked for with.
 
-use super::{from_hex, line, Call, Error, JobInfo, JobState, JobTemplate, Said, What, LINE};
-use crate::config::Drmaa;
+mod session;
+mod template;
+
+pub(crate) use session::listen;
+
+use super::{from_hex, Error, JobInfo, JobState, JobTemplate, Said};
 use crate::core::{Answer, Front, NotTaken, Operation, Receipt};
 use crate::interface::{JobId, Micros};
-use crate::net::http::{Conn, BODY};
+use crate::net::http::BODY;
 use crate::runtime::Hub;
 use async_channel::{bounded, Receiver, Sender};
-use async_io::{Async, Timer};
+use async_io::Timer;
 use futures_lite::future;
-use slog::{info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
-/// Answers and notifications that may wait for a slow session.
-const QUEUE: usize = 256;
-/// Waits that one session may have running.
-const WAITS: usize = 256;
 /// The longest name, path or key: they are kept with each job.
 const NAME: usize = 1 << 10;
 /// Most bytes kept of inputs and outputs of all jobs.
@@ -142,7 +143,7 @@
     }
 
     fn run_job(&self, template: serde_json::Value, session: &Sender<Said>) -> Reply {
-        let template = read_template(template)?;
+        let template = template::read_template(template)?;
         let name = template.job_name.clone();
         let number = self.next.get();
         let operation = self.operation(template, number)?;
@@ -321,221 +322,4 @@
         };
         future::or(reached, late).await
     }
-
-    /// A session was told this. How a job ended is known to its client once a session was told all of it.
-    fn told(&self, said: &Said) {
-        let over = |i: &&JobInfo| matches!(i.job_state, JobState::Done | JobState::Failed);
-        let Some(info) = said.job_info.as_ref().filter(over) else { return };
-        if let Ok(receipt) = self.look(&info.job_id, |job| std::mem::take(&mut job.receipt)) {
-            receipt.written();
-        }
-    }
-
-    /// One call; those that wait are answered from a task of their own.
-    fn call(
-        &self, call: Call, session: &Sender<Said>, ended: &Receiver<()>, waits: &Rc<Cell<usize>>,
-    ) -> Option<Reply> {
-        Some(match call.what {
-            What::RunJob { job_template } => self.run_job(job_template, session),
-            What::Terminate { job_id } => self.terminate(&job_id),
-            What::GetState { job_id } => {
-                let state = self.look(&job_id, |job| job.info.job_state);
-                state.map(|s| Said { job_state: Some(s), ..Said::default() })
-            }
-            What::GetInfo { job_id } => {
-                let info = self.look(&job_id, |job| job.info.clone());
-                info.map(|i| Said { job_info: Some(i), ..Said::default() })
-            }
-            What::Reap { job_id } => match self.look(&job_id, |job| job.is_over()) {
-                Ok(true) => {
-                    job_id.parse().ok().and_then(|n: u64| self.jobs.borrow_mut().remove(&n));
-                    Ok(Said::default())
-                }
-                Ok(false) => refuse(Error::InvalidState, "the job is not over"),
-                Err(e) => Err(e),
-            },
-            What::WaitStarted { .. } | What::WaitTerminated { .. } if waits.get() >= WAITS => {
-                refuse(Error::OutOfResource, "too many waits")
-            }
-            What::WaitStarted { job_id, timeout } => {
-                self.answer_later(call.seq, job_id, timeout, true, session, ended, waits);
-                return None;
-            }
-            What::WaitTerminated { job_id, timeout } => {
-                self.answer_later(call.seq, job_id, timeout, false, session, ended, waits);
-                return None;
-            }
-            What::Suspend { .. } | What::Resume { .. } | What::Hold { .. } | What::Release { .. } => {
-                refuse(Error::UnsupportedOperation, "jobs are neither held nor suspended here")
-            }
-        })
-    }
-
-    #[allow(clippy::too_many_arguments)]
-    fn answer_later(
-        &self, seq: u64, id: String, timeout: f64, until_started: bool, session: &Sender<Said>,
-        ended: &Receiver<()>, waits: &Rc<Cell<usize>>,
-    ) {
-        let me = self.me.upgrade().expect("called through an Rc");
-        let (session, ended, waits) = (session.clone(), ended.clone(), waits.clone());
-        waits.set(waits.get() + 1);
-        self.waits.set(self.waits.get() + 1);
-        self.hub.spawn(async move {
-            let answered = async {
-                let reply = me.wait(&id, timeout, until_started).await;
-                let _ = session.send(said(seq, reply)).await;
-            };
-            let left = async {
-                let _ = ended.recv().await;
-            };
-            future::or(answered, left).await;
-            waits.set(waits.get() - 1);
-            me.waits.set(me.waits.get() - 1);
-        });
-    }
-
-    async fn session(&self, stream: Async<TcpStream>) {
-        enum Turn {
-            Call(Vec<u8>),
-            Say(Box<Said>),
-            End(Option<&'static str>),
-        }
-        let mut conn = Conn::new(stream);
-        let (say, to_say) = bounded::<Said>(QUEUE);
-        let (_open, ended) = bounded::<()>(1);
-        let waits = Rc::new(Cell::new(0));
-        loop {
-            let call = async {
-                match conn.line(LINE).await {
-                    Ok(line) => Turn::Call(line),
-                    Err(crate::net::http::Bad::TooLarge) => Turn::End(Some("the line is too long")),
-                    Err(_) => Turn::End(None),
-                }
-            };
-            let turn = future::or(
-                async { to_say.recv().await.map_or(Turn::End(None), |s| Turn::Say(Box::new(s))) },
-                call,
-            )
-            .await;
-            let text = match turn {
-                Turn::Say(text) => *text,
-                Turn::End(None) => return,
-                Turn::End(Some(why)) => {
-                    let _ = conn.write(&line(&said(0, refuse(Error::InvalidArgument, why)))).await;
-                    return;
-                }
-                Turn::Call(text) => match serde_json::from_slice::<Call>(&text) {
-                    Ok(call) => {
-                        let seq = call.seq;
-                        match self.call(call, &say, &ended, &waits) {
-                            Some(reply) => said(seq, reply),
-                            None => continue,
-                        }
-                    }
-                    Err(e) => {
-                        // Guards against a silent end: a caller is told which of its calls was not understood.
-                        let seq = serde_json::from_slice::<serde_json::Value>(&text).ok();
-                        let seq = seq.and_then(|v| v.get("seq")?.as_u64()).unwrap_or(0);
-                        said(seq, refuse(Error::InvalidArgument, format!("not a call: {e}")))
-                    }
-                },
-            };
-            if conn.write(&line(&text)).await.is_err() {
-                return;
-            }
-            self.told(&text);
-        }
-    }
-}
-
-fn said(seq: u64, reply: Reply) -> Said {
-    let said = reply.unwrap_or_else(|(error, why)| Said {
-        error: Some(error),
-        message: Some(why),
-        ..Said::default()
-    });
-    Said { seq: Some(seq), ..said }
-}
-
-/// Attributes that DRMAA v2 has and this front does not bear.
-const UNSUPPORTED: [&str; 21] = [
-    "args",
-    "submitAsHold",
-    "rerunnable",
-    "jobEnvironment",
-    "workingDirectory",
-    "email",
-    "emailOnStarted",
-    "emailOnTerminated",
-    "inputPath",
-    "outputPath",
-    "errorPath",
-    "joinFiles",
-    "reservationId",
-    "queueName",
-    "maxSlots",
-    "priority",
-    "candidateMachines",
-    "minPhysMemory",
-    "machineOS",
-    "startTime",
-    "resourceLimits",
-];
-
-fn read_template(template: serde_json::Value) -> Result<JobTemplate, (Error, String)> {
-    let known = ["remoteCommand", "jobCategory", "jobName", "minSlots", "deadlineTime", "accountingId"];
-    for name in template.as_object().into_iter().flat_map(|t| t.keys()) {
-        if UNSUPPORTED.contains(&name.as_str()) {
-            return refuse(Error::UnsupportedAttribute, name.clone());
-        }
-        let ours = ["streamusher_idempotencyKey", "streamusher_input", "streamusher_inputHex"];
-        if !known.contains(&name.as_str()) && !ours.contains(&name.as_str()) {
-            return refuse(Error::InvalidArgument, format!("{name}: no such attribute"));
-        }
-    }
-    serde_json::from_value(template).map_err(|e| (Error::InvalidArgument, e.to_string()))
-}
-
-/// Listens and serves from now on.
-pub(crate) fn listen(
-    hub: &Rc<Hub>, addr: SocketAddr, drmaa: &Drmaa, most: usize,
-) -> Result<Rc<JobTable>, String> {
-    let listener = Async::<TcpListener>::bind(addr).map_err(|e| format!("drmaa listen: {addr}: {e}"))?;
-    let addr = listener.get_ref().local_addr().map_err(|e| format!("drmaa listen: {addr}: {e}"))?;
-    info!(hub.log, "serving DRMAA"; "listen" => %addr);
-    let table = Rc::new_cyclic(|me| JobTable {
-        me: me.clone(),
-        hub: hub.clone(),
-        jobs: RefCell::default(),
-        next: Cell::new(1),
-        waits: Cell::new(0),
-        sessions: Cell::new(0),
-        max_jobs: drmaa.max_jobs,
-        keep_us: (drmaa.keep_s * 1e6) as Micros,
-    });
-    let served = table.clone();
-    hub.spawn(async move {
-        loop {
-            match listener.accept().await {
-                // Over its share of descriptors the front turns sessions away, so that the rest is served.
-                Ok((stream, _)) if served.sessions.get() >= most => {
-                    let text = line(&said(0, refuse(Error::TryLater, "too many sessions")));
-                    let _ = futures_lite::AsyncWriteExt::write(&mut &stream, &text).await;
-                }
-                Ok((stream, _)) => {
-                    let table = served.clone();
-                    table.sessions.set(table.sessions.get() + 1);
-                    served.hub.spawn(async move {
-                        table.session(stream).await;
-                        table.sessions.set(table.sessions.get() - 1);
-                    });
-                }
-                Err(e) => {
-                    warn!(served.hub.log, "a job session could not be accepted"; "error" => %e);
-                    Timer::after(Duration::from_millis(20)).await;
-                }
-            }
-        }
-    });
-    Ok(table)
 }
--- /dev/null
+++ b/src/drmaa/front/template.rs
@@ -0,0 +1,44 @@
+//! Job templates as batch tools send them.
+
+use super::refuse;
+use crate::drmaa::{Error, JobTemplate};
+
+/// Attributes that DRMAA v2 has and this front does not bear.
+const UNSUPPORTED: [&str; 21] = [
+    "args",
+    "submitAsHold",
+    "rerunnable",
+    "jobEnvironment",
+    "workingDirectory",
+    "email",
+    "emailOnStarted",
+    "emailOnTerminated",
+    "inputPath",
+    "outputPath",
+    "errorPath",
+    "joinFiles",
+    "reservationId",
+    "queueName",
+    "maxSlots",
+    "priority",
+    "candidateMachines",
+    "minPhysMemory",
+    "machineOS",
+    "startTime",
+    "resourceLimits",
+];
+
+/// Reads a template. What this front does not bear is refused by name.
+pub(super) fn read_template(template: serde_json::Value) -> Result<JobTemplate, (Error, String)> {
+    let known = ["remoteCommand", "jobCategory", "jobName", "minSlots", "deadlineTime", "accountingId"];
+    for name in template.as_object().into_iter().flat_map(|t| t.keys()) {
+        if UNSUPPORTED.contains(&name.as_str()) {
+            return refuse(Error::UnsupportedAttribute, name.clone());
+        }
+        let ours = ["streamusher_idempotencyKey", "streamusher_input", "streamusher_inputHex"];
+        if !known.contains(&name.as_str()) && !ours.contains(&name.as_str()) {
+            return refuse(Error::InvalidArgument, format!("{name}: no such attribute"));
+        }
+    }
+    serde_json::from_value(template).map_err(|e| (Error::InvalidArgument, e.to_string()))
+}
