Scheduler: what speaks against workers is kept for the next primary

Change: charges of 1.5 tasks and more are written under judgement/ID, once a second at most and when they changed by a quarter, and removed as they fade, with the worker, or when a new primary has not heard it for 10 s. A new primary starts with them.

--- a/crates/placement/src/learning.rs
+++ b/crates/placement/src/learning.rs
@@ -41,6 +41,11 @@
 }
 
 impl Charge {
+    /// One that another primary has learnt.
+    pub fn inherited(now: Millis, value: f64) -> Charge {
+        Charge { value: value.clamp(0.0, HIGHEST_CHARGE), at: now }
+    }
+
     pub fn at(&self, now: Millis) -> f64 {
         if self.value == 0.0 {
             return 0.0;
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -1,6 +1,7 @@
 //! The entry points: events in, decisions out.
 
 use crate::amounts::{amounts, dominant_share};
+use crate::learning::Charge;
 use crate::queue::{Key, Queue, Slot, Waiting};
 use crate::room::{Worker, Workers};
 use crate::run::Run;
@@ -43,6 +44,8 @@
     pub(crate) fresh: BTreeSet<Key>,
     /// Services in which room came free.
     freed: BTreeSet<Arc<str>>,
+    /// Charges that a former primary has learnt, of workers that were not told of yet.
+    inherited: BTreeMap<WorkerId, Charge>,
     /// Searches for room that the present call may still make.
     pub(crate) plans_left: usize,
     /// The latest time that was told.
@@ -61,13 +64,14 @@
             dirty: BTreeSet::new(),
             fresh: BTreeSet::new(),
             freed: BTreeSet::new(),
+            inherited: BTreeMap::new(),
             plans_left: 0,
             now: 0,
         }
     }
 
     /// A worker is new, or what it says of itself has changed.
-    pub fn worker(&mut self, _now: Millis, info: WorkerInfo) {
+    pub fn worker(&mut self, now: Millis, info: WorkerInfo) {
         let known = self.workers.slot_of(&info.id);
         let same = |slot| self.workers.get(slot).is_some_and(|worker| worker.info == info);
         if known.is_some_and(same) {
@@ -88,10 +92,34 @@
         self.services.entry(worker.info.service.clone()).or_default().add(slot, worker);
         self.freed.insert(worker.info.service.clone());
         self.dirty.insert(slot);
+        self.apply_inherited(now, slot);
+    }
+
+    /// A former primary held this against a worker, in tasks: it counts once the worker is told of, and fades from now on.
+    pub fn inherit_charge(&mut self, now: Millis, worker: WorkerId, charge: f64) {
+        self.inherited.insert(worker, Charge::inherited(now, charge));
+    }
+
+    /// What speaks against each worker now, in tasks.
+    pub fn charges(&self, now: Millis) -> impl Iterator<Item = (&WorkerId, f64)> {
+        let known = self.workers.iter().map(move |(_, worker)| (&worker.info.id, worker.charge.at(now)));
+        let inherited = self.inherited.iter().map(move |(id, charge)| (id, charge.at(now)));
+        known.chain(inherited)
+    }
+
+    fn apply_inherited(&mut self, now: Millis, slot: Slot) {
+        let Some(worker) = self.workers.get_mut(slot) else { return };
+        let Some(charge) = self.inherited.remove(&worker.info.id) else { return };
+        let change = charge.at(now) - worker.charge.at(now);
+        worker.charge = charge;
+        if let Some(service) = self.services.get_mut(&worker.info.service) {
+            service.change_charges(now, change);
+        }
     }
 
     /// A worker is gone, with all that took room there.
     pub fn worker_gone(&mut self, now: Millis, id: &WorkerId) {
+        self.inherited.remove(id);
         let Some(slot) = self.workers.slot_of(id) else { return };
         let Some(mut worker) = self.workers.remove(slot) else { return };
         if let Some(service) = self.services.get_mut(&worker.info.service) {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -10,6 +10,7 @@
 //! - `clients`, `operators`: the calls of clients and operators.
 //! - `hedging`: second copies of hedged tasks whose run is in doubt.
 //! - [`explain`]: answers to operators about one job or user.
+//! - `judgements`: what speaks against workers, kept for the next primary.
 //! - `share_debt`: what users have lately used, where it is switched on.
 //! - `watch`: what happens by time alone: leases that end, tasks that stand still, workers that leave.
 
@@ -17,6 +18,7 @@
 pub mod event;
 pub mod explain;
 mod hedging;
+mod judgements;
 mod operators;
 mod orders;
 mod recovery;
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -1,6 +1,7 @@
 //! A new primary's start: from the replicated state, and from what agents will tell.
 
 use crate::event::Effects;
+use crate::judgements::{self, Judgements};
 use crate::runs::{Phase, Run, Runs};
 use crate::scheduler::{Scheduler, Settings};
 use crate::share_debt::ShareDebt;
@@ -42,7 +43,11 @@
             .share_debt
             .clone()
             .map(|settings| ShareDebt::recover(settings, epoch, now.steady, of(&["debt/", "debt-version"])));
-        let placement = Placement::new(placement_settings(&settings));
+        let judgements = Judgements::recover(now.steady, of(&[judgements::PREFIX]));
+        let mut placement = Placement::new(placement_settings(&settings));
+        for (worker, charge) in judgements.charges() {
+            placement.inherit_charge(now.steady, worker.clone(), charge);
+        }
         let mut scheduler = Scheduler {
             settings,
             epoch,
@@ -57,6 +62,7 @@
             agents_to_look_at: BTreeSet::new(),
             calls_by_end: BTreeSet::new(),
             share_debt,
+            judgements,
             next_watch: now.steady,
             effects: Effects::default(),
         };
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -1,6 +1,7 @@
 //! The scheduler itself: takes events, joins the parts, gives out effects.
 
 use crate::event::{Effects, Event, Reply, RequestId};
+use crate::judgements::Judgements;
 use crate::runs::{Phase, Run, Runs};
 use crate::share_debt::ShareDebt;
 use crate::workers::{Agent, Worker};
@@ -72,6 +73,7 @@
     pub(crate) calls_by_end: BTreeSet<(Millis, Arc<str>)>,
     /// None where it is switched off.
     pub(crate) share_debt: Option<ShareDebt>,
+    pub(crate) judgements: Judgements,
     pub(crate) next_watch: Millis,
     pub(crate) effects: Effects,
 }
@@ -257,6 +259,8 @@
         self.lose_runs(now, id);
         self.workers.remove(id);
         self.placement.worker_gone(now.steady, id);
+        let judgement = self.judgements.forget(id);
+        self.write(judgement);
         self.write([Write::remove(format!("worker/{id}"))]);
     }
 
--- a/crates/scheduler/src/watch.rs
+++ b/crates/scheduler/src/watch.rs
@@ -37,6 +37,7 @@
         self.next_watch = now.steady + WATCH_EVERY_MS;
         self.watch_workers(now);
         self.watch_runs(now);
+        self.watch_judgements(now.steady);
         self.watch_debts(now.steady);
     }
 
