Agent: a worker that leaves with runs at work is gone when its hold is over

Change: with runs at work or offered it is leaving, reported as draining, and gone when its hold is over; unheard, when any earlier hold is. The story that expected a restarted agent to say gone at once was wrong for this cause; it now asks for the time.

--- a/crates/dataplane/src/agent/machine.rs
+++ b/crates/dataplane/src/agent/machine.rs
@@ -172,7 +172,10 @@
         self.answer_superseded(actions);
         match self.worker.as_mut().filter(|worker| worker.instance == instance) {
             Some(worker) => worker.depart(),
-            None => self.replace_worker(Worker::only_gone(instance, now, true)),
+            None => {
+                let hold_over_at = self.earlier_hold_over_at();
+                self.replace_worker(Worker::only_leaving(instance, now, hold_over_at));
+            }
         }
         self.note_gone();
     }
@@ -212,7 +215,7 @@
         }
         match (&mut self.worker, self.book.instance()) {
             (Some(worker), _) => worker.note_silent(),
-            (None, Some(instance)) => self.worker = Some(Worker::only_gone(Arc::clone(instance), now, false)),
+            (None, Some(instance)) => self.worker = Some(Worker::only_gone(Arc::clone(instance), now)),
             (None, None) => return,
         }
         self.note_gone();
--- a/crates/dataplane/src/agent/worker.rs
+++ b/crates/dataplane/src/agent/worker.rs
@@ -24,7 +24,9 @@
     Here,
     /// It has not called for so long that nothing can run there.
     Silent,
-    /// It said its last word; only a new instance comes after it.
+    /// It said its last word, and what ran there may be held for a while yet: it may end later than it says.
+    Leaving,
+    /// It said its last word, and nothing can run there; only a new instance comes after it.
     Departed,
 }
 
@@ -58,9 +60,17 @@
     }
 
     /// A worker of which only the id is known, and that nothing runs there any more.
-    pub(super) fn only_gone(instance: Arc<str>, now: Millis, departed: bool) -> Worker {
+    pub(super) fn only_gone(instance: Arc<str>, now: Millis) -> Worker {
         let mut worker = Worker::new(instance, Heartbeat::default(), now, now);
-        worker.presence = if departed { Presence::Departed } else { Presence::Silent };
+        worker.presence = Presence::Silent;
+        worker
+    }
+
+    /// A worker of which only the last word was heard; an earlier start of this agent may have granted it a hold.
+    pub(super) fn only_leaving(instance: Arc<str>, now: Millis, hold_over_at: Millis) -> Worker {
+        let mut worker = Worker::new(instance, Heartbeat::default(), now, now);
+        worker.presence = Presence::Leaving;
+        worker.hold_over_at = hold_over_at;
         worker
     }
 
@@ -87,17 +97,19 @@
     }
 
     pub(super) fn is_gone(&self) -> bool {
-        self.presence != Presence::Here
+        matches!(self.presence, Presence::Silent | Presence::Departed)
     }
 
+    /// Whether it said its last word.
     pub(super) fn is_departed(&self) -> bool {
-        self.presence == Presence::Departed
+        matches!(self.presence, Presence::Leaving | Presence::Departed)
     }
 
-    /// It said its last word: it answers for nothing that was offered.
+    /// It said its last word. Runs at work there, or offered, are held until their hold is over: it is not known when the
+    /// worker ends.
     pub(super) fn depart(&mut self) {
-        self.offered.clear();
-        self.presence = Presence::Departed;
+        let holds = !self.heartbeat.running.is_empty() || !self.offered.is_empty();
+        self.presence = if holds { Presence::Leaving } else { Presence::Departed };
     }
 
     pub(super) fn is_running(&self, task: &TaskId, run: u32) -> bool {
@@ -147,13 +159,17 @@
     /// When it is called gone if it stays silent; none if that is settled.
     pub(super) fn silent_at(&self, heartbeat_ms: Millis) -> Option<Millis> {
         let missed = self.received_at.saturating_add(silence(heartbeat_ms));
-        (!self.is_gone()).then(|| self.hold_over_at.max(missed).saturating_add(1))
+        match self.presence {
+            Presence::Here => Some(self.hold_over_at.max(missed).saturating_add(1)),
+            Presence::Leaving => Some(self.hold_over_at.saturating_add(1)),
+            Presence::Silent | Presence::Departed => None,
+        }
     }
 
     /// Nothing is held there any more, and answers that it has not had are too late.
     pub(super) fn note_silent(&mut self) {
         self.offered.clear();
-        self.presence = Presence::Silent;
+        self.presence = if self.is_departed() { Presence::Departed } else { Presence::Silent };
     }
 
     pub(super) fn report(&self, now: Millis) -> WorkerReport {
@@ -165,7 +181,7 @@
             zone: Arc::clone(&heartbeat.zone),
             capacity: heartbeat.capacity,
             labels: heartbeat.labels.clone(),
-            state: heartbeat.state,
+            state: if self.is_departed() { WorkerState::Draining } else { heartbeat.state },
             remaining_ms: heartbeat.remaining_ms,
             gone: self.is_gone(),
             silent_ms: now.saturating_sub(self.received_at),
--- a/crates/dataplane/tests/agent_presence.rs
+++ b/crates/dataplane/tests/agent_presence.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use streamusher_dataplane::agent::AgentAction;
-use streamusher_protocol::heartbeat::RunningTask;
+use streamusher_protocol::heartbeat::{RunningTask, WorkerState};
 
 #[test]
 fn given_a_silent_worker_when_its_hold_is_over_on_a_slow_clock_then_it_is_gone_and_not_before() {
@@ -113,12 +113,67 @@
 }
 
 #[test]
-fn given_a_restarted_agent_when_a_last_word_comes_then_the_primary_hears_that_the_instance_is_gone() {
+fn given_runs_at_work_when_a_last_word_comes_then_the_worker_is_gone_only_when_its_hold_is_over() {
+    let mut story = Story::in_contact();
+    story.heartbeat(heartbeat(1));
+    let answer = story.heartbeat(at_work(2, &[running(1, 1)])).unwrap();
+    let hold_over = answer.hold_ms.unwrap() * 1_000 / 980 + 50;
+
+    let actions = story.deregister("i-1");
+    story.pass(hold_over);
+    let before = story.newest_sync().worker.clone().unwrap();
+    story.end_older_syncs();
+    story.pass(50);
+
+    assert!(matches!(actions[0], AgentAction::Acknowledge { .. }));
+    assert_eq!((before.gone, before.state, before.running.len()), (false, WorkerState::Draining, 1));
+    assert!(story.newest_sync().worker.as_ref().unwrap().gone);
+}
+
+#[test]
+fn given_a_start_that_was_offered_when_a_last_word_comes_then_the_worker_is_not_gone_yet() {
+    let mut story = Story::in_contact();
+    story.heartbeat(heartbeat(1));
+    story.pass(60);
+    story.answer_sync(orders(1, 2, &[start(1, 1)]));
+    assert_eq!(story.agent.status(story.now).offered, 1);
+
+    story.deregister("i-1");
+
+    assert!(!story.agent.status(story.now).gone);
+    story.pass(LONGEST_GRANT_MS * 1_000 / 980 + 51);
+    assert!(story.agent.status(story.now).gone);
+}
+
+#[test]
+fn given_a_worker_that_said_its_last_word_when_its_hold_is_over_then_its_late_calls_count_no_more() {
+    let mut story = Story::in_contact();
+    story.heartbeat(heartbeat(1));
+    story.heartbeat(at_work(2, &[running(1, 1)]));
+    story.deregister("i-1");
+
+    let while_leaving = story.heartbeat(at_work(3, &[running(1, 1)])).unwrap();
+    story.pass(LONGEST_GRANT_MS * 1_000 / 980 + 51);
+    let late = story.heartbeat(at_work(4, &[running(1, 1)])).unwrap();
+
+    assert_eq!((while_leaving.hold_ms, late.hold_ms), (None, None));
+    assert!(story.agent.status(story.now).gone);
+}
+
+#[test]
+fn given_a_restarted_agent_when_a_last_word_comes_then_the_instance_is_gone_after_any_earlier_hold() {
     let mut story = Story::in_contact();
 
     story.deregister("i-5");
     story.pass(50);
+    let first = story.newest_sync().worker.clone().unwrap();
+    story.end_older_syncs();
+    story.pass(LONGEST_GRANT_MS * 1_000 / 980 - 2 * SYNC_INTERVAL_MS);
+    let before = story.agent.status(story.now).gone;
+    story.pass(100);
 
+    assert_eq!((&*first.instance, first.gone, first.state), ("i-5", false, WorkerState::Draining));
+    assert!(!before);
     let report = story.newest_sync().worker.clone().unwrap();
     assert_eq!((&*report.instance, report.gone), ("i-5", true));
 }
