Fleet tests: a member's datagram port is not one that others may take

Reserved datagram ports came from the range of the system's own, and were free again until the member began; relays and other stories could take them. TCP ports were already drawn below that range. The cause is inferred from the code.

Change: one function for both protocols, below that range.

--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -169,22 +169,20 @@
     pub jobs: AtomicU64,
 }
 
-fn free_tcp() -> SocketAddr {
-    // Below the ports that the system gives to outgoing connections: one of those may take a port that was free just now.
+/// An address whose port is free for both protocols and not given out before by this process.
+fn free_address() -> SocketAddr {
+    // Below the ports that the system gives out itself: one of its sockets may take a port that was free just now.
     static NEXT: AtomicU64 = AtomicU64::new(0);
     loop {
         let step = NEXT.fetch_add(1, Ordering::Relaxed) + u64::from(std::process::id()) * 131;
         let port = 12_000 + (step % 18_000) as u16;
-        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
-            return listener.local_addr().unwrap();
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
         }
     }
 }
 
-fn free_udp() -> SocketAddr {
-    UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 /// A worker that speaks DRMAA, takes its time for each job, and says how many it has.
 fn shed(running: Arc<Running>, work: Duration, bad: bool) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -241,11 +239,11 @@
         let running = Arc::new(Running::default());
         let mut members = Vec::new();
         for i in 0..plan.members {
-            let udp = free_udp();
+            let udp = free_address();
             members.push(Member {
                 program: None,
-                addr: free_tcp(),
-                mgmt: free_tcp(),
+                addr: free_address(),
+                mgmt: free_address(),
                 udp,
                 relay: Relay::start(udp, plan.seed ^ (i as u64 + 1) << 20),
             });
