--- a/crates/dataplane/src/agent/machine.rs
+++ b/crates/dataplane/src/agent/machine.rs
@@ -126,7 +126,7 @@
             return true;
         }
         let same = self.worker.as_ref().filter(|worker| worker.instance == *instance);
-        same.is_some_and(|worker| worker.is_departed() || sequence <= worker.heartbeat.sequence)
+        same.is_some_and(|worker| worker.has_deregistered() || sequence <= worker.heartbeat.sequence)
     }
 
     fn take_heartbeat(&mut self, now: Millis, instance: Arc<str>, heartbeat: Heartbeat) {
@@ -171,7 +171,7 @@
         }
         self.answer_superseded(actions);
         match self.worker.as_mut().filter(|worker| worker.instance == instance) {
-            Some(worker) => worker.depart(),
+            Some(worker) => worker.deregister(),
             None => {
                 let hold_over_at = self.earlier_hold_over_at();
                 self.replace_worker(Worker::only_leaving(instance, now, hold_over_at));
--- a/crates/dataplane/src/agent/mod.rs
+++ b/crates/dataplane/src/agent/mod.rs
@@ -56,7 +56,7 @@
         /// What it said.
         heartbeat: Heartbeat,
     },
-    /// Its worker said its last word.
+    /// Its worker deregisters.
     Deregister {
         /// Names the call in the acknowledgement.
         request: u64,
@@ -89,7 +89,7 @@
         /// The answer.
         answer: HeartbeatAnswer,
     },
-    /// Acknowledge a worker's last word.
+    /// Acknowledge a worker's deregistration.
     Acknowledge {
         /// The call.
         request: u64,
--- a/crates/dataplane/src/agent/worker.rs
+++ b/crates/dataplane/src/agent/worker.rs
@@ -24,9 +24,9 @@
     Here,
     /// It has not called for so long that nothing can run there.
     Silent,
-    /// It said its last word, and what ran there may be held for a while yet: it may end later than it says.
+    /// It has deregistered, and runs there may be held for a while yet: its process may end later.
     Leaving,
-    /// It said its last word, and nothing can run there; only a new instance comes after it.
+    /// It has deregistered, and nothing can run there; only a new instance comes after it.
     Departed,
 }
 
@@ -66,7 +66,7 @@
         worker
     }
 
-    /// A worker of which only the last word was heard; an earlier start of this agent may have granted it a hold.
+    /// A worker of which only its deregistration was heard; an earlier start of this agent may have granted it a hold.
     pub(super) fn only_leaving(instance: Arc<str>, now: Millis, hold_over_at: Millis) -> Worker {
         let mut worker = Worker::new(instance, Heartbeat::default(), now, now);
         worker.presence = Presence::Leaving;
@@ -100,14 +100,14 @@
         matches!(self.presence, Presence::Silent | Presence::Departed)
     }
 
-    /// Whether it said its last word.
-    pub(super) fn is_departed(&self) -> bool {
+    /// Whether it has deregistered.
+    pub(super) fn has_deregistered(&self) -> bool {
         matches!(self.presence, Presence::Leaving | Presence::Departed)
     }
 
-    /// It said its last word. Runs at work there, or offered, are held until their hold is over: it is not known when the
+    /// It deregisters. Runs at work there, or offered, are held until their hold is over: it is not known when the
     /// worker ends.
-    pub(super) fn depart(&mut self) {
+    pub(super) fn deregister(&mut self) {
         let holds = !self.heartbeat.running.is_empty() || !self.offered.is_empty();
         self.presence = if holds { Presence::Leaving } else { Presence::Departed };
     }
@@ -169,7 +169,7 @@
     /// Nothing is held there any more, and answers that it has not had are too late.
     pub(super) fn note_silent(&mut self) {
         self.offered.clear();
-        self.presence = if self.is_departed() { Presence::Departed } else { Presence::Silent };
+        self.presence = if self.has_deregistered() { Presence::Departed } else { Presence::Silent };
     }
 
     pub(super) fn report(&self, now: Millis) -> WorkerReport {
@@ -181,7 +181,7 @@
             zone: Arc::clone(&heartbeat.zone),
             capacity: heartbeat.capacity,
             labels: heartbeat.labels.clone(),
-            state: if self.is_departed() { WorkerState::Draining } else { heartbeat.state },
+            state: if self.has_deregistered() { WorkerState::Draining } else { heartbeat.state },
             remaining_ms: heartbeat.remaining_ms,
             gone: self.is_gone(),
             silent_ms: now.saturating_sub(self.received_at),
--- a/crates/dataplane/tests/agent_presence.rs
+++ b/crates/dataplane/tests/agent_presence.rs
@@ -98,7 +98,7 @@
 }
 
 #[test]
-fn given_a_last_word_when_it_comes_then_it_is_acknowledged_at_once_and_the_worker_is_gone() {
+fn given_a_deregistration_when_it_comes_then_it_is_acknowledged_at_once_and_the_worker_is_gone() {
     let mut story = Story::in_contact();
     story.heartbeat(draining(1));
     story.pass(60);
@@ -113,7 +113,7 @@
 }
 
 #[test]
-fn given_runs_at_work_when_a_last_word_comes_then_the_worker_is_gone_only_when_its_hold_is_over() {
+fn given_runs_at_work_when_the_worker_deregisters_then_the_worker_is_gone_only_when_its_hold_is_over() {
     let mut story = Story::in_contact();
     story.heartbeat(heartbeat(1));
     let answer = story.heartbeat(at_work(2, &[running(1, 1)])).unwrap();
@@ -131,7 +131,7 @@
 }
 
 #[test]
-fn given_a_start_that_was_offered_when_a_last_word_comes_then_the_worker_is_not_gone_yet() {
+fn given_a_start_that_was_offered_when_the_worker_deregisters_then_the_worker_is_not_gone_yet() {
     let mut story = Story::in_contact();
     story.heartbeat(heartbeat(1));
     story.pass(60);
@@ -146,7 +146,7 @@
 }
 
 #[test]
-fn given_a_worker_that_said_its_last_word_when_its_hold_is_over_then_its_late_calls_count_no_more() {
+fn given_a_worker_that_has_deregistered_when_its_hold_is_over_then_its_late_calls_count_no_more() {
     let mut story = Story::in_contact();
     story.heartbeat(heartbeat(1));
     story.heartbeat(at_work(2, &[running(1, 1)]));
@@ -161,7 +161,7 @@
 }
 
 #[test]
-fn given_a_restarted_agent_when_a_last_word_comes_then_the_instance_is_gone_after_any_earlier_hold() {
+fn given_a_restarted_agent_when_the_worker_deregisters_then_the_instance_is_gone_after_any_earlier_hold() {
     let mut story = Story::in_contact();
 
     story.deregister("i-5");
--- a/crates/emulator/src/fleet/agent.rs
+++ b/crates/emulator/src/fleet/agent.rs
@@ -20,7 +20,7 @@
 const SYNC_LIMIT_MS: Millis = 1_200;
 /// A message inside a machine.
 const LOCAL_MS: Millis = 1;
-/// From the answer to a worker's last word to its end.
+/// From the answer to a worker's deregistration to its end.
 const LEAVES_AFTER_MS: Millis = 50;
 
 /// An agent's process.
--- a/crates/emulator/src/fleet/event.rs
+++ b/crates/emulator/src/fleet/event.rs
@@ -37,9 +37,9 @@
     HeartbeatAnswer { worker: WorkerIndex, life: u32, sequence: u64, answer: Arc<HeartbeatAnswer> },
     /// Nobody listened.
     HeartbeatFailed { worker: WorkerIndex, life: u32, sequence: u64 },
-    /// A worker's last word arrives at its agent.
+    /// A worker's deregistration arrives at its agent.
     Deregister { machine: MachineId, worker: WorkerIndex, life: u32, instance: Arc<str> },
-    /// A worker ends after its last word.
+    /// A worker ends after its deregistration.
     WorkerGone { worker: WorkerIndex, life: u32 },
     /// A worker's own timer.
     WorkerTimer { worker: WorkerIndex, life: u32, timer: Timer },
--- a/crates/emulator/src/fleet/plant.rs
+++ b/crates/emulator/src/fleet/plant.rs
@@ -8,7 +8,7 @@
 
 /// A message inside a machine.
 const LOCAL_MS: Millis = 1;
-/// After its last word a worker ends even if nobody acknowledges it.
+/// After its deregistration a worker ends even if nobody acknowledges it.
 const ENDS_REGARDLESS_MS: Millis = 2_000;
 
 impl Fleet {
@@ -86,7 +86,7 @@
         self.plant.start_worker(self.now, worker);
     }
 
-    /// A worker ends after its last word, acknowledged or not.
+    /// A worker ends after its deregistration, acknowledged or not.
     pub(crate) fn worker_gone(&mut self, worker: WorkerIndex, life: u32) {
         let state = &self.plant.workers[worker];
         if state.up && state.life == life {
--- a/crates/emulator/src/fleet/troubles.rs
+++ b/crates/emulator/src/fleet/troubles.rs
@@ -292,7 +292,7 @@
             Fault::DrainWorker { worker, after_ms, back_ms } => {
                 self.worker_trouble(worker, 0);
                 self.plant.drain_worker(now, worker, after_ms);
-                // It has ended by then, whether its last word was acknowledged or not.
+                // It has ended by then, whether its deregistration was acknowledged or not.
                 self.queue.push(now + after_ms + 2_500 + back_ms, Event::WorkerStart { worker });
             }
             _ => {}
--- a/crates/emulator/src/plant/mod.rs
+++ b/crates/emulator/src/plant/mod.rs
@@ -48,7 +48,7 @@
     Timer { at: Millis, worker: WorkerIndex, life: u32, timer: Timer },
     /// A heartbeat to the worker's machine.
     Heartbeat { worker: WorkerIndex, heartbeat: Box<Heartbeat> },
-    /// A last word to the worker's machine.
+    /// A deregistration, to the worker's machine.
     Deregister { worker: WorkerIndex, instance: Arc<str> },
     /// A run has begun; `used` is what then runs there, itself included.
     Started { worker: WorkerIndex, run: RunId, spec: Arc<str>, checkpoint: Arc<str>, used: Resources },
--- a/crates/emulator/tests/search.rs
+++ b/crates/emulator/tests/search.rs
@@ -44,8 +44,8 @@
 #[rstest]
 #[case::worker_and_agent_lost_together(1992)]
 #[case::call_of_a_dead_start(3669)]
-#[case::last_word_with_runs_at_work(21092)]
-#[case::last_word_with_runs_at_work_again(23831)]
+#[case::deregistration_with_runs_at_work(21092)]
+#[case::deregistration_with_runs_at_work_again(23831)]
 fn given_a_day_that_broke_a_rule_once_when_it_is_played_then_it_breaks_none(#[case] seed: u64) {
     let outcome = search::play(seed, false);
 
--- a/crates/placement/src/claim.rs
+++ b/crates/placement/src/claim.rs
@@ -2,12 +2,12 @@
 
 use crate::amounts::{amounts, times};
 use crate::copies::ANYWHERE_MS;
-use crate::placement::{held_of, Placement};
+use crate::placement::Placement;
 use crate::queue::{Key, Slot, Waiting};
 use crate::room::{Insistence, Worker};
 use crate::run::Run;
 use crate::service::Service;
-use crate::types::Decision;
+use crate::types::{Decision, Held};
 use std::collections::BTreeMap;
 use streamusher_protocol::heartbeat::Resources;
 use streamusher_protocol::task::TaskId;
@@ -97,7 +97,7 @@
         let Some(waiting) = self.taken_from_queue(key, &on) else { return };
         let mut placed = Vec::with_capacity(on.len());
         for (task, slot) in on {
-            let run = Run::new(now, held_of(&waiting.unit));
+            let run = Run::new(now, Held::from(&waiting.unit));
             let Some(worker) = self.workers.get_mut(slot) else { continue };
             let id = worker.info.id.clone();
             worker.take(&task, run);
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -220,7 +220,7 @@
     pub fn withdraw(&mut self, unit: &UnitId) {
         let Some(key) = self.queue.key_of(unit) else { return };
         let Some(waiting) = self.drop_waiting(key) else { return };
-        self.note_demand(self.now, &held_of(&waiting.unit), -1.0);
+        self.note_demand(self.now, &Held::from(&waiting.unit), -1.0);
     }
 
     /// What can be started or preempted now. Cheap when nothing has changed and nothing is due.
@@ -366,17 +366,3 @@
         open: false,
     }
 }
-
-/// What is known of the runs of a unit.
-pub(crate) fn held_of(unit: &Unit) -> Held {
-    Held {
-        unit: unit.id.clone(),
-        resources: unit.resources,
-        service: unit.service.clone(),
-        priority: unit.priority,
-        checkpoints: unit.checkpoints,
-        long_running: unit.long_running,
-        gang: unit.id.index.is_none(),
-        estimated_ms: unit.estimated_ms,
-    }
-}
--- a/crates/placement/src/types.rs
+++ b/crates/placement/src/types.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use streamusher_protocol::heartbeat::Resources;
 use streamusher_protocol::task::{RunEnd, TaskId};
-use streamusher_protocol::unit::{UnitId, WorkerId};
+use streamusher_protocol::unit::{Unit, UnitId, WorkerId};
 use streamusher_protocol::Millis;
 
 /// What the operators' pages fix.
@@ -59,6 +59,22 @@
     pub estimated_ms: Millis,
 }
 
+impl From<&Unit> for Held {
+    /// What a run of a task of this unit takes.
+    fn from(unit: &Unit) -> Held {
+        Held {
+            unit: unit.id.clone(),
+            resources: unit.resources,
+            service: unit.service.clone(),
+            priority: unit.priority,
+            checkpoints: unit.checkpoints,
+            long_running: unit.long_running,
+            gang: unit.id.index.is_none(),
+            estimated_ms: unit.estimated_ms,
+        }
+    }
+}
+
 /// How a run gave its room back.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Release {
--- a/crates/placement/tests/claims.rs
+++ b/crates/placement/tests/claims.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use rstest::rstest;
-use streamusher_placement::{Decision, WorkerInfo};
+use streamusher_placement::{Decision, Held, WorkerInfo};
 use streamusher_protocol::task::RunEnd;
 use streamusher_protocol::unit::Unit;
 
@@ -170,13 +170,13 @@
 fn given_runs_known_before_their_worker_when_it_reports_then_their_room_is_taken() {
     let mut cluster = Cluster::new(1, []);
     let before = unit(1, 700, 2);
-    cluster.placement.occupy(cluster.now, &task(1), &"w1".into(), held(&before));
+    cluster.placement.occupy(cluster.now, &task(1), &"w1".into(), Held::from(&before));
     cluster.worker(worker("w1", 1_000, "r1"));
     cluster.enqueue(unit(2, 400, 2));
     assert!(cluster.run_for(200).is_empty());
     let used: Vec<u64> = cluster.placement.workers().map(|status| status.used.cpu).collect();
     assert_eq!(used, [700]);
-    cluster.placement.occupy(cluster.now, &task(1), &"w1".into(), held(&before));
+    cluster.placement.occupy(cluster.now, &task(1), &"w1".into(), Held::from(&before));
     let used: Vec<u64> = cluster.placement.workers().map(|status| status.used.cpu).collect();
     assert_eq!(used, [700], "told twice, counted once");
 }
--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use streamusher_placement::{Decision, Held, Placement, Release, Settings, WorkerInfo};
+use streamusher_placement::{Decision, Placement, Release, Settings, WorkerInfo};
 use streamusher_protocol::heartbeat::Resources;
 use streamusher_protocol::task::{RunEnd, TaskId};
 use streamusher_protocol::unit::{StepId, Unit, UnitId, WorkerId};
@@ -70,19 +70,6 @@
     }
 }
 
-pub fn held(unit: &Unit) -> Held {
-    Held {
-        unit: unit.id.clone(),
-        resources: unit.resources,
-        service: unit.service.clone(),
-        priority: unit.priority,
-        checkpoints: unit.checkpoints,
-        long_running: unit.long_running,
-        gang: unit.id.index.is_none(),
-        estimated_ms: unit.estimated_ms,
-    }
-}
-
 pub struct Entry {
     pub unit: Unit,
     pub since: Millis,
--- a/crates/placement/tests/reorder.rs
+++ b/crates/placement/tests/reorder.rs
@@ -3,14 +3,14 @@
 mod common;
 
 use common::*;
-use streamusher_placement::{Decision, Placement, Release};
+use streamusher_placement::{Decision, Held, Placement, Release};
 use streamusher_protocol::unit::Unit;
 
 /// A worker that is full, and units that wait for it.
 fn given_waiting(units: &[Unit]) -> Placement {
     let mut placement = Placement::new(settings(1));
     placement.worker(0, worker("w", 1_000, "r"));
-    placement.occupy(0, &task(999), &"w".into(), held(&unit(999, 1_000, 1)));
+    placement.occupy(0, &task(999), &"w".into(), Held::from(&unit(999, 1_000, 1)));
     units.iter().for_each(|unit| placement.enqueue(0, unit.clone()));
     assert!(placement.place(300).is_empty());
     placement
--- a/crates/protocol/src/heartbeat.rs
+++ b/crates/protocol/src/heartbeat.rs
@@ -7,7 +7,7 @@
 
 /// Path of a heartbeat, before the worker's id.
 pub const HEARTBEAT_PATH: &str = "/streamusher/Instances.Heartbeat/";
-/// Path of a worker's last word, before its id.
+/// Path of a worker's deregistration, before its id.
 pub const DEREGISTER_PATH: &str = "/streamusher/Instances.Deregister/";
 
 /// Amounts of a worker's room, or of what a task takes of it.
--- a/crates/protocol/src/internal.rs
+++ b/crates/protocol/src/internal.rs
@@ -99,7 +99,7 @@
     /// While it drains: how long it is still there, at least.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub remaining_ms: Option<Millis>,
-    /// It said its last word, or its hold was over without a heartbeat: nothing runs there any more, and nothing that
+    /// It has deregistered, or its hold was over without a heartbeat: nothing runs there any more, and nothing that
     /// was ordered will.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub gone: bool,
--- a/crates/scheduler/src/workers.rs
+++ b/crates/scheduler/src/workers.rs
@@ -21,7 +21,7 @@
     pub(crate) sequence: u64,
     /// While it drains: when it may be gone.
     pub(crate) leaves_at: Option<Millis>,
-    /// Its last word was heard, or its holds are over.
+    /// It has deregistered, or its holds are over.
     pub(crate) gone: bool,
     /// It has not called its agent for too long to be given work.
     pub(crate) silent: bool,
