Orders refused before their base is current stay refused; names by the sha2 crate

Need: an order that builds on a version to come was answered 412 and, when a copy of it that was held up on its way came after that version, taken: a refused configuration was in force. A repeat of an order older than the 4,096 that are kept was answered 412 though it had been acknowledged. Ruled out: 503 for every base above the current one, as the protocol asks for 412 where another version is current. Change: such refusals are written with the state (refused/NAME) before they are answered, and forgotten once the current version is beyond their base; at most 1,024, further ones get 503. What may have been forgotten is answered 503.

--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -9,16 +9,17 @@
 //! - [`routes`]: choice of the route by host and longest prefix.
 //! - [`relay`]: how the newest configuration reaches every process of the data plane.
 //! - [`order`]: stable names of orders, and the record of those that were taken.
+//! - [`refusal`]: orders that were refused before the version on which they build was current.
 //!
 //! Nothing here does I/O (but for [`file::check_file`], which reads its file) and nothing here knows the time.
 
 pub mod checks;
-mod digest;
 pub mod document;
 pub mod error;
 mod fault;
 pub mod file;
 pub mod order;
+pub mod refusal;
 pub mod relay;
 pub mod routes;
 pub mod store;
--- a/crates/configuration/src/order.rs
+++ b/crates/configuration/src/order.rs
@@ -1,8 +1,8 @@
 //! Stable names of orders, and the record of those that were taken: a repeated order is acknowledged again.
 
-use crate::digest::sha256;
 use crate::error::RecordError;
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write as _;
 use std::sync::Arc;
@@ -28,15 +28,13 @@
 
 /// The key of an order's record: the same for the same kind, base version and body, on every machine and for ever.
 pub fn order_key(kind: OrderKind, base: u64, body: &str) -> Arc<str> {
-    let mut message = Vec::with_capacity(body.len() + 9);
-    message.push(match kind {
-        OrderKind::Replace => b'r',
-        OrderKind::Update => b'u',
-    });
-    message.extend_from_slice(&base.to_be_bytes());
-    message.extend_from_slice(body.as_bytes());
+    let kind = match kind {
+        OrderKind::Replace => b"r",
+        OrderKind::Update => b"u",
+    };
+    let digest = Sha256::new().chain_update(kind).chain_update(base.to_be_bytes()).chain_update(body);
     let mut key = String::from(ORDER_PREFIX);
-    for byte in &sha256(&message)[..NAME_BYTES] {
+    for byte in &digest.finalize()[..NAME_BYTES] {
         // Writing to a text cannot fail.
         let _ = write!(key, "{byte:02x}");
     }
@@ -84,6 +82,13 @@
         same.then_some(taken.version)
     }
 
+    /// Whether an order that builds on `base` may have been taken and forgotten since. The orders that are kept build on
+    /// rising versions, so it lies before all of them.
+    pub fn may_have_forgotten(&self, base: u64) -> bool {
+        let oldest = self.by_version.first_key_value().and_then(|(_, key)| self.by_key.get(key));
+        self.by_version.len() >= MOST_ORDERS && oldest.is_some_and(|oldest| base < oldest.base)
+    }
+
     /// Keeps an order; returns what to write for it and for those that are dropped.
     pub fn take(&mut self, key: Arc<str>, order: TakenOrder) -> Vec<Write> {
         let TakenOrder { version, base, length } = order;
--- a/crates/configuration/src/store.rs
+++ b/crates/configuration/src/store.rs
@@ -4,6 +4,7 @@
 use crate::document;
 use crate::error::{ConfigurationError, RecordError};
 use crate::order::{order_key, OrderKind, TakenOrder, TakenOrders, ORDER_PREFIX};
+use crate::refusal::{Refusals, REFUSAL_PREFIX};
 use crate::relay::Published;
 use crate::routes::RouteTable;
 use crate::wire::{parse_configuration, WHITE_SPACE};
@@ -29,10 +30,18 @@
         /// The version that it made.
         version: u64,
     },
-    /// It builds on another version than the current one: 412.
+    /// It builds on another version than the current one: 412, once the writes are committed.
     Stale {
         /// The current version; 0 for none.
         current: u64,
+        /// What keeps it refused when the version on which it builds becomes current.
+        writes: Vec<Write>,
+    },
+    /// It builds on a version so old that it is no longer known whether it was taken, or on one to come while too many such
+    /// orders are kept: 503, as it is neither acknowledged nor refused.
+    Undecided {
+        /// The current version; 0 for none.
+        current: u64,
     },
     /// It is invalid: 400.
     Invalid(ConfigurationError),
@@ -45,6 +54,7 @@
     /// The version on which the current one builds and the update that made it, where it was an update.
     update: Option<(u64, Arc<str>)>,
     orders: TakenOrders,
+    refusals: Refusals,
     routes: RouteTable,
 }
 
@@ -73,6 +83,8 @@
                 store.recover_current(value)?;
             } else if key.starts_with(ORDER_PREFIX) {
                 store.orders.recover(key, &value)?;
+            } else if key.starts_with(REFUSAL_PREFIX) {
+                store.refusals.recover(key, &value)?;
             }
         }
         store.check_recovered()?;
@@ -118,12 +130,13 @@
 
     fn order(&mut self, kind: OrderKind, base: u64, body: &str) -> Outcome {
         let key = order_key(kind, base, body);
-        if let Some(version) = self.orders.find(&key, base, body) {
+        let known = self.orders.find(&key, base, body).filter(|_| !cfg!(feature = "mutant-repeats"));
+        if let Some(version) = known {
             return Outcome::Again { version };
         }
         let current = self.version();
-        if base != current {
-            return Outcome::Stale { current };
+        if base != current || self.refusals.contains(&key) {
+            return self.refuse(&key, base, current);
         }
         match self.result_of(kind, body) {
             Ok(next) => {
@@ -134,6 +147,21 @@
         }
     }
 
+    /// Refuses an order that does not build on the current version. A repeat that comes late must be refused as well, so one
+    /// that builds on a version to come is remembered.
+    fn refuse(&mut self, order: &str, base: u64, current: u64) -> Outcome {
+        if base < current && self.orders.may_have_forgotten(base) {
+            return Outcome::Undecided { current };
+        }
+        if base <= current || cfg!(feature = "mutant-refusals") {
+            return Outcome::Stale { current, writes: Vec::new() };
+        }
+        match self.refusals.refuse(order, base) {
+            Some(writes) => Outcome::Stale { current, writes },
+            None => Outcome::Undecided { current },
+        }
+    }
+
     /// The configuration that an order makes, checked.
     fn result_of(&self, kind: OrderKind, body: &str) -> Result<Current, ConfigurationError> {
         let text: Arc<str> = match kind {
@@ -152,6 +180,7 @@
         let version = next.configuration.version;
         let order = TakenOrder { version, base, length: body.len() as u64 };
         let mut writes = self.orders.take(key, order);
+        writes.extend(self.refusals.forget_below(version));
         writes.push(Write::set(CURRENT_KEY, next.text.clone()));
         self.set_current(next);
         Outcome::Taken { version, writes }
--- a/crates/configuration/tests/support/mod.rs
+++ b/crates/configuration/tests/support/mod.rs
@@ -85,6 +85,13 @@
     version
 }
 
+/// Refuses an order as stale, and commits what is written for that; returns the current version.
+pub fn refuse(outcome: Outcome, records: &mut Records) -> u64 {
+    let Outcome::Stale { current, writes } = outcome else { panic!("not refused: {outcome:?}") };
+    records.commit(writes);
+    current
+}
+
 /// A store that holds `sample(version)`, and its records.
 pub fn store_with(version: u64) -> (ConfigurationStore, Records) {
     let (mut store, mut records) = (ConfigurationStore::new(), Records::default());
--- a/crates/scheduler/src/operators.rs
+++ b/crates/scheduler/src/operators.rs
@@ -43,9 +43,14 @@
                 answer(200, json!({ "version": version }))
             }
             Outcome::Again { version } => answer(200, json!({ "version": version })),
-            Outcome::Stale { current } => {
+            Outcome::Stale { current, writes } => {
+                self.write(writes);
                 answer(412, json!({ "error": "another version is current", "version": current }))
             }
+            Outcome::Undecided { current } => answer(
+                503,
+                json!({ "error": "no longer known whether this was taken: read the configuration", "version": current }),
+            ),
             Outcome::Invalid(error) => {
                 log::info!("configuration refused: {error}");
                 answer(400, json!({ "error": error.to_string() }))
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -38,7 +38,7 @@
             records.iter().filter(move |(key, _)| wanted(key)).cloned()
         };
         let jobs = JobBook::recover(job_settings(&settings), now, of(&["job/", "task/"]))?;
-        let configuration = ConfigurationStore::recover(of(&["config/", "order/"]))?;
+        let configuration = ConfigurationStore::recover(of(&["config/", "order/", "refused/"]))?;
         let share_debt = settings
             .share_debt
             .clone()
