Members that leave or are replaced go before the next loss; copies survive late words

A machine that replaced a dead one at another address was added beside it, which went after 5 s of silence only. With three core machines that left two of four members after the next lost disk, and lost disks never vote again: no primary for ever. Now a machine is not added beside a member in doubt, and takes the place of one that has been silent for a second. 2. A machine that is told to end stayed a member of an even number. It is now removed at once, and ends after that. 3. The machine that leaves could end, and the primary lose its disk, before any other had the record of the removal on disk. Those removed now hear of it when more members hold the record than disks may be lost (Alive carries the epoch that is on disk). 4. A word 'send me part 0' that came late set a whole copy back, and the receiver's further words were beyond what had been sent since: the copy stood still for 3 s and then rested for 2 s. The receiver is now believed. Ruled out for 3: a fixed time, as no time is surely enough.

--- a/crates/coordination/src/backup.rs
+++ b/crates/coordination/src/backup.rs
@@ -24,6 +24,7 @@
         self.witness.standing = false;
         self.refusals = 0;
         self.disk.put_witness(&self.witness);
+        self.disk.then(Effect::Recorded { epoch: record.epoch });
         self.proposal = None;
         self.stand_at = None;
         self.early.clear();
@@ -64,15 +65,16 @@
         self.promised_at = self.now;
         self.primary_heard = Some(self.now);
         let leaving = self.leaving.is_some();
-        let (from_id, position) = (self.witness.id, self.synced);
-        self.send(from.clone(), Message::Alive { from: from_id, reign, sent, position, leaving });
+        let (from_id, position, recorded) = (self.witness.id, self.synced, self.recorded);
+        self.send(from.clone(), Message::Alive { from: from_id, reign, sent, position, leaving, recorded });
     }
 
     /// Tells the primary at once that this replica leaves.
     pub(crate) fn say_leaving(&mut self) {
         let Some(to) = self.primary_address() else { return };
         let (from, reign, position) = (self.witness.id, self.witness.decided.reign, self.synced);
-        self.send(to, Message::Alive { from, reign, sent: 0, position, leaving: true });
+        let recorded = self.recorded;
+        self.send(to, Message::Alive { from, reign, sent: 0, position, leaving: true, recorded });
     }
 
     fn primary_address(&self) -> Option<Arc<str>> {
--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -4,6 +4,7 @@
 use crate::copy::IncomingCopy;
 use crate::disk::{DiskQueue, Effect};
 use crate::message::{Batch, Message};
+use crate::peer::Acknowledged;
 use crate::proposal::{Promise, Proposal};
 use crate::recent::Recent;
 use crate::reign::Reign;
@@ -35,6 +36,8 @@
     started: bool,
     pub(crate) disk: DiskQueue,
     pub(crate) witness: WitnessState,
+    /// Epoch of the newest record that is synced.
+    pub(crate) recorded: u64,
     /// The state in memory and its position; the disk follows.
     pub(crate) state: StateMap,
     pub(crate) applied: Position,
@@ -72,6 +75,7 @@
         let mut random = Pcg64Mcg::seed_from_u64(settings.random_seed);
         let mut witness = image.witness.unwrap_or_else(|| first_witness(&settings, &mut random));
         witness.starts += 1;
+        let recorded = witness.decided.epoch;
         let mut disk = DiskQueue::default();
         disk.put_witness(&witness);
         disk.then(Effect::Started);
@@ -83,6 +87,7 @@
             started: false,
             disk,
             witness,
+            recorded,
             state: image.state,
             applied: image.position,
             synced: image.position,
@@ -232,8 +237,8 @@
             Message::Accepted { from, instance, ballot } => self.on_accepted(from, instance, ballot),
             Message::Refused { instance, promise } => self.on_refused(instance, promise),
             Message::Keepalive { record, sent } => self.on_keepalive(from, record, sent),
-            Message::Alive { from, reign, sent, position, leaving } => {
-                self.on_alive(from, reign, sent, position, leaving);
+            Message::Alive { from, reign, sent, position, leaving, recorded } => {
+                self.on_alive(from, reign, sent, Acknowledged { position, leaving, recorded });
             }
             Message::Append { from: id, epoch, reign, batch } => {
                 self.on_append(from, id, epoch, reign, batch)
@@ -282,6 +287,7 @@
             Effect::Send { to, message } => self.send(to, message),
             Effect::Open { epoch } => self.open_reign(epoch),
             Effect::Acknowledge => self.acknowledge(),
+            Effect::Recorded { epoch } => self.recorded = epoch,
         }
     }
 }
--- a/crates/coordination/src/copy.rs
+++ b/crates/coordination/src/copy.rs
@@ -47,14 +47,17 @@
         }
     }
 
-    /// The receiver wants this part next; the first again, if it has restarted.
+    /// The receiver wants this part next; the first again, if it has restarted. As such a word may also be one that was held up
+    /// on its way, a receiver that has more is believed, whatever was sent since: it has nothing but parts of this copy.
     pub fn acknowledge(&mut self, next: u64, now: Millis) {
         if next == 0 && self.acknowledged > 0 {
             self.acknowledged = 0;
             self.sent = 0;
         }
-        if next > self.acknowledged && next <= self.sent {
+        let known = if cfg!(feature = "mutant-late-word") { self.sent } else { self.starts.len() as u64 };
+        if next > self.acknowledged && next <= known {
             self.acknowledged = next;
+            self.sent = self.sent.max(next);
             self.progress_at = now;
             self.repeat_at = now + REPEAT_MS;
         }
--- a/crates/coordination/src/disk.rs
+++ b/crates/coordination/src/disk.rs
@@ -19,6 +19,8 @@
     Open { epoch: u64 },
     /// The primary is told what is synced.
     Acknowledge,
+    /// The record of this epoch is on the disk.
+    Recorded { epoch: u64 },
 }
 
 #[derive(Debug)]
--- a/crates/coordination/src/message.rs
+++ b/crates/coordination/src/message.rs
@@ -96,6 +96,9 @@
         position: Position,
         /// It is about to end.
         leaving: bool,
+        /// Epoch of the newest record on its disk; 0 from a machine of an earlier release.
+        #[serde(default)]
+        recorded: u64,
     },
     /// A batch to apply and sync.
     Append {
--- a/crates/coordination/src/peer.rs
+++ b/crates/coordination/src/peer.rs
@@ -6,6 +6,17 @@
 use std::sync::Arc;
 use streamusher_protocol::Millis;
 
+/// What a member says of itself with an acknowledgement.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Acknowledged {
+    /// The position that it has synced.
+    pub position: Position,
+    /// It is about to end.
+    pub leaving: bool,
+    /// Epoch of the newest record on its disk.
+    pub recorded: u64,
+}
+
 /// Another member, as the primary sees it.
 #[derive(Debug)]
 pub(crate) struct Peer {
@@ -25,6 +36,8 @@
     /// Unacknowledged batches count from here at the earliest.
     pub excused_until: Millis,
     pub leaving: bool,
+    /// Epoch of the newest record that is on its disk.
+    pub recorded: u64,
     /// The newest record names it as a replica.
     pub is_replica: bool,
     /// It is not taken as a replica before.
@@ -47,6 +60,7 @@
             repeat_ms: REPEAT_MS,
             excused_until: now,
             leaving: false,
+            recorded: 0,
             is_replica: false,
             slow_until: 0,
             learner: false,
--- a/crates/coordination/src/proposer.rs
+++ b/crates/coordination/src/proposer.rs
@@ -117,16 +117,50 @@
         }
     }
 
-    /// A record was decided by this proposer: members old and new hear of it.
+    /// A record was decided by this proposer: its members hear of it at once, and those whom it removes when enough members
+    /// have it on disk.
     fn announce(&mut self, record: Arc<EpochRecord>) {
         let former = self.witness.decided.clone();
         self.learn(record.clone());
-        let members = former.members.iter().chain(&record.members);
-        let addresses: BTreeSet<Arc<str>> = members.map(|member| member.address.internal.clone()).collect();
-        for to in addresses {
-            if to != self.settings.me.internal {
-                self.send(to, Message::Decided { record: record.clone() });
-            }
+        let me = self.witness.id;
+        for member in record.members.iter().filter(|member| member.id != me) {
+            self.send(member.address.internal.clone(), Message::Decided { record: record.clone() });
+        }
+        let removed = former.members.iter().filter(|member| !record.is_member(member.id));
+        let removed: Vec<(u64, Arc<str>)> =
+            removed.map(|member| (record.epoch, member.address.internal.clone())).collect();
+        match &mut self.reign {
+            Some(reign) => reign.removed.extend(removed),
+            None => self.tell_removed(&removed),
+        }
+        self.dismiss_removed();
+    }
+
+    /// Tells machines that they were removed once more members have the record on disk than disks may be lost. A machine that
+    /// leaves ends when it hears so: before that, the only ones that know of the removal could be lost, and the record before
+    /// counts on it.
+    pub(crate) fn dismiss_removed(&mut self) {
+        let needed = self.copies_needed(&self.witness.decided);
+        let Some(reign) = &mut self.reign else { return };
+        if reign.removed.is_empty() {
+            return;
+        }
+        let recorded = self.recorded;
+        let peers = &reign.peers;
+        let holders = |epoch: u64| {
+            usize::from(recorded >= epoch) + peers.values().filter(|peer| peer.recorded >= epoch).count()
+        };
+        let is_known = |epoch: u64| holders(epoch) >= needed || cfg!(feature = "mutant-dismissal");
+        let (told, untold): (Vec<_>, Vec<_>) =
+            reign.removed.drain(..).partition(|(epoch, _)| is_known(*epoch));
+        reign.removed = untold;
+        self.tell_removed(&told);
+    }
+
+    fn tell_removed(&mut self, removed: &[(u64, Arc<str>)]) {
+        let record = self.witness.decided.clone();
+        for (_, to) in removed {
+            self.send(to.clone(), Message::Decided { record: record.clone() });
         }
     }
 
--- a/crates/coordination/src/reconfiguration.rs
+++ b/crates/coordination/src/reconfiguration.rs
@@ -5,7 +5,7 @@
 use crate::proposal::Purpose;
 use crate::reign::Reign;
 use crate::times::*;
-use crate::types::{DiskId, EpochRecord, Member};
+use crate::types::{can_spare_one, DiskId, EpochRecord, Member};
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use streamusher_protocol::Millis;
@@ -197,36 +197,49 @@
         Some((fast, replicas))
     }
 
-    /// The members wanted: machines that lost their disk under their new id, others in the place of silent ones.
+    /// The members wanted: machines that lost their disk under their new id, others in the place of absent ones. A machine
+    /// is not added beside a member that is in doubt: with a dead member among an even number, the next loss could take the
+    /// majority, and lost disks never vote again.
     fn desired_members(&self, reign: &Reign, replicas: &[DiskId]) -> Vec<Member> {
         let mut members = self.witness.decided.members.clone();
         for joiner in self.joiners.values() {
             let same = members.iter().position(|known| {
                 known.id == joiner.member.id || known.address.internal == joiner.member.address.internal
             });
-            let place = same.or_else(|| self.silent_member(reign, &members, replicas));
+            let place = same.or_else(|| self.absent_member(reign, &members, replicas, REPLACED_AFTER_MS));
             match place {
                 Some(index) => members[index] = joiner.member.clone(),
-                None if members.len() < MOST_MEMBERS => members.push(joiner.member.clone()),
+                None if members.len() < MOST_MEMBERS && !self.has_doubtful_member(reign, &members) => {
+                    members.push(joiner.member.clone());
+                }
                 None => {}
             }
         }
-        // Of an even number one is not needed for the majority.
-        if members.len() > 3 && members.len().is_multiple_of(2) {
-            if let Some(index) = self.silent_member(reign, &members, replicas) {
+        if can_spare_one(&members) {
+            if let Some(index) = self.absent_member(reign, &members, replicas, MEMBER_SILENCE_MS) {
                 members.remove(index);
             }
         }
         members
     }
 
-    fn silent_member(&self, reign: &Reign, members: &[Member], replicas: &[DiskId]) -> Option<usize> {
+    /// A member that leaves or has been silent for so long, and that is no replica.
+    fn absent_member(
+        &self, reign: &Reign, members: &[Member], replicas: &[DiskId], silence: Millis,
+    ) -> Option<usize> {
+        let silence = if cfg!(feature = "mutant-absent") { MEMBER_SILENCE_MS } else { silence };
+        let leaves = |peer: &Peer| peer.leaving && !cfg!(feature = "mutant-absent");
+        let is_absent = |peer: &Peer| leaves(peer) || self.now >= peer.heard + silence;
         members.iter().position(|member| {
-            let peer = reign.peers.get(&member.id);
-            let is_silent = peer.is_some_and(|peer| self.now >= peer.heard + MEMBER_SILENCE_MS);
-            is_silent && !replicas.contains(&member.id)
+            reign.peers.get(&member.id).is_some_and(is_absent) && !replicas.contains(&member.id)
         })
     }
+
+    /// Whether a member does not answer: it is known soon whether it is absent.
+    fn has_doubtful_member(&self, reign: &Reign, members: &[Member]) -> bool {
+        let is_doubtful = |peer: &Peer| !peer.responds(self.now) && !cfg!(feature = "mutant-absent");
+        members.iter().any(|member| reign.peers.get(&member.id).is_some_and(is_doubtful))
+    }
 }
 
 fn has_stuck_copy(peer: &Peer, now: Millis) -> bool {
--- a/crates/coordination/src/reign.rs
+++ b/crates/coordination/src/reign.rs
@@ -3,6 +3,7 @@
 use crate::peer::Peer;
 use crate::types::DiskId;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 use streamusher_protocol::store::Write;
 use streamusher_protocol::Millis;
 
@@ -35,6 +36,8 @@
     /// When this primary last could act, or opened its reign.
     pub acted_at: Millis,
     pub last_copy: u64,
+    /// Machines removed by a record of this reign, by its epoch, that have not been told yet.
+    pub removed: Vec<(u64, Arc<str>)>,
     pub next_change: Millis,
 }
 
@@ -62,6 +65,7 @@
             next_keepalive: now,
             acted_at: now,
             last_copy: 0,
+            removed: Vec::new(),
             next_change: now,
         }
     }
--- a/crates/coordination/src/replication.rs
+++ b/crates/coordination/src/replication.rs
@@ -2,7 +2,7 @@
 
 use crate::coordinator::Coordinator;
 use crate::message::{Batch, Message};
-use crate::peer::Peer;
+use crate::peer::{Acknowledged, Peer};
 use crate::recent::write_bytes;
 use crate::reign::Reign;
 use crate::times::{BATCH_BYTES, LEAVE_MOST_MS, MOST_OUTSTANDING, SEND_WINDOW, SLOW_REST_MS};
@@ -87,20 +87,21 @@
         self.reconsider();
     }
 
-    pub(crate) fn on_alive(
-        &mut self, from: DiskId, reign: u64, sent: Millis, position: Position, leaving: bool,
-    ) {
+    pub(crate) fn on_alive(&mut self, from: DiskId, reign: u64, sent: Millis, said: Acknowledged) {
         let now = self.now;
         let Some(mine) = self.reign.as_mut().filter(|mine| mine.epoch == reign) else { return };
         let Some(peer) = mine.peers.get_mut(&from) else { return };
-        peer.leaving = leaving;
-        if sent > now || leaving && sent == 0 {
+        peer.leaving = said.leaving;
+        peer.recorded = peer.recorded.max(said.recorded);
+        self.dismiss_removed();
+        if sent > now || said.leaving && sent == 0 {
             return;
         }
+        let Some(peer) = self.reign.as_mut().and_then(|mine| mine.peers.get_mut(&from)) else { return };
         peer.heard = now;
         peer.answered = true;
         peer.lease_from = peer.lease_from.max(Some(sent));
-        self.note_position(from, position);
+        self.note_position(from, said.position);
     }
 
     pub(crate) fn on_synced(&mut self, from: DiskId, reign: u64, position: Position) {
--- a/crates/coordination/src/report.rs
+++ b/crates/coordination/src/report.rs
@@ -57,15 +57,23 @@
         }
     }
 
-    /// After [`Input::Leave`]: no longer primary and replaced as a replica, or the time for that is over.
+    /// After [`Input::Leave`]: no longer primary, replaced as a replica, and no member that an even number can spare; or the
+    /// time for that is over.
     pub fn may_leave(&self) -> bool {
         let Some(since) = self.leaving else { return false };
         let is_over = self.now >= since + LEAVE_MOST_MS;
-        let is_needed = self.witness.decided.is_replica(self.witness.id);
+        let record = &self.witness.decided;
+        let is_needed = record.is_replica(self.witness.id) || self.is_to_be_removed();
         let in_office = self.reign.is_some() || self.opening.is_some();
         is_over || !(in_office || is_needed)
     }
 
+    /// Whether the primary removes this machine from the members when it leaves.
+    fn is_to_be_removed(&self) -> bool {
+        let record = &self.witness.decided;
+        record.has_one_to_spare() && record.is_member(self.witness.id)
+    }
+
     pub(crate) fn tick_hello(&mut self) {
         if self.now < self.next_hello {
             return;
@@ -75,7 +83,9 @@
         self.next_hello = self.now + if is_member { LOST_HELLO_MS } else { HELLO_MS };
         let silent = self.primary_heard.is_none_or(|heard| self.now > heard + LOST_PRIMARY_MS);
         let is_lost = silent && !self.may_act(self.now);
-        if is_member && !is_lost {
+        // A machine that leaves does not ask to be let in again.
+        let is_wanted = if is_member { is_lost } else { self.leaving.is_none() };
+        if !is_wanted {
             return;
         }
         let addresses: BTreeSet<Arc<str>> = self.known_addresses().collect();
--- a/crates/coordination/src/sanity.rs
+++ b/crates/coordination/src/sanity.rs
@@ -39,8 +39,9 @@
             Message::Accepted { instance, ballot, .. } => number(*instance).and(check_ballot(ballot)),
             Message::Refused { instance, promise } => number(*instance).and(check_ballot(promise)),
             Message::Keepalive { record, sent } => check_record(record).and(check_time(*sent)),
-            Message::Alive { reign, sent, position, .. } => {
-                number(*reign).and(check_time(*sent)).and(check_position(position))
+            Message::Alive { reign, sent, position, recorded, .. } => {
+                number(*reign).and(number(*recorded))?;
+                check_time(*sent).and(check_position(position))
             }
             Message::Append { epoch, reign, batch, .. } => {
                 number(*epoch).and(number(*reign))?;
--- a/crates/coordination/src/times.rs
+++ b/crates/coordination/src/times.rs
@@ -15,8 +15,11 @@
 pub const COPY_REST_MS: Millis = 3_000;
 /// A primary that can't act and hears no majority for this long gives up its office.
 pub const ABDICATE_MS: Millis = 800;
-/// A member silent for this long may be replaced by another machine.
+/// Of an even number, a member silent for this long is removed.
 pub const MEMBER_SILENCE_MS: Millis = 5_000;
+/// A member silent for this long is replaced by a machine that asks to be let in: before the next loss may come, which is some
+/// seconds after the successor's start.
+pub const REPLACED_AFTER_MS: Millis = 1_000;
 /// A machine that wants to be let in counts for this long after its last word.
 pub const JOINER_LIFE_MS: Millis = 1_000;
 /// Between two words of a machine that wants to be let in.
--- a/crates/coordination/src/types.rs
+++ b/crates/coordination/src/types.rs
@@ -82,12 +82,22 @@
         self.replicas.contains(&id)
     }
 
+    /// Whether one member less has the same majority: then an absent one only makes the next loss worse.
+    pub fn has_one_to_spare(&self) -> bool {
+        can_spare_one(&self.members)
+    }
+
     /// How many members are more than half.
     pub fn majority(&self) -> usize {
         self.members.len() / 2 + 1
     }
 }
 
+/// Whether a set of members is as safe without one of them: an even number, and enough for a majority of two after it.
+pub(crate) fn can_spare_one(members: &[Member]) -> bool {
+    members.len() > 3 && members.len().is_multiple_of(2)
+}
+
 /// Number of a proposal. Unique, since `start` is counted on the proposer's disk.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Ballot {
--- a/crates/coordination/tests/cluster/mod.rs
+++ b/crates/coordination/tests/cluster/mod.rs
@@ -53,6 +53,8 @@
     /// The newest epoch whose record was compared.
     checked_epoch: u64,
     pub is_leaving: bool,
+    /// The machine is gone for good.
+    pub is_removed: bool,
 }
 
 /// The machines, the links between them, and the time.
@@ -122,7 +124,7 @@
 
     pub fn start_all(&mut self) {
         for node in 0..self.nodes.len() {
-            if self.nodes[node].process.is_none() {
+            if self.nodes[node].process.is_none() && !self.nodes[node].is_removed {
                 self.start(node);
             }
         }
@@ -184,6 +186,12 @@
         self.checks.lost_disks.push(lost.state);
     }
 
+    /// A machine that is down never comes back.
+    pub fn remove(&mut self, index: usize) {
+        self.tell(format!("remove {index}"));
+        self.nodes[index].is_removed = true;
+    }
+
     pub fn freeze(&mut self, index: usize, span: Millis) {
         self.tell(format!("freeze {index} for {span}"));
         self.nodes[index].frozen_until = self.now + span;
@@ -238,6 +246,38 @@
         self.check_actors();
     }
 
+    /// Runs until so many messages have come or changes of a disk have been made, at most for `most`.
+    pub fn run_steps(&mut self, steps: usize, most: Millis) {
+        let end = self.now + most;
+        let mut taken = 0;
+        while let Some(entry) = self.events.first_entry() {
+            if taken == steps || entry.key().0 > end {
+                break;
+            }
+            let ((at, _), event) = entry.remove_entry();
+            taken += usize::from(matches!(event, Event::Deliver { .. } | Event::DiskDone { .. }));
+            self.now = self.now.max(at);
+            self.take(event);
+        }
+        self.check_actors();
+    }
+
+    /// All is mended: after a while one acts, with all members and replicas, and nothing was lost.
+    pub fn settle(&mut self) {
+        self.mend();
+        self.run(CATCH_UP_MS);
+        self.run_until_calm(2_000);
+        let before = self.checks.committed.len();
+        self.run(500);
+        assert!(self.checks.committed.len() > before + 10, "no progress: {}", self.describe());
+        self.append_every_ms = 1_000_000;
+        self.run(1_000);
+        self.check_replicas_agree();
+        let actor = self.actor();
+        assert!(actor.is_some(), "nobody acts: {}", self.describe());
+        self.check_state(actor.unwrap_or(0));
+    }
+
     /// Runs until `done` holds, at most for `most`; returns how long that took.
     pub fn run_until(&mut self, most: Millis, mut done: impl FnMut(&Cluster) -> bool) -> Option<Millis> {
         let start = self.now;
@@ -434,6 +474,7 @@
         acted_in: 0,
         checked_epoch: 0,
         is_leaving: false,
+        is_removed: false,
     }
 }
 
--- a/crates/coordination/tests/cluster/schedule.rs
+++ b/crates/coordination/tests/cluster/schedule.rs
@@ -151,7 +151,7 @@
             let node = &mut self.nodes[index];
             node.frozen_until = node.frozen_until.min(self.now);
             let is_gone = node.process.is_none() || node.is_leaving;
-            if is_gone {
+            if is_gone && !node.is_removed {
                 let wait: Millis = self.random.random_range(0..100);
                 self.run(wait);
                 self.restart(index);
--- a/crates/coordination/tests/messages.rs
+++ b/crates/coordination/tests/messages.rs
@@ -244,6 +244,7 @@
             sent: any_number(random),
             position: any_position(random),
             leaving: random.random(),
+            recorded: any_number(random),
         },
         9 => {
             let (previous, position) = (any_position(random), any_position(random));
--- a/crates/coordination/tests/search.rs
+++ b/crates/coordination/tests/search.rs
@@ -2,7 +2,7 @@
 
 mod cluster;
 
-use cluster::{Cluster, CATCH_UP_MS};
+use cluster::Cluster;
 use rstest::rstest;
 
 /// Each size and tolerance is searched with so many seeds; `COORDINATION_SEEDS` names another number.
@@ -37,7 +37,7 @@
         let mut cluster = Cluster::calm(size, tolerance, seed);
         cluster.tell(format!("storm: size {size} tolerance {tolerance} seed {seed}"));
         cluster.run_storm(10_000);
-        settle(&mut cluster);
+        cluster.settle();
     }
 }
 
@@ -47,21 +47,5 @@
     // Every other time a whole copy takes many parts.
     cluster.value_bytes = if seed.is_multiple_of(2) { 10 } else { 2_000 };
     cluster.run_faults(12);
-    settle(&mut cluster);
-}
-
-/// All is mended: after a while one acts, with all members and replicas, and nothing was lost.
-fn settle(cluster: &mut Cluster) {
-    cluster.mend();
-    cluster.run(CATCH_UP_MS);
-    cluster.run_until_calm(2_000);
-    let before = cluster.checks.committed.len();
-    cluster.run(500);
-    assert!(cluster.checks.committed.len() > before + 10, "no progress: {}", cluster.describe());
-    cluster.append_every_ms = 1_000_000;
-    cluster.run(1_000);
-    cluster.check_replicas_agree();
-    let actor = cluster.actor();
-    assert!(actor.is_some(), "nobody acts: {}", cluster.describe());
-    cluster.check_state(actor.unwrap_or(0));
+    cluster.settle();
 }
