Answers carry the number of their call; one that is another call's is refused

Need: on a kept connection whatever came next was taken for the answer, also where a peer had answered the call before it twice. Ruled out: closing each connection after a call, which costs a connection a call. hyper closes a resting connection on which something comes unasked; what comes after the next call was written is what was open. Change: the client numbers its calls, the server returns the number, and another number ends the call as unknown, never sent again. Peers of an earlier release return none; their answers count.

--- a/crates/node/src/http/client.rs
+++ b/crates/node/src/http/client.rs
@@ -1,5 +1,6 @@
 //! The calling side: persistent connections to one address, told apart by whether a failed call may have been carried out.
 
+use super::call_id::{belongs, CallIds};
 use super::sockets;
 use super::stream::Stream;
 use super::{Answer, Call};
@@ -66,6 +67,7 @@
     limits: ClientLimits,
     places: Semaphore,
     pool: RefCell<Pool>,
+    ids: CallIds,
 }
 
 #[derive(Default)]
@@ -86,7 +88,8 @@
         let host = HeaderValue::from_str(&address.to_string()).ok();
         let places = Semaphore::new(limits.max_calls.clamp(1, Semaphore::MAX_PERMITS));
         let pool = RefCell::new(Pool::default());
-        Client { shared: Rc::new(Shared { address, host, limits, places, pool }) }
+        let ids = CallIds::default();
+        Client { shared: Rc::new(Shared { address, host, limits, places, pool, ids }) }
     }
 
     /// Whom it calls.
@@ -115,13 +118,16 @@
 
 impl Shared {
     async fn call(&self, call: Call, until: Instant) -> Result<Answer, CallError> {
-        let mut request = self.prepare(call);
+        let (mut request, id) = self.prepare(call);
         loop {
             let generation = self.pool.borrow().generation;
             let (mut sender, fresh) = self.connection(until).await?;
             let sent = tokio::time::timeout_at(until, sender.try_send_request(request));
             let mut error = match sent.await {
                 Err(_) => return Err(CallError::Unknown("the deadline is over".to_owned())),
+                Ok(Ok(answer)) if !belongs(answer.headers(), &id) => {
+                    return Err(CallError::Unknown("the answer is that of another call".to_owned()));
+                }
                 Ok(Ok(answer)) => return self.read(answer, sender, generation, until).await,
                 Ok(Err(error)) => error,
             };
@@ -136,12 +142,13 @@
         }
     }
 
-    fn prepare(&self, call: Call) -> ::http::Request<Full<Bytes>> {
+    fn prepare(&self, call: Call) -> (::http::Request<Full<Bytes>>, HeaderValue) {
         let mut request = call.map(Full::new);
+        let id = self.ids.stamp(request.headers_mut());
         if let (false, Some(host)) = (request.headers().contains_key(HOST), &self.host) {
             request.headers_mut().insert(HOST, host.clone());
         }
-        request
+        (request, id)
     }
 
     /// A connection that takes a request, and whether it is new.
--- a/crates/node/src/http/mod.rs
+++ b/crates/node/src/http/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 with whole bodies, on both sides, on one thread.
 
 mod answers;
+mod call_id;
 mod client;
 mod outbox;
 mod server;
@@ -8,6 +9,7 @@
 mod stream;
 
 pub use answers::{empty, json, parse_json, text, BodyError};
+pub use call_id::CALL_ID;
 pub use client::{CallError, Client, ClientLimits};
 pub use outbox::Outbox;
 pub use server::{Server, ServerHandle, ServerLimits};
--- a/crates/node/src/http/server.rs
+++ b/crates/node/src/http/server.rs
@@ -1,5 +1,6 @@
 //! The serving side: accepts connections, reads whole requests, answers them, and closes without losing one.
 
+use super::call_id::{return_id, CALL_ID};
 use super::sockets;
 use super::stream::{LoopTimer, Stream};
 use super::{text, Answer, Call};
@@ -242,10 +243,12 @@
     H: Fn(Call) -> F,
     F: Future<Output = Answer>,
 {
+    let id = request.headers().get(CALL_ID).cloned();
     let mut answer = match whole(limits, request).await {
         Ok(call) => handler(call).await,
         Err(refusal) => refusal,
     };
+    return_id(id, answer.headers_mut());
     if *phase.borrow() >= Phase::Leaving {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
