A new primary keeps its lease while it recovers; the fleet plays the control side

Ruled out: a longer lease, which lengthens every failover. Change: recovery, with the queueing, runs on a thread of its own (Action::Recover, Driver::recovered); calls are refused until it is done, and one that ends after its office counts no more. Placement looks at 1,000 fresh units in a call, most urgent first.

--- a/crates/controlplane/src/driver.rs
+++ b/crates/controlplane/src/driver.rs
@@ -9,11 +9,11 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use streamusher_configuration::relay::Published;
-use streamusher_coordination::{Coordinator, DiskChange, Input, Message, Output};
+use streamusher_coordination::{Coordinator, DiskChange, Input, Message, Output, StateMap};
 use streamusher_protocol::internal::{AgentSync, ClientCall, ClientMethod, ClusterView, CoreAddress};
 use streamusher_protocol::{Millis, Now};
 use streamusher_scheduler::{
-    Effects, Event, OperatorOrder, OrderKind, Reply, RequestId, Scheduler, Settings,
+    Effects, Event, OperatorOrder, OrderKind, RecoverError, Reply, RequestId, Scheduler, Settings,
 };
 
 /// A call from outside.
@@ -55,6 +55,8 @@
         /// The change.
         change: DiskChange,
     },
+    /// Recover the scheduler from the replicated state, beside everything else, and hand it to [`Driver::recovered`].
+    Recover(Recovery),
     /// Answer a call.
     Answer {
         /// The call.
@@ -64,6 +66,28 @@
     },
 }
 
+/// What a scheduler is recovered from. With a large state that takes seconds, in which keepalives must go on: otherwise the
+/// replicas take the place of one new primary after the other.
+#[derive(Debug)]
+pub struct Recovery {
+    /// The epoch in which this machine takes office.
+    pub epoch: u64,
+    /// When it was elected: leases of former primaries were granted before.
+    pub now: Now,
+    settings: Settings,
+    state: StateMap,
+}
+
+impl Recovery {
+    /// Recovers; it takes long, and needs nothing else.
+    ///
+    /// # Errors
+    /// The state can't be read.
+    pub fn run<S: StateMachine>(self) -> Result<S, RecoverError> {
+        S::recover(&self.settings, self.epoch, self.now, self.state)
+    }
+}
+
 /// A call that was handed to the scheduler and is not answered yet.
 struct Outstanding {
     /// Whether it asks for a change.
@@ -86,6 +110,8 @@
     settings: Settings,
     replication: R,
     scheduler: Option<S>,
+    /// The epoch for which a scheduler is being recovered.
+    recovering: Option<u64>,
     next_request: RequestId,
     outstanding: BTreeMap<RequestId, Outstanding>,
     held: VecDeque<Held>,
@@ -101,6 +127,7 @@
             settings,
             replication,
             scheduler: None,
+            recovering: None,
             next_request: 1,
             outstanding: BTreeMap::new(),
             held: VecDeque::new(),
@@ -114,7 +141,7 @@
     pub fn call(&mut self, now: Now, call: Call) -> (RequestId, Vec<Action>) {
         let request = self.next_request;
         self.next_request += 1;
-        if self.scheduler.is_none() || !self.replication.may_act(now.steady) {
+        if self.scheduler.is_none() || !self.may_answer(now.steady) {
             let answer = Answer::NotPrimary(self.replication.view(now.steady));
             self.actions.push(Action::Answer { request, answer });
             return (request, std::mem::take(&mut self.actions));
@@ -226,18 +253,34 @@
     fn take_office(&mut self, now: Now, epoch: u64) {
         self.leave_office(now);
         log::info!("primary from epoch {epoch} on");
-        match S::recover(&self.settings, epoch, now, self.replication.state()) {
-            Ok(scheduler) => {
-                let sequence = self.replication.appended();
-                self.publication.taken(sequence, scheduler.version(), || scheduler.newest());
-                self.epoch = epoch;
-                self.scheduler = Some(scheduler);
+        self.recovering = Some(epoch);
+        let (settings, state) = (self.settings.clone(), self.replication.state());
+        self.actions.push(Action::Recover(Recovery { epoch, now, settings, state }));
+    }
+
+    /// A recovery has ended; one of an office that was left meanwhile counts no more.
+    pub fn recovered(&mut self, now: Now, epoch: u64, scheduler: Result<S, RecoverError>) -> Vec<Action> {
+        if self.recovering == Some(epoch) {
+            self.recovering = None;
+            match scheduler {
+                Ok(scheduler) => self.begin_work(epoch, scheduler),
+                Err(error) => log::error!("epoch {epoch}: the state can't be recovered: {error}"),
             }
-            Err(error) => log::error!("epoch {epoch}: the state can't be recovered: {error}"),
+            self.release(now);
         }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Nothing was appended since the election, as only the scheduler writes.
+    fn begin_work(&mut self, epoch: u64, scheduler: S) {
+        let sequence = self.replication.appended();
+        self.publication.taken(sequence, scheduler.version(), || scheduler.newest());
+        self.epoch = epoch;
+        self.scheduler = Some(scheduler);
     }
 
     fn leave_office(&mut self, now: Now) {
+        self.recovering = None;
         if self.scheduler.take().is_some() {
             log::info!("no longer primary; {} calls are answered so", self.outstanding.len());
         }
@@ -253,9 +296,14 @@
         }
     }
 
+    /// Whether calls may be read and answers may leave: judged when a call has been read, and again at its release.
+    fn may_answer(&self, now: Millis) -> bool {
+        self.replication.may_act(now) || cfg!(feature = "mutant-release")
+    }
+
     fn release(&mut self, now: Now) {
         let waits = !self.held.is_empty() || self.publication.is_pending();
-        if !waits || !self.replication.may_act(now.steady) {
+        if !waits || !self.may_answer(now.steady) {
             return;
         }
         let committed = self.replication.committed();
--- a/crates/controlplane/src/machine.rs
+++ b/crates/controlplane/src/machine.rs
@@ -1,12 +1,12 @@
 //! One core machine at work: the driver, and the queues that its actions go to.
 
 use crate::disk::Disk;
-use crate::driver::{Action, Answer, Call, Driver};
+use crate::driver::{Action, Answer, Call, Driver, Recovery};
 use crate::peers::Peers;
 use crate::relay::Relay;
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::Duration;
 use streamusher_configuration::relay::Envelope;
@@ -28,6 +28,8 @@
 }
 
 struct Shared {
+    /// Itself, for what comes back from other threads.
+    me: Weak<RefCell<Shared>>,
     driver: Driver<Coordinator, Scheduler>,
     callers: HashMap<RequestId, oneshot::Sender<Answer>>,
     peers: Peers,
@@ -55,8 +57,11 @@
     /// Joins the parts.
     pub fn new(driver: Driver<Coordinator, Scheduler>, peers: Peers, disk: Disk) -> Machine {
         let epochs = watch::Sender::new(driver.replication().epoch());
-        let shared = Shared { driver, callers: HashMap::new(), peers, disk, relay: Relay::default(), epochs };
-        Machine { shared: Rc::new(RefCell::new(shared)) }
+        let shared = |me: &Weak<RefCell<Shared>>| {
+            let (me, callers, relay) = (me.clone(), HashMap::new(), Relay::default());
+            RefCell::new(Shared { me, driver, callers, peers, disk, relay, epochs })
+        };
+        Machine { shared: Rc::new_cyclic(shared) }
     }
 
     /// Makes a call and waits for its answer. Dropping it tells the scheduler that the caller has left.
@@ -196,6 +201,7 @@
             match action {
                 Action::Send { to, message } => self.peers.send(&to, message),
                 Action::Persist { ticket, change } => self.disk.persist(ticket, change),
+                Action::Recover(recovery) => self.recover(recovery),
                 Action::Answer { request, answer } => self.answer(request, answer),
             }
         }
@@ -203,6 +209,18 @@
         self.tell_epoch();
     }
 
+    /// Recovers the scheduler on a thread of its own: keepalives go on here.
+    fn recover(&self, recovery: Recovery) {
+        let (me, epoch) = (self.me.clone(), recovery.epoch);
+        tokio::task::spawn_local(async move {
+            let Ok(scheduler) = tokio::task::spawn_blocking(move || recovery.run()).await else { return };
+            let Some(shared) = me.upgrade() else { return };
+            let shared = &mut *shared.borrow_mut();
+            let actions = shared.driver.recovered(clock::now(), epoch, scheduler);
+            shared.perform(actions);
+        });
+    }
+
     /// Wakes callers that wait for a newer epoch.
     fn tell_epoch(&self) {
         let newest = self.driver.replication().epoch();
--- a/crates/controlplane/tests/driver.rs
+++ b/crates/controlplane/tests/driver.rs
@@ -5,7 +5,7 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::sync::Arc;
-use streamusher_controlplane::driver::{Action, Answer, Call, Driver};
+use streamusher_controlplane::driver::{Action, Answer, Call, Driver, Recovery};
 use streamusher_controlplane::ports::{Replication, StateMachine};
 use streamusher_coordination::{Input, Output, StateMap};
 use streamusher_protocol::internal::{
@@ -152,8 +152,27 @@
 impl Fixture {
     /// An input that brings an output.
     fn told(&mut self, output: Output) -> Vec<(RequestId, Answer)> {
+        let (answers, recoveries) = self.told_without_recovery(output);
+        recoveries.into_iter().for_each(|recovery| assert!(self.recover(recovery).is_empty()));
+        answers
+    }
+
+    /// The same, with the recoveries that are to be run.
+    fn told_without_recovery(&mut self, output: Output) -> (Vec<(RequestId, Answer)>, Vec<Recovery>) {
         self.script.0.borrow_mut().outputs.push(output);
-        answers(self.driver.input(now(), Input::Persisted { ticket: 1 }))
+        let actions = self.driver.input(now(), Input::Persisted { ticket: 1 });
+        let (recoveries, others): (Vec<Action>, Vec<Action>) =
+            actions.into_iter().partition(|action| matches!(action, Action::Recover(_)));
+        let recoveries = recoveries.into_iter().filter_map(|action| match action {
+            Action::Recover(recovery) => Some(recovery),
+            _ => None,
+        });
+        (answers(others), recoveries.collect())
+    }
+
+    fn recover(&mut self, recovery: Recovery) -> Vec<(RequestId, Answer)> {
+        let epoch = recovery.epoch;
+        answers(self.driver.recovered(now(), epoch, recovery.run()))
     }
 
     fn commit(&mut self, sequence: u64) -> Vec<(RequestId, Answer)> {
@@ -254,6 +273,46 @@
     assert_eq!(events(), ["recover 4 1"]);
 }
 
+#[test]
+fn given_an_election_when_the_scheduler_is_not_recovered_yet_then_calls_are_refused_and_nothing_is_done() {
+    let mut fixture = idle();
+    fixture.script.0.borrow_mut().lease = true;
+    let (_, mut recoveries) = fixture.told_without_recovery(Output::Elected { epoch: 3 });
+    let recovery = recoveries.pop().expect("a recovery");
+    for call in [client(ClientMethod::Post), agent(), operator(OrderKind::Read)] {
+        let answers = fixture.call(call);
+        assert!(matches!(answers[..], [(_, Answer::NotPrimary(_))]), "{answers:?}");
+    }
+    assert!(fixture.tick().is_empty());
+    assert_eq!(events(), [] as [&str; 0]);
+
+    fixture.recover(recovery);
+    fixture.call(client(ClientMethod::Get));
+    assert_eq!(events(), ["recover 3 0", "client 4"]);
+}
+
+#[test]
+fn given_a_recovery_that_ends_after_the_office_was_left_then_it_counts_no_more() {
+    let mut fixture = idle();
+    fixture.script.0.borrow_mut().lease = true;
+    let (_, mut first) = fixture.told_without_recovery(Output::Elected { epoch: 3 });
+    fixture.told(Output::Deposed);
+    fixture.recover(first.pop().expect("a recovery"));
+    let answers = fixture.call(client(ClientMethod::Post));
+    assert!(matches!(answers[..], [(_, Answer::NotPrimary(_))]), "{answers:?}");
+
+    let (_, mut second) = fixture.told_without_recovery(Output::Elected { epoch: 5 });
+    let (_, mut third) = fixture.told_without_recovery(Output::Elected { epoch: 7 });
+    fixture.recover(second.pop().expect("a recovery"));
+    let answers = fixture.call(client(ClientMethod::Post));
+    assert!(
+        matches!(answers[..], [(_, Answer::NotPrimary(_))]),
+        "the scheduler of an earlier office: {answers:?}"
+    );
+    fixture.recover(third.pop().expect("a recovery"));
+    assert_eq!(events(), ["recover 3 0", "recover 5 0", "recover 7 0"]);
+}
+
 #[test]
 fn given_writes_when_they_are_not_committed_then_the_reply_waits_for_the_commit() {
     let mut fixture = primary();
--- a/crates/emulator/src/bounds.rs
+++ b/crates/emulator/src/bounds.rs
@@ -11,6 +11,8 @@
     pub ack_timeout_ms: Millis,
     /// How long a machine that returned still counts as lost.
     pub catch_up_ms: Millis,
+    /// After more machines were lost at once than is tolerated, service may rest until so long after all are back.
+    pub recovery_ms: Millis,
     /// From a drain's acknowledgement to the last start there.
     pub drain_ms: Millis,
     /// From a configuration's acknowledgement until it is followed.
@@ -47,6 +49,7 @@
             contact_ms: 3_000,
             ack_timeout_ms: 4_000,
             catch_up_ms: 4_000,
+            recovery_ms: 12_000,
             drain_ms: 2_000,
             config_apply_ms: 2_000,
             hold_max_ms: 6_000,
--- a/crates/emulator/src/checker/configuration.rs
+++ b/crates/emulator/src/checker/configuration.rs
@@ -174,15 +174,15 @@
         }
     }
 
-    /// The configuration was read. `last` is the reading at the end of the day.
-    pub fn configuration_read(&mut self, now: Millis, body: &str, last: bool) {
+    /// The configuration was read, at any machine, by a call sent at `sent`: whatever was acknowledged before is in it.
+    pub fn configuration_read(&mut self, now: Millis, sent: Millis, body: &str) {
         let Ok(read) = serde_json::from_str::<Configuration>(body) else {
             self.breach(now, Rule::Config, "what was read is no configuration".into());
             return;
         };
-        let newest = self.configuration.newest_acknowledged(now).unwrap_or(0);
-        if last && read.version < newest {
-            let text = format!("version {} is read at the end, {newest} was acknowledged", read.version);
+        let newest = self.configuration.newest_acknowledged(sent).unwrap_or(0);
+        if read.version < newest {
+            let text = format!("version {} is read, {newest} was acknowledged before", read.version);
             self.breach(now, Rule::Config, text);
         }
         let read = sorted(&read);
--- a/crates/emulator/src/faults.rs
+++ b/crates/emulator/src/faults.rs
@@ -1,5 +1,7 @@
 //! Troubles of a day, drawn from a seed.
 
+mod control;
+
 use crate::random::Random;
 use std::fmt;
 use streamusher_protocol::Millis;
@@ -36,6 +38,10 @@
     CutCore { core: Core, one_way: bool, for_ms: Millis },
     /// A core machine is cut off from everybody.
     CutCoreWholly { core: Core, for_ms: Millis },
+    /// The core is cut into two halves; all others reach both.
+    CutHalves { for_ms: Millis },
+    /// All machines lose power, and one core machine its disk where said.
+    PowerEverything { down_ms: Millis, wipe: Option<Core> },
     /// A core machine's disk takes so much longer.
     SlowDisk { core: Core, by_ms: Millis, for_ms: Millis },
     /// A core machine's disk hangs.
@@ -80,6 +86,12 @@
     Change,
     /// Two operators change the same version.
     Race,
+    /// An operator makes one change after another.
+    ManyChanges { count: usize, gap_ms: Millis },
+    /// An operator sends a change and, without waiting for its answer, one that builds on it.
+    Chain,
+    /// Copies of operators' orders are held up on their way for so long at most, and come all the same.
+    HoldUpOrders { most_ms: Millis, for_ms: Millis },
     /// An invalid change is sent.
     BadChange,
     /// Answers to operators are lost on their way.
@@ -102,6 +114,8 @@
 pub struct Schedule {
     /// In the order of their times.
     pub faults: Vec<Planned>,
+    /// More machines may be lost at once than is tolerated, without more lost disks: service may rest then.
+    pub overlaps: bool,
 }
 
 impl fmt::Display for Schedule {
@@ -138,6 +152,11 @@
         self
     }
 
+    /// The same, where more machines may be lost at once than is tolerated.
+    pub fn with_overlaps(self) -> Schedule {
+        Schedule { overlaps: true, ..self }
+    }
+
     /// Draws a day's troubles.
     pub fn draw(seed: u64, sizes: Sizes) -> Schedule {
         let mut draw = Draw { random: Random::new(seed, 7), sizes, schedule: Schedule::default() };
@@ -147,6 +166,16 @@
         draw.schedule.faults.sort_by_key(|planned| planned.at);
         draw.schedule
     }
+
+    /// Draws a day's troubles with some of the control side among them.
+    pub fn draw_control(seed: u64, sizes: Sizes) -> Schedule {
+        let schedule = Schedule::draw(seed, sizes);
+        let mut draw = Draw { random: Random::new(seed, control::STREAM), sizes, schedule };
+        draw.control_troubles();
+        draw.schedule.overlaps = true;
+        draw.schedule.faults.sort_by_key(|planned| planned.at);
+        draw.schedule
+    }
 }
 
 struct Draw {
--- a/crates/emulator/src/fleet/calls.rs
+++ b/crates/emulator/src/fleet/calls.rs
@@ -19,8 +19,8 @@
     Gate { machine: MachineId, boot: u64, client_call: u64 },
     /// A gate or agent that asks who is in the control plane.
     Finder { machine: MachineId, boot: u64 },
-    /// An operator, for an order.
-    Operator { attempt: usize },
+    /// An operator, for an order that was sent at this time.
+    Operator { attempt: usize, sent: Millis },
 }
 
 impl Caller {
@@ -86,6 +86,20 @@
         call
     }
 
+    /// Another copy of a call reaches its callee, some time later; nobody waits for its answer.
+    pub(crate) fn hold_up_copy(&mut self, to: MachineId, asked: Asked, delay: Millis) {
+        let call = self.next_call;
+        self.next_call += 1;
+        self.queue.push(self.now + delay, Event::LateCopy { call, to, asked });
+    }
+
+    /// The copy arrives.
+    pub(crate) fn late_copy_arrives(&mut self, call: u64, to: MachineId, asked: Asked) {
+        if let (true, Asked::Primary(body)) = (self.is_running(to), asked) {
+            self.core_called(to, call, *body);
+        }
+    }
+
     fn delay_of(&mut self, caller: &Caller, to: MachineId) -> Option<Millis> {
         match caller.machine() {
             Some(from) => self.network.delay(from, to),
@@ -185,7 +199,7 @@
             Caller::Finder { machine, boot } if self.is_boot(machine, boot) => {
                 self.finder_answered(machine, to, outcome);
             }
-            Caller::Operator { attempt } => self.operator_answered(to, attempt, outcome),
+            Caller::Operator { attempt, sent } => self.operator_answered(sent, attempt, outcome),
             _ => {}
         }
     }
--- a/crates/emulator/src/fleet/client.rs
+++ b/crates/emulator/src/fleet/client.rs
@@ -24,6 +24,9 @@
 const POLL_EVERY_MS: Millis = 900;
 /// Share of the jobs that are sent to two gates at once.
 const SENT_TWICE: f64 = 0.25;
+/// Share of the jobs that are sent once more after they were accepted, and how long after at most.
+const SENT_AGAIN: f64 = 0.1;
+const LATEST_AGAIN_MS: Millis = 6_000;
 /// Share of the jobs that are cancelled.
 const CANCELLED: f64 = 0.1;
 /// Failures that no queue allows.
@@ -42,6 +45,8 @@
     Answer { call: u64, reply: Option<ClientReply> },
     /// The client waits no longer.
     Silence { call: u64 },
+    /// Sends a job once more, seconds after it was accepted.
+    Again { job: usize },
     /// Asks for a job.
     Poll { job: usize },
     /// Cancels a job.
@@ -108,6 +113,7 @@
             ClientEvent::Arrives { call } => self.client_call_arrives(call),
             ClientEvent::Answer { call, reply } => self.client_answered(call, reply),
             ClientEvent::Silence { call } => self.client_answered(call, None),
+            ClientEvent::Again { job } => self.send_again(job),
             ClientEvent::Poll { job } => self.poll(job),
             ClientEvent::Cancel { job } => self.cancel(job),
             ClientEvent::Last { job } => self.ask_last(job),
@@ -170,6 +176,13 @@
         self.send(job, Purpose::Submit, ClientMethod::Post, body);
     }
 
+    fn send_again(&mut self, job: usize) {
+        let (id, body) = (self.clients.jobs[job].id.clone(), self.clients.jobs[job].body.clone());
+        let hopeless = self.catalog.job(&id).is_some_and(|known| known.own_failures == ALWAYS);
+        self.checker.submit_sent(&id, hopeless);
+        self.send(job, Purpose::Submit, ClientMethod::Post, body);
+    }
+
     fn poll(&mut self, job: usize) {
         let state = &self.clients.jobs[job];
         if !state.ended && self.now < self.setup.traffic_until + self.setup.bounds.finish_ms {
@@ -304,6 +317,10 @@
         }
         state.polling = true;
         let lasting = state.lasting;
+        if self.random.chance(SENT_AGAIN) {
+            let after = self.random.between(500, LATEST_AGAIN_MS);
+            self.queue.push(self.now + after, Event::Client(ClientEvent::Again { job }));
+        }
         let soon = self.random.between(200, POLL_EVERY_MS);
         self.queue.push(self.now + soon, Event::Client(ClientEvent::Poll { job }));
         if lasting || self.random.chance(CANCELLED) {
--- a/crates/emulator/src/fleet/core.rs
+++ b/crates/emulator/src/fleet/core.rs
@@ -8,7 +8,7 @@
 use crate::network::MachineId;
 use std::collections::HashMap;
 use std::sync::Arc;
-use streamusher_controlplane::driver::{Action, Answer, Call, Driver};
+use streamusher_controlplane::driver::{Action, Answer, Call, Driver, Recovery};
 use streamusher_coordination::{Coordinator, DiskChange, Input, Message};
 use streamusher_protocol::internal::{ClientMethod, ClusterView};
 use streamusher_protocol::{Millis, Now};
@@ -18,6 +18,8 @@
 const REFUSED_WRITE_MS: Millis = 20;
 /// How long a process may take to hand over when it is told to end.
 const GRACE_MS: Millis = 6_000;
+/// How long the recovery of a scheduler takes at most.
+const LONGEST_RECOVERY_MS: Millis = 150;
 
 /// A core process.
 pub(crate) struct CoreProcess {
@@ -143,6 +145,25 @@
         self.perform(machine, actions);
     }
 
+    /// A scheduler is recovered beside all else, which takes a while.
+    fn begin_recovery(&mut self, machine: MachineId, recovery: Recovery) {
+        let boot = self.machines[machine].boot;
+        let delay = self.random.between(1, LONGEST_RECOVERY_MS);
+        let recovery = Box::new(recovery);
+        self.queue.push(self.now + delay, Event::Recovered { machine, boot, recovery });
+    }
+
+    pub(crate) fn recovered(&mut self, machine: MachineId, boot: u64, recovery: Recovery) {
+        if !self.is_boot(machine, boot) {
+            return;
+        }
+        let now = self.clocks(machine);
+        let Some(core) = self.core(machine) else { return };
+        let epoch = recovery.epoch;
+        let actions = core.driver.recovered(now, epoch, recovery.run());
+        self.perform(machine, actions);
+    }
+
     pub(crate) fn persisted(&mut self, machine: MachineId, boot: u64, ticket: u64, failed: bool) {
         if !self.is_boot(machine, boot) {
             return;
@@ -179,6 +200,7 @@
             match action {
                 Action::Send { to, message } => self.send_core(machine, &to, message),
                 Action::Persist { ticket, change } => self.persist(machine, ticket, change),
+                Action::Recover(recovery) => self.begin_recovery(machine, recovery),
                 Action::Answer { request, answer } => self.core_answers(machine, request, answer),
             }
         }
--- a/crates/emulator/src/fleet/event.rs
+++ b/crates/emulator/src/fleet/event.rs
@@ -7,6 +7,7 @@
 use crate::network::MachineId;
 use crate::plant::{Timer, WorkerIndex};
 use std::sync::Arc;
+use streamusher_controlplane::driver::Recovery;
 use streamusher_coordination::Message;
 use streamusher_protocol::heartbeat::{Heartbeat, HeartbeatAnswer};
 
@@ -21,10 +22,14 @@
     Wake { machine: MachineId, boot: u64 },
     /// A change of the disk is synced, or was refused.
     Persisted { machine: MachineId, boot: u64, ticket: u64, failed: bool },
+    /// A new primary's scheduler is recovered.
+    Recovered { machine: MachineId, boot: u64, recovery: Box<Recovery> },
     /// A message between core machines arrives.
     Core { to: MachineId, from: Arc<str>, message: Message },
     /// A call arrives.
     Request { call: u64, to: MachineId, asked: Asked },
+    /// A copy of a call that was held up on its way arrives.
+    LateCopy { call: u64, to: MachineId, asked: Asked },
     /// A call's answer arrives, or the news that it broke.
     Response { call: u64, outcome: Outcome },
     /// The caller waits no longer.
@@ -64,9 +69,11 @@
             Event::Tick { machine, .. }
             | Event::Wake { machine, .. }
             | Event::Persisted { machine, .. }
+            | Event::Recovered { machine, .. }
             | Event::Abandoned { machine, .. }
             | Event::Heartbeat { machine, .. }
             | Event::Deregister { machine, .. }
+            | Event::LateCopy { to: machine, .. }
             | Event::Core { to: machine, .. } => Some(*machine),
             _ => None,
         }
--- a/crates/emulator/src/fleet/mod.rs
+++ b/crates/emulator/src/fleet/mod.rs
@@ -165,8 +165,10 @@
             Event::Persisted { machine, boot, ticket, failed } => {
                 self.persisted(machine, boot, ticket, failed)
             }
+            Event::Recovered { machine, boot, recovery } => self.recovered(machine, boot, *recovery),
             Event::Core { to, from, message } => self.core_received(to, from, message),
             Event::Request { call, to, asked } => self.request_arrives(call, to, asked),
+            Event::LateCopy { call, to, asked } => self.late_copy_arrives(call, to, asked),
             Event::Response { call, outcome } => self.response_arrives(call, outcome),
             Event::CallTimeout { call } => self.call_timed_out(call),
             Event::Abandoned { machine, boot, request } => self.core_abandoned(machine, boot, request),
--- a/crates/emulator/src/fleet/operator.rs
+++ b/crates/emulator/src/fleet/operator.rs
@@ -22,6 +22,8 @@
 const LONGEST_PAUSE_MS: Millis = 800;
 /// Redirects that are followed.
 const MOST_REDIRECTS: u32 = 2;
+/// Between two readings of the configuration during the day.
+const READ_EVERY_MS: Millis = 350;
 /// When the first configuration is sent.
 const FIRST_AT_MS: Millis = 600;
 
@@ -34,6 +36,8 @@
     Read { last: bool },
     /// Sends an order again.
     Send { attempt: usize },
+    /// Makes one of several changes.
+    Change,
 }
 
 #[derive(Clone, Debug)]
@@ -58,6 +62,8 @@
     extra: Vec<Arc<str>>,
     /// Answers are lost until then.
     pub(crate) answers_lost_until: Millis,
+    /// Copies of orders are held up for so long at most, until then.
+    pub(crate) held_up: Option<(Millis, Millis)>,
 }
 
 impl Operator {
@@ -110,6 +116,11 @@
         self.queue.push(FIRST_AT_MS, Event::Operator(OperatorEvent::First));
         let end = self.setup.traffic_until + self.setup.bounds.finish_ms;
         self.queue.push(end, Event::Operator(OperatorEvent::Read { last: true }));
+        let mut at = FIRST_AT_MS;
+        while at < end {
+            self.queue.push(at, Event::Operator(OperatorEvent::Read { last: false }));
+            at += READ_EVERY_MS;
+        }
     }
 
     pub(crate) fn operator_event(&mut self, event: OperatorEvent) {
@@ -121,6 +132,7 @@
             }
             OperatorEvent::Read { last } => self.read_configuration(last),
             OperatorEvent::Send { attempt } => self.send_order(attempt, None),
+            OperatorEvent::Change => self.change_configuration(None),
         }
     }
 
@@ -173,16 +185,21 @@
         }
         attempt.tries += 1;
         let order = OperatorOrder { kind: attempt.kind, base: attempt.base, body: attempt.body.clone() };
-        let caller = Caller::Operator { attempt: number };
-        self.call(caller, to.unwrap_or(any), Asked::Primary(Box::new(Call::Operator(order))), PATIENCE_MS);
+        let caller = Caller::Operator { attempt: number, sent: self.now };
+        let to = to.unwrap_or(any);
+        if let Some((most_ms, _)) = self.operator.held_up.filter(|(_, until)| self.now < *until) {
+            let delay = self.random.between(100, most_ms);
+            self.hold_up_copy(to, Asked::Primary(Box::new(Call::Operator(order.clone()))), delay);
+        }
+        self.call(caller, to, Asked::Primary(Box::new(Call::Operator(order))), PATIENCE_MS);
     }
 
-    pub(crate) fn operator_answered(&mut self, _from: MachineId, attempt: usize, outcome: Outcome) {
+    pub(crate) fn operator_answered(&mut self, sent: Millis, attempt: usize, outcome: Outcome) {
         if self.operator.attempts[attempt].done {
             return;
         }
         match outcome {
-            Outcome::Operator(reply) if reply.status < 500 => self.order_answered(attempt, &reply),
+            Outcome::Operator(reply) if reply.status < 500 => self.order_answered(sent, attempt, &reply),
             Outcome::NotPrimary(view) => self.redirected(attempt, view.primary),
             _ => self.retry(attempt),
         }
@@ -213,7 +230,7 @@
         self.queue.push(self.now + pause, Event::Operator(OperatorEvent::Send { attempt }));
     }
 
-    fn order_answered(&mut self, attempt: usize, reply: &OperatorReply) {
+    fn order_answered(&mut self, sent: Millis, attempt: usize, reply: &OperatorReply) {
         let state = self.operator.attempts[attempt].clone();
         self.trace(|| {
             format!("operator {:?} {:?} answered {} {}", state.kind, state.number, reply.status, reply.body)
@@ -221,7 +238,7 @@
         self.operator.attempts[attempt].done = true;
         match state.number {
             None if reply.status == 200 => {
-                self.checker.configuration_read(self.now, &reply.body, state.last_reading);
+                self.checker.configuration_read(self.now, sent, &reply.body);
                 if let Ok(read) = serde_json::from_str::<Configuration>(&reply.body) {
                     self.learn_configuration(Arc::new(read));
                 }
@@ -299,6 +316,30 @@
         added
     }
 
+    /// One change after another.
+    pub(crate) fn many_changes(&mut self, count: usize, gap_ms: Millis) {
+        for index in 0..count {
+            let at = self.now + gap_ms * index as Millis;
+            self.queue.push(at, Event::Operator(OperatorEvent::Change));
+        }
+    }
+
+    /// A change, and one that builds on it before it is answered.
+    pub(crate) fn chain(&mut self) {
+        let Some(known) = self.operator.known.clone() else { return };
+        let mut first = (*known).clone();
+        first.version += 1;
+        let route = self.retune_some_route(&mut first);
+        let mut second = first.clone();
+        second.version += 1;
+        self.add_route(&mut second);
+        // Whole, as another operator may have made another version of that number.
+        let later = serde_json::to_string(&second).unwrap_or_default();
+        self.order(OrderKind::Replace, first.version, later, Some(Arc::new(second)));
+        let sooner = json!({"version": first.version, "upsert": {"routes": [route]}}).to_string();
+        self.order(OrderKind::Update, known.version, sooner, Some(Arc::new(first)));
+    }
+
     /// Two operators change the same version, perhaps under the same number.
     pub(crate) fn race(&mut self) {
         let step = self.random.chance(0.5).then_some(1);
--- a/crates/emulator/src/fleet/touch.rs
+++ b/crates/emulator/src/fleet/touch.rs
@@ -14,6 +14,8 @@
     core_event: Millis,
     /// Most of the core was lost by the last event.
     most_lost: bool,
+    /// More core machines than tolerated have been lost at once, and not all have been back for long since.
+    overlapped: bool,
     core_slowed: u32,
 }
 
@@ -33,9 +35,32 @@
                 self.touch.most_lost && now < self.touch.core_event + 2 * self.setup.bounds.contact_ms;
             self.touch.core_event = now;
             self.touch.most_lost = was_lost || !self.core_has_majority();
+            let rest_is_over = now >= self.touch.core_event + self.setup.bounds.recovery_ms;
+            let still = self.touch.overlapped && !rest_is_over;
+            self.touch.overlapped =
+                self.schedule.overlaps && (still || self.lost_cores() > self.setup.tolerance);
         }
     }
 
+    /// Core machines that count as lost: troubled now, or so shortly before that they may lack something.
+    fn lost_cores(&self) -> usize {
+        let catch_up = self.setup.bounds.catch_up_ms;
+        let is_lost = |id: &MachineId| {
+            let trouble = self.touch.machines.get(id).copied().unwrap_or_default();
+            let is_recent = trouble.last > 0 && self.now < trouble.last + catch_up;
+            let is_down = !self.is_running(*id) && !self.machines[*id].removed;
+            is_down || trouble.ongoing > 0 || is_recent
+        };
+        let machines = 0..self.machines.len();
+        machines.filter(|id| self.machines[*id].role == Role::Core).filter(is_lost).count()
+    }
+
+    /// Whether any core machine is troubled now.
+    fn is_any_core_troubled(&self) -> bool {
+        let trouble = |id: &MachineId| self.touch.machines.get(id).copied().unwrap_or_default();
+        self.cores().iter().any(|id| !self.is_running(*id) || trouble(id).ongoing > 0)
+    }
+
     /// A trouble of a machine begins, and lasts.
     pub(crate) fn trouble_begins(&mut self, machine: MachineId) {
         self.trouble(machine);
@@ -83,7 +108,14 @@
         if self.touch.core_slowed > 0 || !self.core_has_majority() {
             return None;
         }
-        let added = if self.touch.most_lost { self.setup.bounds.contact_ms } else { 0 };
+        if self.touch.overlapped && self.is_any_core_troubled() {
+            return None;
+        }
+        let added = match () {
+            () if self.touch.overlapped => self.setup.bounds.recovery_ms,
+            () if self.touch.most_lost => self.setup.bounds.contact_ms,
+            () => 0,
+        };
         Some(self.touch.core_event + added)
     }
 
--- a/crates/emulator/src/fleet/troubles.rs
+++ b/crates/emulator/src/fleet/troubles.rs
@@ -66,11 +66,13 @@
             | Fault::WipeCore { .. }
             | Fault::KillAllCore { .. }
             | Fault::PowerAllCore { .. }
+            | Fault::PowerEverything { .. }
             | Fault::ReplaceCore { .. }
             | Fault::RollCore { .. } => self.strike_processes(fault, at),
             Fault::FreezeCore { .. }
             | Fault::CutCore { .. }
             | Fault::CutCoreWholly { .. }
+            | Fault::CutHalves { .. }
             | Fault::SlowDisk { .. }
             | Fault::StallDisk { .. }
             | Fault::FullDisk { .. }
@@ -111,6 +113,17 @@
                     self.wipe(machine);
                 }
             }
+            Fault::PowerEverything { down_ms, wipe } => {
+                let wiped = wipe.map(|core| self.meant(core, at));
+                for machine in 0..self.machines.len() {
+                    if !self.machines[machine].removed {
+                        self.kill_for(machine, true, down_ms);
+                    }
+                }
+                if let Some(machine) = wiped {
+                    self.wipe(machine);
+                }
+            }
             Fault::ReplaceCore { core, after_ms } => {
                 let machine = self.meant(core, at);
                 self.kill(machine, true);
@@ -186,6 +199,7 @@
                 let all: Vec<MachineId> = (0..self.machines.len()).collect();
                 self.cut(machine, &all, false, for_ms);
             }
+            Fault::CutHalves { for_ms } => self.cut_halves(for_ms),
             Fault::SlowDisk { core, by_ms, for_ms } => {
                 let machine = self.meant(core, at);
                 self.machines[machine].disk.slow_ms = by_ms;
@@ -223,6 +237,21 @@
         }
     }
 
+    /// The primary is in the smaller half.
+    fn cut_halves(&mut self, for_ms: Millis) {
+        let primary = self.core_meant(Core::Primary);
+        let cores = self.cores();
+        let others = cores.iter().copied().filter(|machine| *machine != primary);
+        let half: Vec<MachineId> = std::iter::once(primary).chain(others).take(cores.len() / 2).collect();
+        let rest: Vec<MachineId> = cores.iter().copied().filter(|machine| !half.contains(machine)).collect();
+        for machine in half {
+            self.cut(machine, &rest, false, for_ms);
+        }
+        for machine in rest {
+            self.trouble(machine);
+        }
+    }
+
     fn disk_troubled(&mut self, machine: MachineId, for_ms: Millis) {
         self.trouble_begins(machine);
         self.core_slowed(true);
@@ -256,6 +285,11 @@
             Fault::Cancels { jobs } => self.cancel_some(jobs),
             Fault::Change => self.change_configuration(None),
             Fault::Race => self.race(),
+            Fault::ManyChanges { count, gap_ms } => self.many_changes(count, gap_ms),
+            Fault::Chain => self.chain(),
+            Fault::HoldUpOrders { most_ms, for_ms } => {
+                self.operator.held_up = Some((most_ms, now + for_ms));
+            }
             Fault::BadChange => self.bad_change(),
             Fault::LoseAnswers { for_ms } => self.operator.answers_lost_until = now + for_ms,
             other => self.strike_worker(other),
--- a/crates/emulator/src/search.rs
+++ b/crates/emulator/src/search.rs
@@ -41,9 +41,24 @@
 /// Troubles begin so long after the start.
 const TROUBLES_FROM_MS: u64 = 2_500;
 
+/// So much later does the traffic of a day of the control side end: time for a cut of twenty seconds.
+const LONGER_MS: u64 = 12_000;
+
+/// Which days are drawn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Days {
+    /// Troubles of all kinds, within the tolerance.
+    Ordinary,
+    /// Troubles of the control side among them, which may overlap beyond the tolerance without more lost disks.
+    Control,
+}
+
 /// The fleet and the troubles of a seed.
-pub fn draw(seed: u64) -> (Setup, Schedule) {
-    let setup = Setup::drawn(seed);
+pub fn draw(seed: u64, days: Days) -> (Setup, Schedule) {
+    let mut setup = Setup::drawn(seed);
+    if days == Days::Control {
+        setup.traffic_until += LONGER_MS;
+    }
     let sizes = Sizes {
         cores: setup.cores,
         gates: setup.gates,
@@ -52,12 +67,15 @@
         until: setup.traffic_until,
         catch_up_ms: setup.bounds.catch_up_ms,
     };
-    (setup, Schedule::draw(seed, sizes))
+    match days {
+        Days::Ordinary => (setup, Schedule::draw(seed, sizes)),
+        Days::Control => (setup, Schedule::draw_control(seed, sizes)),
+    }
 }
 
 /// Plays the day of a seed.
-pub fn play(seed: u64, verbose: bool) -> Outcome {
-    let (setup, schedule) = draw(seed);
+pub fn play(seed: u64, days: Days, verbose: bool) -> Outcome {
+    let (setup, schedule) = draw(seed, days);
     let mut fleet = Fleet::new(setup, schedule.clone());
     fleet.verbose = verbose;
     let violations = fleet.run().to_vec();
--- a/crates/emulator/tests/calm.rs
+++ b/crates/emulator/tests/calm.rs
@@ -3,7 +3,7 @@
 use streamusher_emulator::faults::Schedule;
 use streamusher_emulator::fleet::setup::Setup;
 use streamusher_emulator::fleet::Fleet;
-use streamusher_emulator::search;
+use streamusher_emulator::search::{self, Days};
 
 /// The queues of the first configuration, which a calm day keeps. Clients now and then name another one.
 const QUEUES: [&str; 5] = ["/quick/", "/log/", "/gang/", "/lasting/", "/image/"];
@@ -23,5 +23,5 @@
 
 #[test]
 fn given_a_seed_when_its_day_is_played_twice_then_both_days_are_the_same() {
-    assert_eq!(search::play(3, false), search::play(3, false));
+    assert_eq!(search::play(3, Days::Ordinary, false), search::play(3, Days::Ordinary, false));
 }
--- a/crates/emulator/tests/search.rs
+++ b/crates/emulator/tests/search.rs
@@ -4,7 +4,7 @@
 use rstest::rstest;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
-use streamusher_emulator::search::{self, Outcome};
+use streamusher_emulator::search::{self, Days, Outcome};
 
 /// Days played without being asked for more.
 const DAYS: u64 = 200;
@@ -17,7 +17,7 @@
     std::env::var(name).ok()?.parse().ok()
 }
 
-fn play_all(from: u64, count: u64) -> Vec<Outcome> {
+fn play_all(days: Days, from: u64, count: u64) -> Vec<Outcome> {
     let next = AtomicU64::new(from);
     let outcomes = Mutex::new(Vec::new());
     std::thread::scope(|scope| {
@@ -27,7 +27,7 @@
                 if seed >= from + count {
                     break;
                 }
-                let outcome = search::play(seed, false);
+                let outcome = search::play(seed, days, false);
                 if let Ok(mut outcomes) = outcomes.lock() {
                     outcomes.push(outcome);
                 }
@@ -47,21 +47,30 @@
 #[case::deregistration_with_runs_at_work(21092)]
 #[case::deregistration_with_runs_at_work_again(23831)]
 fn given_a_day_that_broke_a_rule_once_when_it_is_played_then_it_breaks_none(#[case] seed: u64) {
-    let outcome = search::play(seed, false);
+    let outcome = search::play(seed, Days::Ordinary, false);
 
     assert!(outcome.violations.is_empty(), "{outcome}");
 }
 
 #[test]
 fn given_drawn_days_when_they_are_played_then_no_rule_is_broken() {
+    play_and_check(Days::Ordinary);
+}
+
+#[test]
+fn given_drawn_days_of_the_control_side_when_they_are_played_then_no_rule_is_broken() {
+    play_and_check(Days::Control);
+}
+
+fn play_and_check(days: Days) {
     if let Some(seed) = number("EMULATOR_SEED") {
-        let outcome = search::play(seed, true);
+        let outcome = search::play(seed, days, true);
         println!("{outcome}");
         assert!(outcome.violations.is_empty(), "{outcome}");
         return;
     }
     let (from, count) = (number("EMULATOR_FROM").unwrap_or(0), number("EMULATOR_SEEDS").unwrap_or(DAYS));
-    let outcomes = play_all(from, count);
+    let outcomes = play_all(days, from, count);
     let failed: Vec<&Outcome> = outcomes.iter().filter(|outcome| !outcome.violations.is_empty()).collect();
     for outcome in failed.iter().take(MOST_PRINTED) {
         println!("{outcome}");
--- a/crates/placement/src/gang.rs
+++ b/crates/placement/src/gang.rs
@@ -26,7 +26,10 @@
         let Some(waiting) = self.queue.get(key) else { return };
         let plan = self.cheapest(now, key, waiting, &groups, Reach::Now);
         if let Some(plan) = plan.filter(|plan| self.may_take(now, waiting, plan)) {
-            return self.start_gang(now, key, plan, out);
+            self.start_gang(now, key, plan, out);
+        }
+        if self.queue.get(key).is_none() {
+            return;
         }
         if !self.is_kept(now, key) && self.plans_left > 0 && self.is_among_first(key) {
             self.make_room(now, key, &groups, out);
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -18,6 +18,9 @@
 
 /// Units looked at again in one call; the others follow in the next.
 const MOST_DUE: usize = 64;
+/// Units that came since the last call and are looked at in one, most urgent first; a new primary finds all that wait at once,
+/// and must not stand still for them.
+const MOST_FRESH: usize = 1_000;
 /// Searches for room in one call, most urgent first: they cost the most by far.
 const MOST_PLANS: usize = 16;
 /// Gangs of a service that are tried when room comes free.
@@ -232,7 +235,7 @@
         }
         self.services.values_mut().for_each(|service| service.settle(now));
         self.plans_left = MOST_PLANS;
-        let mut looked_at = std::mem::take(&mut self.fresh);
+        let mut looked_at = self.take_fresh();
         looked_at.extend(self.queue.take_due(now, MOST_DUE));
         let (gangs, singles): (BTreeSet<Key>, BTreeSet<Key>) =
             looked_at.into_iter().partition(|key| self.queue.get(*key).is_some_and(Waiting::is_gang));
@@ -250,6 +253,12 @@
         out
     }
 
+    fn take_fresh(&mut self) -> BTreeSet<Key> {
+        let first_left = self.fresh.iter().nth(MOST_FRESH).copied();
+        let left = first_left.map_or_else(BTreeSet::new, |key| self.fresh.split_off(&key));
+        std::mem::replace(&mut self.fresh, left)
+    }
+
     fn note_share(&mut self, now: Millis, key: Key) {
         let Some(waiting) = self.queue.get(key) else { return };
         let Some(service) = self.services.get_mut(&waiting.unit.service) else { return };
--- a/crates/placement/tests/claims.rs
+++ b/crates/placement/tests/claims.rs
@@ -229,3 +229,20 @@
     };
     assert_eq!(play(), play());
 }
+
+#[test]
+fn given_more_tasks_than_one_call_looks_at_when_they_come_at_once_then_the_urgent_are_first_and_none_is_forgotten(
+) {
+    const TASKS: u64 = 2_500;
+    let mut cluster = Cluster::new(1, [worker("w1", 10_000_000, "r1")]);
+    (1..=TASKS).for_each(|number| cluster.enqueue(unit(number, 10, 2)));
+    cluster.enqueue(unit(TASKS + 1, 10, 0));
+    let first = cluster.place();
+    assert!(first.contains(&(task(TASKS + 1), "w1".into())), "the urgent one comes first");
+    assert!(first.len() < TASKS as usize, "{} were looked at in one call", first.len());
+    let mut started = first.len();
+    for _ in 0..3 {
+        started += cluster.place().len();
+    }
+    assert_eq!(started, TASKS as usize + 1);
+}
--- /dev/null
+++ b/crates/scheduler/examples/takeover.rs
@@ -0,0 +1,83 @@
+//! How long a new primary stands still while it takes over, by the size of the state. In that time it says nothing, and its
+//! replicas wait for a lease only.
+//!
+//!     cargo run --release -p streamusher-scheduler --example takeover -- 1000 10000 100000
+//!
+//! Prints for each number of jobs (four tasks each, none ended): keys and bytes of the state, the time to recover it, and the
+//! time of the first tick after that.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Instant;
+use streamusher_protocol::internal::{ClientCall, ClientMethod};
+use streamusher_protocol::Now;
+use streamusher_scheduler::{Bounds, Event, OperatorOrder, OrderKind, Scheduler, Settings};
+
+const CONFIGURATION: &str = r#"{"version":1,"routes":[{"name":"r","host":"h","path_prefix":"/q/","timeout_ms":3000,
+    "target_latency_ms":800,"priority":0,"service":"s","max_attempts":2,"stretch":1.5}],"services":[{"name":"s"}]}"#;
+const JOB: &str = r#"{"spec":"a text that says what is to be done, of some hundred bytes, as operators' clients send",
+    "steps":[{"count":4,"cpu":500,"mem_mb":256,"estimated_ms":900}]}"#;
+
+fn settings() -> Settings {
+    let bounds = Bounds {
+        hold_max_ms: 6_000,
+        stop_ms: 900,
+        gang_ms: 3_000,
+        status_ms: 120_000,
+        early_ms: 250,
+        far_x: 1.5,
+        save_ms: 2_000,
+        restore_ms: 600,
+        drain_ms: 2_000,
+        heartbeat_ms: 1_500,
+    };
+    Settings { bounds, random_seed: 1, share_debt: None }
+}
+
+fn now(steady: u64) -> Now {
+    Now { steady, unix: 1_790_000_000_000 + steady }
+}
+
+/// The state that so many jobs leave.
+fn state_of(jobs: u64) -> BTreeMap<Arc<str>, Arc<str>> {
+    let mut scheduler = Scheduler::recover(settings(), 1, now(0), Vec::new()).expect("an empty state");
+    let mut state = BTreeMap::new();
+    let order = OperatorOrder { kind: OrderKind::Replace, base: Some(0), body: CONFIGURATION.into() };
+    let events = (0..jobs).map(|number| Event::Client {
+        request: number,
+        call: ClientCall {
+            method: ClientMethod::Post,
+            host: "h".into(),
+            path: format!("/q/{number:016x}").into(),
+            body: JOB.into(),
+            configuration: 0,
+        },
+    });
+    for event in std::iter::once(Event::Operator { request: jobs, order }).chain(events) {
+        for write in scheduler.handle(now(0), event).writes {
+            match write.value {
+                Some(value) => state.insert(write.key, value),
+                None => state.remove(&write.key),
+            };
+        }
+    }
+    state
+}
+
+fn main() {
+    let sizes = std::env::args().skip(1).filter_map(|text| text.parse::<u64>().ok());
+    for jobs in sizes {
+        let state = state_of(jobs);
+        let bytes: usize = state.iter().map(|(key, value)| key.len() + value.len()).sum();
+        let keys = state.len();
+        let begun = Instant::now();
+        let mut scheduler = Scheduler::recover(settings(), 2, now(1_000), state).expect("a sound state");
+        let recovered = begun.elapsed();
+        let begun = Instant::now();
+        scheduler.handle(now(1_020), Event::Tick);
+        let ticked = begun.elapsed();
+        println!(
+            "{jobs} jobs: {keys} keys, {bytes} bytes; recovered in {recovered:?}, first tick {ticked:?}"
+        );
+    }
+}
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -68,6 +68,8 @@
         };
         scheduler.adopt_workers(now.steady, of(&["worker/"]));
         scheduler.adopt_runs(now.steady);
+        // All that waits is queued here: recovery runs beside the event loop, the first event does not.
+        scheduler.take_job_changes(now);
         Ok(scheduler)
     }
 
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -153,7 +153,7 @@
         }
     }
 
-    fn take_job_changes(&mut self, now: Now) {
+    pub(crate) fn take_job_changes(&mut self, now: Now) {
         let changes = self.jobs.take_changes();
         self.write(changes.writes);
         for unit in changes.revoked {
