--- a/crates/coordination/tests/copies.rs
+++ b/crates/coordination/tests/copies.rs
@@ -110,3 +110,16 @@
     Cut,
     Primary,
 }
+
+/// By the size of the state: 1 MB, 10 MB, and 33 MB, which is 10^5 jobs.
+#[rstest]
+fn given_a_state_of_any_size_when_a_replica_returns_without_its_disk_under_load_then_it_is_level_in_time(
+    #[values(50, 500, 1_650)] values: usize,
+) {
+    let (mut cluster, replica) = with_a_wiped_replica(values);
+    cluster.start(replica);
+    let level = cluster.run_until(CATCH_UP_MS, Cluster::is_calm);
+    println!("{} kB: level after {level:?} ms", values * 20);
+    assert!(level.is_some(), "not level: {}", cluster.describe());
+    assert_eq!(cluster.nodes[replica].elected, 0);
+}
