--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -19,13 +19,14 @@
 use streamusher_protocol::Millis;
 
 /// A machine that wants to be let in, and when it last said so.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Joiner {
     pub member: Member,
     pub heard: Millis,
 }
 
 /// Epochs, leases and replication of one core machine.
+#[derive(Clone, Debug)]
 pub struct Coordinator {
     pub(crate) settings: Settings,
     pub(crate) random: Pcg64Mcg,
--- a/crates/coordination/src/copy.rs
+++ b/crates/coordination/src/copy.rs
@@ -10,7 +10,7 @@
 use streamusher_protocol::Millis;
 
 /// A copy on its way to a replica.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct OutgoingCopy {
     pub id: u64,
     pub position: Position,
@@ -104,7 +104,7 @@
 }
 
 /// A copy that is being received.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct IncomingCopy {
     pub reign: u64,
     pub id: u64,
--- a/crates/coordination/src/disk.rs
+++ b/crates/coordination/src/disk.rs
@@ -9,7 +9,7 @@
 use streamusher_protocol::Millis;
 
 /// What happens when all changes so far are synced.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) enum Effect {
     /// The machine may speak.
     Started,
@@ -23,7 +23,7 @@
     Recorded { epoch: u64 },
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Flight {
     ticket: u64,
     mark: u64,
@@ -32,7 +32,7 @@
 }
 
 /// Changes on their way to the disk.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct DiskQueue {
     flight: Option<Flight>,
     waiting: Option<DiskChange>,
@@ -76,7 +76,7 @@
     /// The next effect that waits no longer.
     pub fn ready(&mut self) -> Option<Effect> {
         let (mark, _) = self.effects.front()?;
-        if *mark > self.durable {
+        if *mark > self.durable && !cfg!(feature = "mutant-unsynced") {
             return None;
         }
         self.effects.pop_front().map(|(_, effect)| effect)
--- a/crates/coordination/src/peer.rs
+++ b/crates/coordination/src/peer.rs
@@ -18,7 +18,7 @@
 }
 
 /// Another member, as the primary sees it.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Peer {
     pub address: Arc<str>,
     /// When its last acknowledgement came; the opening of the reign before the first.
--- a/crates/coordination/src/proposal.rs
+++ b/crates/coordination/src/proposal.rs
@@ -15,14 +15,14 @@
 }
 
 /// An answer to the first phase.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Promise {
     pub accepted: Option<(Ballot, Arc<EpochRecord>)>,
     pub position: Position,
 }
 
 /// How far a proposal is.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) enum Phase {
     /// Promises are being collected.
     Preparing { promises: BTreeMap<DiskId, Promise>, majority_at: Option<Millis> },
@@ -36,7 +36,7 @@
 }
 
 /// A proposal.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Proposal {
     /// The record before, whose members decide.
     pub base: Arc<EpochRecord>,
--- a/crates/coordination/src/proposer.rs
+++ b/crates/coordination/src/proposer.rs
@@ -75,7 +75,8 @@
         if !is_change && !all_reported && self.now < majority_at + REPORT_MS {
             return;
         }
-        let value = match (accepted_value(promises), proposal.purpose) {
+        let accepted = accepted_value(promises).filter(|_| !cfg!(feature = "mutant-adoption"));
+        let value = match (accepted, proposal.purpose) {
             (Some(value), _) => Some(value),
             (None, Purpose::Stand) => Some(Arc::new(self.elected_record(promises))),
             (None, Purpose::Change) => self.desired_record().map(Arc::new),
--- a/crates/coordination/src/recent.rs
+++ b/crates/coordination/src/recent.rs
@@ -9,7 +9,7 @@
 const BATCH_OVERHEAD: usize = 64;
 
 /// The newest batches in order, without gaps.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Recent {
     batches: VecDeque<Batch>,
     bytes: usize,
--- a/crates/coordination/src/reign.rs
+++ b/crates/coordination/src/reign.rs
@@ -11,7 +11,7 @@
 const MOST_MADE: usize = 1_024;
 
 /// A primary's time in office.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Reign {
     /// The epoch in which it began.
     pub epoch: u64,
@@ -42,7 +42,7 @@
 }
 
 /// A batch that is not committed.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Outstanding {
     pub sequence: u64,
     pub append: Option<u64>,
