--- a/crates/controlplane/tests/driver.rs
+++ b/crates/controlplane/tests/driver.rs
@@ -113,19 +113,7 @@
 }
 
 fn settings() -> Settings {
-    let bounds = Bounds {
-        hold_max_ms: 6_000,
-        stop_ms: 900,
-        gang_ms: 3_000,
-        status_ms: 120_000,
-        early_ms: 250,
-        far_x: 1.5,
-        save_ms: 2_000,
-        restore_ms: 600,
-        drain_ms: 2_000,
-        heartbeat_ms: 1_500,
-    };
-    Settings { bounds, random_seed: 1, share_debt: None }
+    Settings { bounds: Bounds::default(), random_seed: 1, share_debt: None }
 }
 
 fn now() -> Now {
--- a/crates/emulator/src/fleet/event.rs
+++ b/crates/emulator/src/fleet/event.rs
@@ -2,8 +2,8 @@
 
 use super::calls::{Asked, Outcome};
 use super::client::ClientEvent;
+use super::heals::Heal;
 use super::operator::OperatorEvent;
-use super::troubles::Heal;
 use crate::network::MachineId;
 use crate::plant::{Timer, WorkerIndex};
 use std::sync::Arc;
--- a/crates/emulator/src/fleet/mod.rs
+++ b/crates/emulator/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 mod event;
 mod finder;
 mod gate;
+mod heals;
 mod jobs;
 pub mod machine;
 mod operator;
--- a/crates/emulator/tests/common/mod.rs
+++ b/crates/emulator/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! Days for stories.
+#![allow(dead_code)]
 
 use streamusher_emulator::faults::Schedule;
 use streamusher_emulator::fleet::setup::Setup;
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -42,6 +42,24 @@
     pub heartbeat_ms: Millis,
 }
 
+impl Default for Bounds {
+    /// Those of a small deployment in one region.
+    fn default() -> Bounds {
+        Bounds {
+            hold_max_ms: 6_000,
+            stop_ms: 900,
+            gang_ms: 3_000,
+            status_ms: 120_000,
+            early_ms: 250,
+            far_x: 1.5,
+            save_ms: 2_000,
+            restore_ms: 600,
+            drain_ms: 2_000,
+            heartbeat_ms: 1_500,
+        }
+    }
+}
+
 /// What a scheduler is told at its start.
 #[derive(Clone, Debug)]
 pub struct Settings {
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -18,18 +18,7 @@
 const UNIX_START: Millis = 1_790_000_000_000;
 
 pub fn settings() -> Settings {
-    let bounds = Bounds {
-        hold_max_ms: HOLD_MAX_MS,
-        stop_ms: 900,
-        gang_ms: 3_000,
-        status_ms: 120_000,
-        early_ms: 250,
-        far_x: 1.5,
-        save_ms: 2_000,
-        restore_ms: 600,
-        drain_ms: 2_000,
-        heartbeat_ms: 1_500,
-    };
+    let bounds = Bounds { hold_max_ms: HOLD_MAX_MS, ..Bounds::default() };
     Settings { bounds, random_seed: 1, share_debt: None }
 }
 
