A machine is let in beside a dead member that is needed as a replica

Cause: since a machine was not added while any member did not answer. One that is dead and, for want of level copies, still among the replicas can't be replaced, so nobody was let in ever: with a tolerance of two and a seed that is down at the first start the core never acted. Found by reading the change once more.

--- a/crates/coordination/src/reconfiguration.rs
+++ b/crates/coordination/src/reconfiguration.rs
@@ -235,9 +235,13 @@
         })
     }
 
-    /// Whether a member does not answer: it is known soon whether it is absent.
+    /// Whether a member does not answer and it is known soon whether it is absent. One that is absent and needed as a replica
+    /// keeps nobody out: a machine that is let in can take its part.
     fn has_doubtful_member(&self, reign: &Reign, members: &[Member]) -> bool {
-        let is_doubtful = |peer: &Peer| !peer.responds(self.now) && !cfg!(feature = "mutant-absent");
+        let is_doubtful = |peer: &Peer| {
+            let is_silent = !peer.responds(self.now) && self.now < peer.heard + REPLACED_AFTER_MS;
+            is_silent && !cfg!(feature = "mutant-absent")
+        };
         members.iter().any(|member| reign.peers.get(&member.id).is_some_and(is_doubtful))
     }
 }
--- a/crates/coordination/tests/newcomers.rs
+++ b/crates/coordination/tests/newcomers.rs
@@ -2,7 +2,7 @@
 
 mod cluster;
 
-use cluster::Cluster;
+use cluster::{Cluster, CATCH_UP_MS};
 use rstest::rstest;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -104,3 +104,16 @@
     story.cluster.run(750);
     story.leave_the_new_one_alone(0);
 }
+
+/// Too few copies are left without it, so that it stays among the replicas until another machine is level.
+#[rstest]
+fn given_a_seed_that_is_down_at_the_first_start_when_the_others_come_then_they_go_on_without_it(
+    #[values((3, 1), (5, 1), (5, 2), (9, 2))] shape: (usize, usize), #[values(0, 1, 2)] down: usize,
+) {
+    let mut cluster = Cluster::new(shape.0, shape.1, 5);
+    for index in (0..shape.0).filter(|index| *index != down) {
+        cluster.start(index);
+    }
+    let acts = cluster.run_until(CATCH_UP_MS, |cluster| cluster.actor().is_some());
+    assert!(acts.is_some(), "nobody acts: {}", cluster.describe());
+}
