--- a/crates/controlplane/src/parameters.rs
+++ b/crates/controlplane/src/parameters.rs
@@ -86,7 +86,7 @@
         drain_ms: bounds.drain_ms,
         heartbeat_ms: settings.heartbeat_ms,
     };
-    scheduler::Settings { bounds, random_seed, share_debt }
+    scheduler::Settings { bounds, random_seed, share_debt, policy: scheduler::Policy::default() }
 }
 
 /// A new seed for each start: a disk's id is drawn from it, so it must not come twice.
--- a/crates/controlplane/tests/driver.rs
+++ b/crates/controlplane/tests/driver.rs
@@ -113,7 +113,12 @@
 }
 
 fn settings() -> Settings {
-    Settings { bounds: Bounds::default(), random_seed: 1, share_debt: None }
+    Settings {
+        bounds: Bounds::default(),
+        random_seed: 1,
+        share_debt: None,
+        policy: streamusher_scheduler::Policy::default(),
+    }
 }
 
 fn now() -> Now {
--- a/crates/emulator/src/catalog.rs
+++ b/crates/emulator/src/catalog.rs
@@ -1,6 +1,6 @@
 //! What the emulated clients hand in, and how long its tasks really take.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use streamusher_protocol::job::{JobRequest, StepRequest};
 use streamusher_protocol::task::{JobId, TaskId};
@@ -18,8 +18,31 @@
     pub prefix: Arc<str>,
     /// The work of a task of each step, on a sound worker near its data.
     pub work_ms: Vec<Millis>,
+    /// The same of each task by itself, where tasks of a step differ.
+    pub work_of_tasks: Vec<Vec<Millis>>,
     /// Each task fails in its first runs, so many times; `u32::MAX` for always.
     pub own_failures: u32,
+    /// Tasks that fail in their first run, by step and index.
+    pub failing_once: BTreeSet<(u32, u32)>,
+    /// Where it belongs to a workload: how.
+    pub submission: Option<Submission>,
+}
+
+/// How a job of a workload was handed in.
+#[derive(Clone, Copy, Debug)]
+pub struct Submission {
+    /// Its class.
+    pub class: usize,
+    /// When it was sent first.
+    pub at: Millis,
+}
+
+impl KnownJob {
+    /// The work of a task, in milliseconds.
+    pub fn work_of(&self, step: u32, index: u32) -> Millis {
+        let own = self.work_of_tasks.get(step as usize).and_then(|tasks| tasks.get(index as usize));
+        own.or_else(|| self.work_ms.get(step as usize)).copied().unwrap_or(0)
+    }
 }
 
 /// All jobs of a day.
@@ -54,13 +77,15 @@
 
     /// A task's work.
     pub fn work_ms(&self, task: &TaskId) -> Millis {
-        let job = self.jobs.get(&task.job);
-        job.and_then(|job| job.work_ms.get(task.step as usize)).copied().unwrap_or(0)
+        self.jobs.get(&task.job).map_or(0, |job| job.work_of(task.step, task.index))
     }
 
     /// Whether a run of a task fails through the task's own fault.
     pub fn fails(&self, task: &TaskId, run: u32) -> bool {
-        self.jobs.get(&task.job).is_some_and(|job| run <= job.own_failures)
+        let fails = |job: &KnownJob| {
+            run <= job.own_failures || run == 1 && job.failing_once.contains(&(task.step, task.index))
+        };
+        self.jobs.get(&task.job).is_some_and(fails)
     }
 
     /// The name under which checkpoints of a task, or of its gang, are known.
--- a/crates/emulator/src/fleet/client.rs
+++ b/crates/emulator/src/fleet/client.rs
@@ -5,6 +5,7 @@
 use super::Fleet;
 use crate::catalog::KnownJob;
 use crate::network::MachineId;
+use crate::workload::{draw_job, Workload};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use streamusher_protocol::internal::{ClientCall, ClientMethod, ClientReply};
@@ -37,6 +38,8 @@
 pub(crate) enum ClientEvent {
     /// Hands in a job of the ordinary traffic, or one that can never be done.
     New { poison: bool },
+    /// Hands in a job of a workload's class.
+    OfClass { class: usize },
     /// Sends a job, perhaps again.
     Submit { job: usize },
     /// A call reaches a gate.
@@ -100,15 +103,39 @@
 impl Fleet {
     /// Plans the ordinary traffic.
     pub(crate) fn plan_traffic(&mut self) {
+        if let Some(workload) = self.workload.clone() {
+            return self.plan_workload(&workload);
+        }
         for _ in 0..self.setup.jobs {
             let at = self.random.between(self.setup.traffic_from, self.setup.traffic_until);
             self.queue.push(at, Event::Client(ClientEvent::New { poison: false }));
         }
     }
 
+    /// Plans a workload's traffic: each class's jobs come independently of each other.
+    fn plan_workload(&mut self, workload: &Workload) {
+        for (class, shape) in workload.classes.iter().enumerate() {
+            let mut at = self.setup.traffic_from as f64;
+            loop {
+                at += 1_000.0 * self.random.pause(shape.rate);
+                if at >= self.setup.traffic_until as f64 {
+                    break;
+                }
+                self.queue.push(at as Millis, Event::Client(ClientEvent::OfClass { class }));
+            }
+        }
+    }
+
+    fn new_of_class(&mut self, class: usize) {
+        let Some(workload) = self.workload.clone() else { return };
+        let known = draw_job(&workload, class, &mut self.random, self.now, jobs::HOST);
+        self.hand_in(known);
+    }
+
     pub(crate) fn client_event(&mut self, event: ClientEvent) {
         match event {
             ClientEvent::New { poison } => self.new_job(poison),
+            ClientEvent::OfClass { class } => self.new_of_class(class),
             ClientEvent::Submit { job } => self.submit(job),
             ClientEvent::Arrives { call } => self.client_call_arrives(call),
             ClientEvent::Answer { call, reply } => self.client_answered(call, reply),
@@ -323,7 +350,9 @@
         }
         let soon = self.random.between(200, POLL_EVERY_MS);
         self.queue.push(self.now + soon, Event::Client(ClientEvent::Poll { job }));
-        if lasting || self.random.chance(CANCELLED) {
+        // What a workload's jobs earn is measured: none is cancelled.
+        let may_cancel = self.workload.is_none();
+        if may_cancel && (lasting || self.random.chance(CANCELLED)) {
             let longest = if lasting { 8_000 } else { 3_000 };
             let after = self.random.between(0, longest);
             self.queue.push(self.now + after, Event::Client(ClientEvent::Cancel { job }));
--- a/crates/emulator/src/fleet/core.rs
+++ b/crates/emulator/src/fleet/core.rs
@@ -76,6 +76,7 @@
             },
             random_seed,
             share_debt: None,
+            policy: self.setup.policy,
         };
         let coordinator = Coordinator::new(replication, state.disk.image.clone(), now.steady);
         CoreProcess {
--- a/crates/emulator/src/fleet/jobs.rs
+++ b/crates/emulator/src/fleet/jobs.rs
@@ -3,6 +3,7 @@
 use crate::catalog::KnownJob;
 use crate::clock::UNIX_START;
 use crate::random::Random;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use streamusher_protocol::heartbeat::Resources;
 use streamusher_protocol::job::{JobRequest, StepRequest};
@@ -88,7 +89,16 @@
     let work_ms: Vec<Millis> =
         request.steps.iter().map(|s| s.estimated_ms * random.between(80, 120) / 100).collect();
     let own_failures = if random.chance(0.1) { 1 } else { 0 };
-    KnownJob { request: Arc::new(request), host: HOST.into(), prefix, work_ms, own_failures }
+    KnownJob {
+        request: Arc::new(request),
+        host: HOST.into(),
+        prefix,
+        work_ms,
+        work_of_tasks: Vec::new(),
+        own_failures,
+        failing_once: BTreeSet::new(),
+        submission: None,
+    }
 }
 
 fn steps(random: &mut Random, kind: Kind) -> Vec<StepRequest> {
--- a/crates/emulator/src/fleet/mod.rs
+++ b/crates/emulator/src/fleet/mod.rs
@@ -25,17 +25,22 @@
 mod touch;
 mod troubles;
 
+use crate::bounds::Bounds;
 use crate::catalog::Catalog;
 use crate::checker::{Checker, Violation};
 use crate::faults::Schedule;
 use crate::network::{MachineId, Network};
+use crate::plant::worker::Worker;
 use crate::plant::Plant;
 use crate::queue::EventQueue;
 use crate::random::Random;
+use crate::workload::Workload;
+use crate::worth::{self, LastingSample};
 use event::Event;
 use machine::{Machine, Role};
 use setup::Setup;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use streamusher_protocol::Millis;
 
 /// How often rules of time are checked.
@@ -69,13 +74,33 @@
     pub(crate) touch: touch::Touch,
     pub(crate) armed: Vec<crate::faults::Fault>,
     pub(crate) end: Millis,
+    /// What its clients hand in, where that is not the ordinary traffic.
+    pub workload: Option<Arc<Workload>>,
+    /// How much of each lasting job was at work, seen now and then.
+    pub samples: Vec<LastingSample>,
+    next_sample: Millis,
 }
 
 impl Fleet {
     /// A fleet that is about to start.
     pub fn new(setup: Setup, schedule: Schedule) -> Fleet {
+        let workers = setup.workers();
+        Fleet::with(setup, schedule, workers, None)
+    }
+
+    /// A fleet that is about to start, with the workers and the traffic of a workload.
+    pub fn with_workload(setup: Setup, schedule: Schedule, workload: Arc<Workload>) -> Fleet {
+        let workers = workload.workers(&mut Random::new(setup.seed, 4));
+        let bounds = Bounds { far_x: workload.far_x, ..setup.bounds };
+        let setup = Setup { worker_count: workers.len(), bounds, ..setup };
+        Fleet::with(setup, schedule, workers, Some(workload))
+    }
+
+    fn with(
+        setup: Setup, schedule: Schedule, workers: Vec<Worker>, workload: Option<Arc<Workload>>,
+    ) -> Fleet {
         let seed = setup.seed;
-        let plant = Plant::new(setup.workers(), setup.bounds, seed);
+        let plant = Plant::new(workers, setup.bounds, seed);
         let end = setup.traffic_until + setup.bounds.finish_ms + client::FINAL_TRIES_MS + 500;
         let mut fleet = Fleet {
             now: 0,
@@ -96,6 +121,9 @@
             end,
             schedule,
             setup,
+            workload,
+            samples: Vec::new(),
+            next_sample: 0,
         };
         fleet.checker.clocks_jump = fleet.schedule.jumps_clocks();
         fleet.plant.lists_repeated_starts = fleet.random.chance(0.5);
@@ -208,6 +236,10 @@
         if calm {
             self.checker.check_cancelled(self.now);
         }
+        if self.now >= self.next_sample {
+            self.next_sample = self.now + worth::LASTING_EVERY_MS;
+            self.samples.extend(worth::sample_lasting(self));
+        }
         self.queue.push(self.now + CHECK_EVERY_MS, Event::Check);
     }
 
--- a/crates/emulator/src/fleet/operator.rs
+++ b/crates/emulator/src/fleet/operator.rs
@@ -8,6 +8,7 @@
 use crate::checker::configuration::SentOrder;
 use crate::network::MachineId;
 use crate::random::Random;
+use crate::workload::{prefix, Workload};
 use serde_json::json;
 use std::sync::Arc;
 use streamusher_controlplane::driver::Call;
@@ -96,12 +97,27 @@
     }
 }
 
+fn configuration_of(workload: &Workload) -> Configuration {
+    let routes = workload.classes.iter().map(|class| Route {
+        target_latency_ms: class.target_latency_ms,
+        stretch: class.stretch,
+        ..route(class.name, &prefix(class), class.service, class.priority, class.max_attempts)
+    });
+    Configuration {
+        routes: routes.collect(),
+        services: workload.services().iter().map(service).collect(),
+        ..first_configuration()
+    }
+}
+
+fn service(name: &&str) -> Service {
+    Service { name: (*name).into(), health_path: "/health".into(), ..Service::default() }
+}
+
 fn first_configuration() -> Configuration {
     let routes = QUEUES.iter().map(|(prefix, service, priority, attempts)| {
         route(&format!("r-{}", prefix.trim_matches('/')), prefix, service, *priority, *attempts)
     });
-    let service =
-        |name: &&str| Service { name: (*name).into(), health_path: "/health".into(), ..Service::default() };
     Configuration {
         version: 1,
         routes: routes.collect(),
@@ -126,7 +142,8 @@
     pub(crate) fn operator_event(&mut self, event: OperatorEvent) {
         match event {
             OperatorEvent::First => {
-                let first = Arc::new(first_configuration());
+                let first = self.workload.as_deref().map_or_else(first_configuration, configuration_of);
+                let first = Arc::new(first);
                 let body = serde_json::to_string(&*first).unwrap_or_default();
                 self.order(OrderKind::Replace, 0, body, Some(first));
             }
--- a/crates/emulator/src/fleet/setup.rs
+++ b/crates/emulator/src/fleet/setup.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use streamusher_protocol::heartbeat::Resources;
 use streamusher_protocol::Millis;
+use streamusher_scheduler::Policy;
 
 /// The services of the emulated deployment.
 pub const SERVICES: [&str; 2] = ["alpha", "beta"];
@@ -42,6 +43,8 @@
     pub lease_ms: Millis,
     /// How long a disk takes to sync.
     pub sync_ms: Millis,
+    /// The mechanisms that take part in decisions.
+    pub policy: Policy,
 }
 
 impl Setup {
@@ -60,6 +63,7 @@
             jobs: 24,
             lease_ms: 700,
             sync_ms: 8,
+            policy: Policy::default(),
         }
     }
 
@@ -98,6 +102,7 @@
             rack,
             capacity,
             guards: self.guards,
+            speed: 1.0,
             clock: WorkerClock { slow_per_mille: random.between(0, 20) },
         })
     }
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -10,11 +10,13 @@
 //! - [`faults`]: troubles of a day, drawn from a seed.
 //! - [`fleet`]: the machines with the real state machines, and all stand-ins joined.
 //! - [`search`]: days drawn from seeds.
+//! - [`workload`], [`worth`], [`experiment`]: what clients hand in, what it earns, and two policies played on the same days.
 
 pub mod bounds;
 pub mod catalog;
 pub mod checker;
 pub mod clock;
+pub mod experiment;
 pub mod faults;
 pub mod fleet;
 pub mod network;
@@ -22,3 +24,5 @@
 pub mod queue;
 pub mod random;
 pub mod search;
+pub mod workload;
+pub mod worth;
--- a/crates/emulator/src/plant/run.rs
+++ b/crates/emulator/src/plant/run.rs
@@ -29,6 +29,8 @@
     checkpoints: bool,
     lasting: bool,
     work: f64,
+    /// Work after which a task that lasts is at work; the whole work of others.
+    start_work: f64,
     restored: f64,
     done: f64,
     since: Millis,
@@ -44,10 +46,10 @@
     }
 
     pub(super) fn percent(&self, now: Millis) -> f64 {
-        if self.work <= 0.0 {
+        if self.start_work <= 0.0 {
             return 0.0;
         }
-        (self.progress(now) / self.work * 100.0).floor()
+        (self.progress(now) / self.start_work * 100.0).floor().min(100.0)
     }
 
     /// The newest checkpoint, renewed with each `save_ms` of work.
@@ -141,6 +143,7 @@
             checkpoints: step.is_some_and(|step| step.checkpoints),
             lasting,
             work: if lasting { f64::MAX } else { work },
+            start_work: work,
             restored,
             done: restored,
             since: now + restore_ms,
@@ -183,7 +186,7 @@
         let affinity = catalog.step(&id.task).and_then(|step| step.affinity.as_ref());
         let far = affinity.is_some_and(|rack| *rack != worker.kind.rack);
         let factor = if far { self.bounds.far_x } else { 1.0 };
-        worker.health.speed / factor
+        worker.kind.speed * worker.health.speed / factor
     }
 
     /// Sets how fast a run progresses, and plans its end.
--- a/crates/emulator/src/plant/worker.rs
+++ b/crates/emulator/src/plant/worker.rs
@@ -36,6 +36,8 @@
     pub capacity: Resources,
     /// Whether it rejects what does not fit.
     pub guards: bool,
+    /// Work that it does in a millisecond when it is sound, in milliseconds of work.
+    pub speed: f64,
     /// Its steady clock.
     pub clock: WorkerClock,
 }
--- a/crates/emulator/src/random.rs
+++ b/crates/emulator/src/random.rs
@@ -1,6 +1,7 @@
 //! Random numbers from a seed.
 
 use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, Exp, LogNormal};
 use rand_pcg::Pcg64Mcg;
 
 /// A repeatable source of random numbers.
@@ -37,6 +38,17 @@
         items.get(self.below(items.len()))
     }
 
+    /// A factor with mean 1 whose logarithm has this standard deviation.
+    pub fn log_normal(&mut self, deviation: f64) -> f64 {
+        let drawn = LogNormal::new(-deviation * deviation / 2.0, deviation);
+        drawn.map_or(1.0, |factors| factors.sample(&mut self.0))
+    }
+
+    /// A pause between events that come at this rate.
+    pub fn pause(&mut self, rate: f64) -> f64 {
+        Exp::new(rate).map_or(f64::INFINITY, |pauses| pauses.sample(&mut self.0))
+    }
+
     /// A whole random word.
     pub fn word(&mut self) -> u64 {
         self.0.random()
--- /dev/null
+++ b/crates/emulator/src/workload/presets.rs
@@ -0,0 +1,214 @@
+//! Workloads of our own, unlike each other. None is a deployment's: each asks something else of the decisions.
+
+use super::{Class, Spread, Traits, WorkerGroup, Workload};
+use streamusher_protocol::heartbeat::Resources;
+
+const fn spread(mean: f64, deviation: f64) -> Spread {
+    Spread { mean, deviation }
+}
+
+fn processors(count: usize) -> WorkerGroup {
+    WorkerGroup {
+        service: "batch",
+        count,
+        capacity: Resources { cpu: 32_000, mem_mb: 128_000, gpu: 0 },
+        kinds: vec!["a", "a", "b"],
+        sizes: vec![1.0, 0.5, 1.5],
+        speeds: vec![1.0, 1.0, 1.3],
+        rack: 4,
+    }
+}
+
+fn accelerators(count: usize) -> WorkerGroup {
+    WorkerGroup {
+        service: "model",
+        count,
+        capacity: Resources { cpu: 64_000, mem_mb: 256_000, gpu: 8 },
+        kinds: vec!["a", "b"],
+        sizes: vec![1.0],
+        speeds: vec![1.0],
+        rack: 3,
+    }
+}
+
+/// Short and frequent jobs that somebody waits for.
+fn lookups(priority: u32, rate: f64) -> Class {
+    Class {
+        name: "lookup",
+        service: "batch",
+        priority,
+        stretch: 1.5,
+        target_latency_ms: 700,
+        max_attempts: 3,
+        worth: 1.0,
+        late_part: 0.3,
+        rate,
+        steps: spread(1.5, 0.4),
+        width: spread(8.0, 0.7),
+        work_ms: spread(800.0, 0.5),
+        cpu: spread(1_000.0, 0.4),
+        mem_mb: 900,
+        gpus: vec![],
+        uneven: 0.3,
+        estimate_off: 0.2,
+        failing: 0.005,
+        traits: Traits { near: 0.3, selects: 0.1, hedged: 0.3, timed: 0.04, ..Traits::default() },
+    }
+}
+
+/// Wide jobs of long tasks.
+fn reports(priority: u32, rate: f64) -> Class {
+    Class {
+        name: "report",
+        priority,
+        stretch: 4.0,
+        target_latency_ms: 4_000,
+        max_attempts: 3,
+        rate,
+        steps: spread(2.0, 0.4),
+        width: spread(24.0, 0.7),
+        work_ms: spread(4_000.0, 0.5),
+        cpu: spread(1_600.0, 0.4),
+        mem_mb: 2_000,
+        estimate_off: 0.5,
+        failing: 0.02,
+        traits: Traits { checkpoints: 0.8, selects: 0.1, ..Traits::default() },
+        ..lookups(priority, rate)
+    }
+}
+
+/// Gangs on accelerators.
+fn gangs(priority: u32, rate: f64) -> Class {
+    Class {
+        name: "gang",
+        service: "model",
+        priority,
+        stretch: 2.2,
+        target_latency_ms: 1_500,
+        max_attempts: 2,
+        worth: 3.0,
+        rate,
+        steps: spread(1.0, 0.0),
+        width: spread(2.0, 0.5),
+        work_ms: spread(4_500.0, 0.5),
+        cpu: spread(20_000.0, 0.0),
+        mem_mb: 20_000,
+        gpus: vec![2, 4, 8],
+        estimate_off: 0.9,
+        traits: Traits { gang: true, same_rack: 0.5, checkpoints: 0.9, ..Traits::default() },
+        ..lookups(priority, rate)
+    }
+}
+
+/// Single tasks on one accelerator each.
+fn images(priority: u32, rate: f64) -> Class {
+    Class {
+        name: "image",
+        service: "model",
+        priority,
+        stretch: 4.0,
+        target_latency_ms: 3_000,
+        max_attempts: 4,
+        rate,
+        steps: spread(1.0, 0.0),
+        width: spread(8.0, 0.7),
+        work_ms: spread(3_000.0, 0.5),
+        cpu: spread(4_000.0, 0.0),
+        mem_mb: 9_000,
+        gpus: vec![1],
+        estimate_off: 0.9,
+        failing: 0.05,
+        traits: Traits { checkpoints: 0.8, ..Traits::default() },
+        ..lookups(priority, rate)
+    }
+}
+
+/// Tasks that last.
+fn listeners(priority: u32, rate: f64) -> Class {
+    Class {
+        name: "listener",
+        priority,
+        stretch: 2.2,
+        target_latency_ms: 3_000,
+        worth: 0.5,
+        rate,
+        steps: spread(1.0, 0.0),
+        width: spread(6.0, 0.5),
+        work_ms: spread(400.0, 0.5),
+        cpu: spread(1_500.0, 0.4),
+        mem_mb: 2_000,
+        failing: 0.05,
+        traits: Traits { lasting: true, apart: 0.5, ..Traits::default() },
+        ..lookups(priority, rate)
+    }
+}
+
+fn mixed(name: &'static str, priorities: [u32; 5]) -> Workload {
+    let [lookup, report, gang, listener, image] = priorities;
+    Workload {
+        name,
+        groups: vec![processors(14), accelerators(6)],
+        classes: vec![
+            lookups(lookup, 16.0),
+            reports(report, 0.6),
+            gangs(gang, 0.6),
+            listeners(listener, 0.08),
+            images(image, 0.5),
+        ],
+        far_x: 1.5,
+    }
+}
+
+/// Short jobs are the most urgent.
+pub fn short_first() -> Workload {
+    mixed("short-first", [0, 2, 1, 1, 2])
+}
+
+/// Long and wide jobs are the most urgent, the short and frequent ones the least.
+pub fn long_first() -> Workload {
+    mixed("long-first", [2, 0, 1, 1, 0])
+}
+
+/// All are alike urgent.
+pub fn level() -> Workload {
+    mixed("level", [0; 5])
+}
+
+/// Workers that differ much in size and speed.
+pub fn unlike_workers() -> Workload {
+    let mut workload = mixed("unlike-workers", [0, 2, 1, 1, 2]);
+    for group in &mut workload.groups {
+        group.speeds = vec![0.6, 1.0, 1.4, 2.4];
+    }
+    workload.groups[0].sizes = vec![0.4, 1.0, 2.0, 0.7, 1.2];
+    workload
+}
+
+/// Data that is three times dearer away from its rack, and most tasks have some.
+pub fn far_data() -> Workload {
+    let mut workload = mixed("far-data", [0, 2, 1, 1, 2]);
+    workload.far_x = 3.0;
+    workload.classes.iter_mut().filter(|class| !class.traits.gang).for_each(|class| class.traits.near = 0.7);
+    workload
+}
+
+/// Little but gangs, of two priorities.
+pub fn gangs_only() -> Workload {
+    let wide = Class { name: "wide", width: spread(5.0, 0.5), ..gangs(2, 0.25) };
+    Workload {
+        name: "gangs-only",
+        groups: vec![processors(4), accelerators(16)],
+        classes: vec![gangs(0, 1.0), wide, lookups(1, 3.0)],
+        far_x: 2.0,
+    }
+}
+
+/// All workloads.
+pub fn all() -> Vec<Workload> {
+    vec![short_first(), long_first(), level(), unlike_workers(), far_data(), gangs_only()]
+}
+
+/// The workload of a name.
+pub fn named(name: &str) -> Option<Workload> {
+    all().into_iter().find(|workload| workload.name == name)
+}
--- a/crates/jobs/src/assigned.rs
+++ b/crates/jobs/src/assigned.rs
@@ -46,6 +46,8 @@
             worker: sits.worker,
             run: RunId { task: self.task_id(iteration, index, member), run: sits.run },
             resources: request.resources,
+            queue: self.terms.queue.clone(),
+            slack_ms: self.slack_of(request.estimated_ms),
             priority: self.terms.priority,
             unit: self.unit_id(iteration, index, step.unit_of(member)),
             service: self.terms.service.clone(),
--- a/crates/jobs/src/changes.rs
+++ b/crates/jobs/src/changes.rs
@@ -43,6 +43,10 @@
     pub worker: WorkerId,
     /// What it takes there.
     pub resources: Resources,
+    /// Its queue.
+    pub queue: Arc<str>,
+    /// Its step's part of the time that its job may spend waiting and still meet the queue's objective.
+    pub slack_ms: Millis,
     /// Its queue's priority.
     pub priority: u32,
     /// The unit that it is part of.
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -213,6 +213,15 @@
         }
     }
 
+    /// The part of the job's slack that falls to a step, by the step's share of the longest chain. The slack is what the
+    /// objective leaves beside the estimated work.
+    pub fn slack_of(&self, estimated_ms: Millis) -> Millis {
+        let chain_ms = self.plan.chain_ms as f64;
+        let slack_ms = self.terms.target_latency_ms as f64 + (self.terms.stretch - 1.0).max(0.0) * chain_ms;
+        let share = if chain_ms > 0.0 { (estimated_ms as f64 / chain_ms).min(1.0) } else { 1.0 };
+        (share * slack_ms) as Millis
+    }
+
     /// A waiting unit as placement needs it.
     pub fn unit(&self, id: &UnitId) -> Option<Unit> {
         let (iteration, step) = (id.step.iteration, id.step.step as usize);
@@ -228,8 +237,10 @@
             tasks: entry.members_of(unit).map(|m| self.task_id(iteration, step, m)).collect(),
             resources: request.resources,
             service: self.terms.service.clone(),
+            queue: self.terms.queue.clone(),
             priority: self.terms.priority,
             order: due.saturating_add(self.terms.target_latency_ms).saturating_add(behind),
+            slack_ms: self.slack_of(request.estimated_ms),
             node_selector: request.node_selector.clone(),
             affinity: request.affinity.clone(),
             anti_affinity: request.anti_affinity,
--- a/crates/jobs/src/plan.rs
+++ b/crates/jobs/src/plan.rs
@@ -12,6 +12,8 @@
     pub dependents: Vec<Vec<u32>>,
     /// For each step, on how many distinct steps it depends.
     pub blockers: Vec<u32>,
+    /// The longest chain of estimated work of one iteration, in milliseconds.
+    pub chain_ms: Millis,
     /// Tasks of one iteration.
     pub tasks: u64,
 }
@@ -30,7 +32,8 @@
             on.iter().for_each(|&d| dependents[d].push(index as u32));
         }
         let tasks = request.steps.iter().map(|s| u64::from(s.count)).sum();
-        Plan { request, dependents, blockers, tasks }
+        let chain_ms = longest_chain(&request, &dependents);
+        Plan { request, dependents, blockers, chain_ms, tasks }
     }
 
     /// How many iterations there are.
@@ -49,3 +52,13 @@
         self.request.steps.get(step as usize)
     }
 }
+
+/// The longest chain of estimated work; what depends on a step comes later in the list.
+fn longest_chain(request: &JobRequest, dependents: &[Vec<u32>]) -> Millis {
+    let mut rest_ms: Vec<Millis> = vec![0; request.steps.len()];
+    for (index, step) in request.steps.iter().enumerate().rev() {
+        let after = dependents[index].iter().map(|&later| rest_ms[later as usize]).max().unwrap_or(0);
+        rest_ms[index] = step.estimated_ms.saturating_add(after);
+    }
+    rest_ms.into_iter().max().unwrap_or(0)
+}
--- a/crates/jobs/tests/steps.rs
+++ b/crates/jobs/tests/steps.rs
@@ -3,8 +3,9 @@
 mod common;
 
 use common::*;
+use rstest::rstest;
 use streamusher_jobs::{Cancelled, Submitted};
-use streamusher_protocol::job::{JobRequest, JobState};
+use streamusher_protocol::job::{JobRequest, JobState, StepRequest};
 use streamusher_protocol::task::RunEnd;
 
 #[test]
@@ -238,3 +239,23 @@
     assert_eq!(world.last.writes.len(), 1);
     assert_eq!(world.last.writes[0].key.to_string(), format!("task/{}", task(1, 0, 0, 7)));
 }
+
+#[rstest]
+#[case::one_step(&[4_000], 0, 800 + 6_000)]
+#[case::first_of_two(&[3_000, 1_000], 0, (800 + 6_000) * 3 / 4)]
+#[case::second_of_two(&[3_000, 1_000], 1, (800 + 6_000) / 4)]
+#[case::no_estimate(&[0], 0, 800)]
+fn given_estimates_when_a_unit_is_given_out_then_its_slack_is_its_part_of_the_jobs(
+    #[case] estimates_ms: &[u64], #[case] step_asked: u32, #[case] slack_ms: u64,
+) {
+    let mut world = World::new();
+    let steps = estimates_ms.iter().enumerate().map(|(index, &estimated_ms)| {
+        let before: Vec<u32> = index.checked_sub(1).map(|before| before as u32).into_iter().collect();
+        StepRequest { estimated_ms, ..after(1, &before) }
+    });
+    world.submit(1, request(steps.collect()));
+    for before in 0..step_asked {
+        world.play(&unit(1, 0, before, Some(0)), RunEnd::Done);
+    }
+    assert_eq!(world.ready[&unit(1, 0, step_asked, Some(0))].slack_ms, slack_ms);
+}
--- a/crates/placement/benches/cost.rs
+++ b/crates/placement/benches/cost.rs
@@ -39,8 +39,10 @@
         tasks: vec![task],
         resources: Resources { cpu: random.random_range(200..1_000), mem_mb: 900, gpu: 0 },
         service: "s".into(),
+        queue: "q".into(),
         priority: random.random_range(0..3),
         order: number,
+        slack_ms: 1_000,
         node_selector: None,
         affinity: random.random_bool(0.3).then(|| "r1".into()),
         anti_affinity: 0,
@@ -55,7 +57,14 @@
 }
 
 fn play(case: &Case) {
-    let settings = Settings { random_seed: 1, far_x: 1.5, stop_ms: 900, save_ms: 2_000, restore_ms: 600 };
+    let settings = Settings {
+        random_seed: 1,
+        far_x: 1.5,
+        stop_ms: 900,
+        save_ms: 2_000,
+        restore_ms: 600,
+        policy: streamusher_placement::Policy::default(),
+    };
     let mut placement = Placement::new(settings);
     (0..case.workers).for_each(|number| placement.worker(0, worker(number)));
     let mut random = Pcg32::seed_from_u64(1);
--- a/crates/placement/src/claim.rs
+++ b/crates/placement/src/claim.rs
@@ -2,7 +2,9 @@
 
 use crate::amounts::{amounts, times};
 use crate::copies::ANYWHERE_MS;
+use crate::headroom::Kept;
 use crate::placement::Placement;
+use crate::policy::Mechanism;
 use crate::queue::{Key, Slot, Waiting};
 use crate::room::{Insistence, Worker};
 use crate::run::Run;
@@ -19,6 +21,9 @@
 /// No unit waits 3 s while its service has much free room: small ones then take even what was stopped for others.
 const EVEN_STOPPED_MS: Millis = 2_300;
 const SMALL_SHARE: f64 = 0.2;
+/// A unit may wait for this part of its slack before it costs others anything: the rest is for orders, slow workers and second
+/// attempts.
+const PART_OF_SLACK_WAITED: f64 = 0.5;
 
 impl Placement {
     /// Whether a single task may start at a worker now.
@@ -35,15 +40,56 @@
         }
         let insistence = self.insistence(now, waiting, service, worker);
         let ends_at = now as f64 + self.expected_ms(now, unit, worker, service);
-        let allowed = worker.runs.len() < service.most_runs(now, worker)
-            && leaves_headroom(worker, service, unit.priority, &unit.resources);
+        let allowed = worker.runs.len() < self.most_runs(now, worker, service)
+            && self.leaves_headroom(now, worker, service, waiting);
         (allowed || insistence > Insistence::Usual)
             && worker.fits(now, key, &unit.resources, ends_at, insistence)
     }
 
+    /// How many runs a worker may have at once, by its failures.
+    pub(crate) fn most_runs(&self, now: Millis, worker: &Worker, service: &Service) -> usize {
+        if self.uses(Mechanism::Trial) {
+            service.most_runs(now, worker)
+        } else {
+            usize::MAX
+        }
+    }
+
+    /// What of a worker's room must stay free of a unit. One that has waited for part of its slack goes before what is no more
+    /// urgent.
+    pub(crate) fn kept_against<'a>(
+        &'a self, now: Millis, waiting: &'a Waiting, service: &'a Service,
+    ) -> impl Iterator<Item = Kept> + 'a {
+        let insists = self.spare_ms(now, waiting) <= 0.0;
+        let waited = waiting.waited(now) as f64 / patience_ms(waiting).max(1.0);
+        let kept =
+            service.headroom.against(waiting.patience, waited).filter(|_| self.uses(Mechanism::Headroom));
+        kept.filter(move |kept| !insists || kept.most_urgent < waiting.unit.priority)
+    }
+
+    /// How much longer a unit may wait for room before stops that are ordered for it would come too late.
+    pub(crate) fn spare_ms(&self, now: Millis, waiting: &Waiting) -> f64 {
+        patience_ms(waiting) - waiting.waited(now).saturating_add(self.settings.stop_ms) as f64
+    }
+
+    /// Whether what is kept free for work that can wait less stays free. A worker without runs that can wait longer takes one.
+    fn leaves_headroom(&self, now: Millis, worker: &Worker, service: &Service, waiting: &Waiting) -> bool {
+        let capacity = amounts(&worker.info.capacity);
+        let asked = amounts(&waiting.unit.resources);
+        self.kept_against(now, waiting, service).all(|kept| {
+            let behind = worker.used_behind(kept.up_to);
+            let used = amounts(&behind);
+            let fits = |kind: usize| used[kind] + asked[kind] <= capacity[kind] * (1.0 - kept.shares[kind]);
+            behind == Resources::default() || (0..3).all(fits)
+        })
+    }
+
     /// A unit that has waited long in a service with much free room takes any room that there is.
     pub(crate) fn takes_any(&self, now: Millis, waiting: &Waiting, service: &Service) -> bool {
-        !waiting.unit.spare && waiting.waited(now) >= ANYWHERE_MS && service.is_lightly_used()
+        self.uses(Mechanism::Patience)
+            && !waiting.unit.spare
+            && waiting.waited(now) >= ANYWHERE_MS
+            && service.is_lightly_used()
     }
 
     /// How much a unit may take of what is kept at a worker. What was stopped for others goes to small tasks only:
@@ -97,7 +143,7 @@
         let Some(waiting) = self.taken_from_queue(key, &on) else { return };
         let mut placed = Vec::with_capacity(on.len());
         for (task, slot) in on {
-            let run = Run::new(now, Held::from(&waiting.unit));
+            let run = Run::new(now, Held::from(&waiting.unit), waiting.patience);
             let Some(worker) = self.workers.get_mut(slot) else { continue };
             let id = worker.info.id.clone();
             worker.take(&task, run);
@@ -144,14 +190,7 @@
     most == 0 || worker.count_of(&waiting.unit.id.step) < most
 }
 
-/// Whether what is kept free for more urgent priorities stays free. A worker without such work takes one task.
-fn leaves_headroom(worker: &Worker, service: &Service, priority: u32, asked: &Resources) -> bool {
-    let capacity = amounts(&worker.info.capacity);
-    let asked = amounts(asked);
-    service.headroom.against(priority).all(|(urgent, shares)| {
-        let below = worker.used_below(*urgent);
-        let used = amounts(&below);
-        let fits = |kind: usize| used[kind] + asked[kind] <= capacity[kind] * (1.0 - shares[kind]);
-        below == Resources::default() || (0..3).all(fits)
-    })
+/// How long a unit may wait before it costs others anything.
+fn patience_ms(waiting: &Waiting) -> f64 {
+    PART_OF_SLACK_WAITED * waiting.unit.slack_ms as f64
 }
--- a/crates/placement/src/copies.rs
+++ b/crates/placement/src/copies.rs
@@ -1,6 +1,7 @@
 //! How many copies of a unit wait in how many queues, and when there are more.
 
 use crate::placement::Placement;
+use crate::policy::Mechanism;
 use crate::queue::{Key, Slot};
 use crate::ranking::{Ranked, PENALTY_OF_AVOIDED};
 use streamusher_protocol::Millis;
@@ -23,7 +24,7 @@
         let acceptable = self.acceptable(now, key, &ranked);
         let (Some(first), Some(waiting)) = (ranked.first(), self.queue.get(key)) else { return };
         let before = waiting.copies.len();
-        let wanted = if first.wait_ms == 0.0 {
+        let wanted = if first.wait_ms == 0.0 || !self.uses(Mechanism::Copies) {
             1
         } else if waiting.waited(now) >= COPIES_EVERYWHERE_MS {
             MOST_COPIES
@@ -43,9 +44,10 @@
         let Some(service) = self.services.get(&waiting.unit.service) else { return Vec::new() };
         let waited = waiting.waited(now);
         let patience = (waited as f64 + first.wait_ms) / self.run_ms(&waiting.unit, service);
+        let patient = self.uses(Mechanism::Patience);
         let limit = if self.takes_any(now, waiting, service) || waited >= EVEN_AVOIDED_MS {
             f64::INFINITY
-        } else if waited >= ANYWHERE_MS {
+        } else if waited >= ANYWHERE_MS && patient {
             first.penalty.max(PENALTY_OF_AVOIDED / 2.0)
         } else {
             first.penalty + patience.min(PENALTY_OF_AVOIDED / 2.0)
--- a/crates/placement/src/gang.rs
+++ b/crates/placement/src/gang.rs
@@ -3,6 +3,7 @@
 use crate::copies::ANYWHERE_MS;
 use crate::gather::{Plan, Reach};
 use crate::placement::Placement;
+use crate::policy::Mechanism;
 use crate::preempt::Group;
 use crate::queue::{Key, Slot, Waiting};
 use crate::service::{Pool, Service};
@@ -60,7 +61,8 @@
 
     /// The groups of workers on one rack each, for a gang that wants one.
     fn racks_for(&mut self, now: Millis, key: Key) -> Vec<Group> {
-        let Some(waiting) = self.queue.get(key).filter(|waiting| waiting.unit.same_rack) else {
+        let wants_rack = |waiting: &&Waiting| waiting.unit.same_rack && self.uses(Mechanism::Racks);
+        let Some(waiting) = self.queue.get(key).filter(wants_rack) else {
             return Vec::new();
         };
         let Some(service) = self.services.get(&waiting.unit.service) else { return Vec::new() };
@@ -92,6 +94,7 @@
     fn may_cross_racks(&self, now: Millis, waiting: &Waiting, service: &Service) -> bool {
         let patience = (self.settings.far_x - 1.0).max(0.0) * self.run_ms(&waiting.unit, service);
         !waiting.unit.same_rack
+            || !self.uses(Mechanism::Racks)
             || waiting.waited(now) as f64 >= patience.min(ANYWHERE_MS as f64)
             || !service.racks().any(|rack| self.could_hold(waiting, rack))
     }
--- a/crates/placement/src/gather.rs
+++ b/crates/placement/src/gather.rs
@@ -1,6 +1,7 @@
 //! Where all members of a unit fit: now, by what ends soon, or by stopping what is less urgent.
 
 use crate::amounts::{amounts, Amounts};
+use crate::headroom::Patience;
 use crate::placement::Placement;
 use crate::queue::{Key, Slot, Waiting};
 use crate::room::{Insistence, Reservation, Worker};
@@ -44,31 +45,38 @@
     pub rank: f64,
 }
 
-/// Room left at a worker, also under what is kept free for the more urgent.
+/// Room that is kept free of work that can wait.
+#[derive(Clone, Debug)]
+struct Under {
+    /// The last class that it is kept for.
+    up_to: Patience,
+    /// What their runs may take at most.
+    most: Amounts,
+    /// What they take.
+    used: Amounts,
+}
+
+/// Room left at a worker, also under what is kept free for work that can wait less.
 #[derive(Clone, Debug)]
 struct Left {
     total: Amounts,
-    /// Per priority that room is kept for: what less urgent work may take at most, and what it takes.
-    under: Vec<(u32, Amounts, Amounts)>,
+    under: Vec<Under>,
 }
 
 impl Left {
     fn free(&mut self, run: &Run) {
         let freed = amounts(&run.held.resources);
         add(&mut self.total, &freed, 1.0);
-        for (urgent, _, used) in &mut self.under {
-            if run.held.priority > *urgent {
-                add(used, &freed, -1.0);
-            }
-        }
+        let counted = |under: &&mut Under| run.patience > under.up_to;
+        self.under.iter_mut().filter(counted).for_each(|under| add(&mut under.used, &freed, -1.0));
     }
 
     fn holds(&self, asked: &Amounts, members: u32) -> bool {
         let wanted = |kind: usize| asked[kind] * f64::from(members);
         (0..3).all(|kind| wanted(kind) <= self.total[kind])
-            && self.under.iter().all(|(_, most, used)| {
-                let alone = members == 1 && used.iter().all(|used| *used <= 0.0);
-                alone || (0..3).all(|kind| used[kind] + wanted(kind) <= most[kind])
+            && self.under.iter().all(|under| {
+                let alone = members == 1 && under.used.iter().all(|used| *used <= 0.0);
+                alone || (0..3).all(|kind| under.used[kind] + wanted(kind) <= under.most[kind])
             })
     }
 }
@@ -143,11 +151,8 @@
     fn take_back(&mut self, run: &Run) {
         let taken = amounts(&run.held.resources);
         add(&mut self.total, &taken, -1.0);
-        for (urgent, _, used) in &mut self.under {
-            if run.held.priority > *urgent {
-                add(used, &taken, 1.0);
-            }
-        }
+        let counted = |under: &&mut Under| run.patience > under.up_to;
+        self.under.iter_mut().filter(counted).for_each(|under| add(&mut under.used, &taken, 1.0));
     }
 }
 
@@ -184,7 +189,7 @@
         let worker = self.workers.get(slot)?;
         let insistence = self.insistence(now, waiting, service, worker);
         if !worker.info.open
-            || insistence == Insistence::Usual && service.most_runs(now, worker) <= worker.runs.len()
+            || insistence == Insistence::Usual && self.most_runs(now, worker, service) <= worker.runs.len()
         {
             return None;
         }
@@ -196,7 +201,7 @@
         let mut host = Host {
             slot,
             rank,
-            left: left_at(now, key, worker, service, insistence, unit.priority),
+            left: self.left_at(now, key, worker, service, insistence, waiting),
             most_members: by_step,
             victims: Vec::new(),
             members: 0,
@@ -228,24 +233,26 @@
         }
         host.victims.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(b.1)));
     }
-}
 
-/// Room left now, with what is kept for earlier units and for more urgent priorities taken off.
-fn left_at(
-    now: Millis, key: Key, worker: &Worker, service: &Service, insistence: Insistence, priority: u32,
-) -> Left {
-    let capacity = amounts(&worker.info.capacity);
-    let mut total = capacity;
-    add(&mut total, &amounts(&worker.used), -1.0);
-    let holds = |kept: &&Reservation| kept.holds_against(now, key, insistence);
-    let kept = worker.reservations.iter().filter(holds);
-    kept.for_each(|kept| add(&mut total, &amounts(&kept.resources), -1.0));
-    if insistence > Insistence::Usual {
-        return Left { total, under: Vec::new() };
+    /// Room left now, with what is kept for earlier units and for work that can wait less taken off.
+    fn left_at(
+        &self, now: Millis, key: Key, worker: &Worker, service: &Service, insistence: Insistence,
+        waiting: &Waiting,
+    ) -> Left {
+        let capacity = amounts(&worker.info.capacity);
+        let mut total = capacity;
+        add(&mut total, &amounts(&worker.used), -1.0);
+        let holds = |kept: &&Reservation| kept.holds_against(now, key, insistence);
+        let kept = worker.reservations.iter().filter(holds);
+        kept.for_each(|kept| add(&mut total, &amounts(&kept.resources), -1.0));
+        if insistence > Insistence::Usual {
+            return Left { total, under: Vec::new() };
+        }
+        let under = self.kept_against(now, waiting, service).map(|kept| Under {
+            up_to: kept.up_to,
+            most: [0, 1, 2].map(|kind| capacity[kind] * (1.0 - kept.shares[kind])),
+            used: amounts(&worker.used_behind(kept.up_to)),
+        });
+        Left { total, under: under.collect() }
     }
-    let under = service.headroom.against(priority).map(|(urgent, shares)| {
-        let most = [0, 1, 2].map(|kind| capacity[kind] * (1.0 - shares[kind]));
-        (*urgent, most, amounts(&worker.used_below(*urgent)))
-    });
-    Left { total, under: under.collect() }
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -7,6 +7,7 @@
 //! - `queue`, `reorder`, `copies`, `ranking`, `claim`: copies of a unit wait at several workers, the first with room claims it.
 //! - `gather`, `gang`, `preempt`: room for all members at once, and for what is urgent.
 //! - `explain`: why a unit waits, for operators.
+//! - `policy`: which of the mechanisms are in use.
 //! - `headroom`, `learning`: room kept for urgent work; workers that fail or are slow.
 
 mod amounts;
@@ -18,6 +19,7 @@
 mod headroom;
 mod learning;
 mod placement;
+mod policy;
 mod preempt;
 mod queue;
 mod ranking;
@@ -29,4 +31,5 @@
 
 pub use explain::{WaitReason, WaitingUnit};
 pub use placement::Placement;
+pub use policy::{Mechanism, Policy};
 pub use types::{Decision, Held, Release, Settings, WorkerInfo, WorkerStatus};
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -1,7 +1,9 @@
 //! The entry points: events in, decisions out.
 
 use crate::amounts::{amounts, dominant_share};
+use crate::headroom::Patience;
 use crate::learning::Charge;
+use crate::policy::Mechanism;
 use crate::queue::{Key, Queue, Slot, Waiting};
 use crate::room::{Worker, Workers};
 use crate::run::Run;
@@ -130,7 +132,7 @@
             service.change_charges(now, -worker.charge.at(now));
         }
         self.dirty.remove(&slot);
-        worker.runs.values().for_each(|run| self.note_demand(now, &run.held, -1.0));
+        worker.runs.values().for_each(|run| self.note_demand(now, &run.held, run.patience, -1.0));
         for key in &worker.queue {
             if let Some(waiting) = self.queue.get_mut(*key) {
                 waiting.copies.retain(|copy| *copy != slot);
@@ -153,10 +155,12 @@
         }
         let Some(slot) = self.workers.slot_of(worker) else { return };
         let Some(found) = self.workers.get_mut(slot) else { return };
-        if !found.take(task, Run::new(now, held.clone())) {
+        let Some(service) = self.services.get_mut(&held.service) else { return };
+        let patience = service.headroom.learn_slack(&held.queue, held.priority, held.slack_ms);
+        if !found.take(task, Run::new(now, held.clone(), patience)) {
             return;
         }
-        self.note_demand(now, &held, 1.0);
+        self.note_demand(now, &held, patience, 1.0);
         self.refile(slot);
     }
 
@@ -165,7 +169,7 @@
         let Some(slot) = self.workers.slot_of(worker) else { return };
         let Some(found) = self.workers.get_mut(slot) else { return };
         let Some(run) = found.give_back(task) else { return };
-        self.note_demand(now, &run.held, -1.0);
+        self.note_demand(now, &run.held, run.patience, -1.0);
         self.learn(now, slot, &run.held, how);
         self.refile(slot);
         self.dirty.insert(slot);
@@ -182,6 +186,9 @@
 
     /// A run makes no progress at its worker: others are kept from there at once, before its own end is proven.
     pub fn stands_still(&mut self, now: Millis, worker: &WorkerId) {
+        if !self.uses(Mechanism::Charges) {
+            return;
+        }
         let Some(slot) = self.workers.slot_of(worker) else { return };
         let Some(found) = self.workers.get_mut(slot) else { return };
         let change = found.charge.learn_standstill(now);
@@ -207,11 +214,10 @@
         self.now = self.now.max(now);
         self.withdraw(&unit.id);
         let service = self.services.entry(unit.service.clone()).or_default();
-        if counts_as_demand(unit.id.index.is_none(), unit.long_running) {
-            service.headroom.change(now, unit.priority, amounts(&unit.resources), 1.0);
-        }
+        let patience = service.headroom.learn_slack(&unit.queue, unit.priority, unit.slack_ms);
+        self.note_demand(now, &Held::from(&unit), patience, 1.0);
         let gang_of = unit.service.clone();
-        let key = self.queue.add(now, unit);
+        let key = self.queue.add(now, unit, patience);
         let is_gang = self.queue.get(key).is_some_and(Waiting::is_gang);
         if let Some(service) = self.services.get_mut(&gang_of).filter(|_| is_gang) {
             service.gangs.insert(key);
@@ -223,7 +229,7 @@
     pub fn withdraw(&mut self, unit: &UnitId) {
         let Some(key) = self.queue.key_of(unit) else { return };
         let Some(waiting) = self.drop_waiting(key) else { return };
-        self.note_demand(self.now, &Held::from(&waiting.unit), -1.0);
+        self.note_demand(self.now, &Held::from(&waiting.unit), waiting.patience, -1.0);
     }
 
     /// What can be started or preempted now. Cheap when nothing has changed and nothing is due.
@@ -281,7 +287,12 @@
     pub fn slowness(&self, now: Millis, worker: &WorkerId) -> f64 {
         let found = self.workers.slot_of(worker).and_then(|slot| self.workers.get(slot));
         let usual = found.and_then(|worker| self.services.get(&worker.info.service));
-        found.zip(usual).map_or(1.0, |(worker, usual)| worker.speed.slowness(now, &usual.speed))
+        found.zip(usual).map_or(1.0, |(worker, usual)| self.slowness_at(now, worker, usual))
+    }
+
+    /// Whether a mechanism is in use.
+    pub(crate) fn uses(&self, mechanism: Mechanism) -> bool {
+        self.settings.policy.has(mechanism)
     }
 
     /// How many units wait.
@@ -328,18 +339,19 @@
         }
     }
 
-    fn note_demand(&mut self, now: Millis, held: &Held, sign: f64) {
+    fn note_demand(&mut self, now: Millis, held: &Held, patience: Patience, sign: f64) {
         if !counts_as_demand(held.gang, held.long_running) {
             return;
         }
         if let Some(service) = self.services.get_mut(&held.service) {
-            service.headroom.change(now, held.priority, amounts(&held.resources), sign);
+            service.headroom.change(now, patience, amounts(&held.resources), sign);
         }
     }
 
     fn learn(&mut self, now: Millis, slot: Slot, held: &Held, how: Release) {
+        let charges = self.uses(Mechanism::Charges);
         let Some(worker) = self.workers.get_mut(slot) else { return };
-        let change = worker.charge.learn(now, how);
+        let change = if charges { worker.charge.learn(now, how) } else { 0.0 };
         if let Some(service) = self.services.get_mut(&worker.info.service) {
             service.change_charges(now, change);
         }
--- a/crates/placement/src/preempt.rs
+++ b/crates/placement/src/preempt.rs
@@ -3,6 +3,7 @@
 use crate::amounts::times;
 use crate::gather::{Plan, Reach, Site};
 use crate::placement::Placement;
+use crate::policy::Mechanism;
 use crate::queue::{Key, Slot, Waiting};
 use crate::room::Reservation;
 use crate::types::Decision;
@@ -22,8 +23,6 @@
 const LEAST_SHARE_KEPT: f64 = 0.2;
 /// Units that room is kept for at once: one, and one more for so many workers.
 const WORKERS_PER_KEPT: usize = 8;
-/// The most urgent may stop others at once, others wait so long first.
-const STOP_AFTER_MS: Millis = 100;
 /// What stops for one unit may lose, in units of a small job's worth: most urgent, others, gangs.
 const PRICE_FOR_MOST_URGENT: f64 = 0.5;
 const PRICE_FOR_OTHERS: f64 = 0.25;
@@ -117,7 +116,11 @@
         if stops && waited < GIVEN_UP_AFTER_MS || keeps {
             reaches.push(Reach::Within(SOON_MS));
         }
-        if stops && (urgent || waited >= STOP_AFTER_MS) {
+        let spare_ms = self.spare_ms(now, waiting);
+        if keeps && spare_ms > SOON_MS {
+            reaches.push(Reach::Within(spare_ms));
+        }
+        if stops && (keeps || spare_ms <= 0.0) {
             reaches.push(Reach::Stopping { within_ms: SOON_MS, gangs: false });
             if gang {
                 reaches.push(Reach::Stopping { within_ms: AHEAD_MS[0], gangs: false });
@@ -138,7 +141,7 @@
             let worker = self.workers.get(slot);
             worker.is_some_and(|worker| worker.used_below(waiting.unit.priority) != Default::default())
         };
-        slots.iter().any(|slot| below(*slot))
+        self.uses(Mechanism::Preemption) && slots.iter().any(|slot| below(*slot))
     }
 
     /// Whether room may be kept: for gangs and large tasks, and for few units at once.
@@ -147,7 +150,7 @@
         let most = 1 + service.all.members.len() / WORKERS_PER_KEPT;
         let first = slots.first().and_then(|slot| self.workers.get(*slot));
         let large = waiting.is_gang() || first.is_some_and(|w| waiting.share_of(w) >= LEAST_SHARE_KEPT);
-        large && service.reserving.len() < most
+        self.uses(Mechanism::Reservations) && large && service.reserving.len() < most
     }
 
     fn carry_out(&mut self, now: Millis, key: Key, plan: Plan, reach: Reach, out: &mut Vec<Decision>) {
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -1,6 +1,7 @@
 //! The units that wait: their order, their copies, and when each is looked at again.
 
 use crate::amounts::dominant_share;
+use crate::headroom::Patience;
 use crate::room::Worker;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use streamusher_protocol::unit::{Unit, UnitId};
@@ -26,6 +27,8 @@
 pub(crate) struct Waiting {
     pub unit: Unit,
     pub since: Millis,
+    /// How long its queue can wait.
+    pub patience: Patience,
     /// The workers in whose queues it has a copy.
     pub copies: Vec<Slot>,
     /// The workers at which room is kept for it.
@@ -60,13 +63,14 @@
 }
 
 impl Queue {
-    pub fn add(&mut self, now: Millis, unit: Unit) -> Key {
+    pub fn add(&mut self, now: Millis, unit: Unit, patience: Patience) -> Key {
         self.serial += 1;
         let key = Key { priority: unit.priority, order: unit.order, serial: self.serial };
         self.keys.insert(unit.id.clone(), key);
         let waiting = Waiting {
             unit,
             since: now,
+            patience,
             copies: Vec::new(),
             reserved: Vec::new(),
             reserved_until: 0,
--- a/crates/placement/src/ranking.rs
+++ b/crates/placement/src/ranking.rs
@@ -1,6 +1,7 @@
 //! Which workers a unit would go to: a sample and the best remembered, ranked by own counts and what is added.
 
 use crate::placement::Placement;
+use crate::policy::Mechanism;
 use crate::queue::{Key, Slot, Waiting};
 use crate::room::Worker;
 use crate::service::{Pool, Service};
@@ -104,7 +105,9 @@
         let admitted = self.admits(now, key, waiting, slot);
         let wait_ms = if admitted { 0.0 } else { wait_ms(worker, service, waiting) };
         let share = worker.load();
-        let packs = service.largest_share(now) >= LARGE_SHARE && waiting.share_of(worker) < LARGE_SHARE;
+        let packs = self.uses(Mechanism::Packing)
+            && service.largest_share(now) >= LARGE_SHARE
+            && waiting.share_of(worker) < LARGE_SHARE;
         let load = if packs && admitted { 1.0 - share } else { share + waiting.share_of(worker) };
         let rank = penalty + wait_ms / run_ms + WEIGHT_OF_LOAD * load;
         Some(Ranked { rank, penalty, wait_ms, slot })
@@ -118,12 +121,26 @@
         }
     }
 
+    /// How much longer than usual a worker's runs have lately taken.
+    pub(crate) fn slowness_at(&self, now: Millis, worker: &Worker, service: &Service) -> f64 {
+        if self.uses(Mechanism::Speed) {
+            worker.speed.slowness(now, &service.speed)
+        } else {
+            1.0
+        }
+    }
+
     /// How much longer than usual the unit takes at a worker, in its run times: wrong rack, slow, failing.
     fn penalty(&self, now: Millis, unit: &Unit, worker: &Worker, service: &Service) -> f64 {
-        let far = unit.affinity.as_ref().is_some_and(|rack| !worker.has_label(rack));
+        let far = self.uses(Mechanism::Distance)
+            && unit.affinity.as_ref().is_some_and(|rack| !worker.has_label(rack));
         let far_x = if far { self.settings.far_x.max(1.0) } else { 1.0 };
-        let slowness = worker.speed.slowness(now, &service.speed);
-        let avoided = if unit.avoid.contains(&worker.info.id) { PENALTY_OF_AVOIDED } else { 0.0 };
+        let slowness = self.slowness_at(now, worker, service);
+        let avoided = if self.uses(Mechanism::Avoidance) && unit.avoid.contains(&worker.info.id) {
+            PENALTY_OF_AVOIDED
+        } else {
+            0.0
+        };
         avoided + far_x * slowness - 1.0 + RUNS_PER_CHARGE * worker.charge.at(now)
     }
 
--- a/crates/placement/src/room.rs
+++ b/crates/placement/src/room.rs
@@ -1,6 +1,7 @@
 //! One worker: its room, what takes it, what it is kept for, and its queue of copies.
 
 use crate::amounts::{dominant_share, times};
+use crate::headroom::Patience;
 use crate::learning::{Charge, Speed};
 use crate::queue::{Key, Slot};
 use crate::run::Run;
@@ -55,6 +56,8 @@
     pub runs: BTreeMap<TaskId, Run>,
     /// Room taken, by priority.
     by_priority: BTreeMap<u32, Resources>,
+    /// Room taken, by how long the runs' queues can wait.
+    by_patience: BTreeMap<Patience, Resources>,
     /// Tasks here, by step.
     steps: HashMap<StepId, u32>,
     /// Copies that wait here.
@@ -77,6 +80,7 @@
             used: Resources::default(),
             runs: BTreeMap::new(),
             by_priority: BTreeMap::new(),
+            by_patience: BTreeMap::new(),
             steps: HashMap::new(),
             queue: BTreeSet::new(),
             queued: Resources::default(),
@@ -96,6 +100,8 @@
         self.used = self.used.plus(&run.held.resources);
         let same = self.by_priority.entry(run.held.priority).or_default();
         *same = same.plus(&run.held.resources);
+        let alike = self.by_patience.entry(run.patience).or_default();
+        *alike = alike.plus(&run.held.resources);
         *self.steps.entry(run.held.unit.step.clone()).or_insert(0) += 1;
         self.runs.insert(task.clone(), run);
         true
@@ -111,6 +117,9 @@
         if let Some(same) = self.by_priority.get_mut(&run.held.priority) {
             *same = same.minus(&run.held.resources);
         }
+        if let Some(alike) = self.by_patience.get_mut(&run.patience) {
+            *alike = alike.minus(&run.held.resources);
+        }
         if let Some(count) = self.steps.get_mut(&run.held.unit.step) {
             *count -= 1;
             if *count == 0 {
@@ -157,6 +166,12 @@
         below.fold(Resources::default(), |sum, (_, used)| sum.plus(used))
     }
 
+    /// Room taken by runs whose queues can wait longer than a class.
+    pub fn used_behind(&self, class: Patience) -> Resources {
+        let behind = self.by_patience.range(class.saturating_add(1)..);
+        behind.fold(Resources::default(), |sum, (_, used)| sum.plus(used))
+    }
+
     /// Share of the room that is taken, and asked for by copies that wait.
     pub fn load(&self) -> f64 {
         dominant_share(&self.used.plus(&self.queued), &self.info.capacity)
--- a/crates/placement/src/run.rs
+++ b/crates/placement/src/run.rs
@@ -1,5 +1,6 @@
 //! A run that takes room: how long it will last, and what stopping it would lose.
 
+use crate::headroom::Patience;
 use crate::types::{Held, Settings};
 use streamusher_protocol::Millis;
 
@@ -20,6 +21,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
     pub held: Held,
+    /// How long its queue could wait when it was queued.
+    pub patience: Patience,
     /// When its room was taken.
     pub since: Millis,
     /// It was told to stop; its room is taken until its end is known.
@@ -30,8 +33,16 @@
 }
 
 impl Run {
-    pub fn new(now: Millis, held: Held) -> Run {
-        Run { held, since: now, stopping: false, first_report: None, last_report: None, told_speed: false }
+    pub fn new(now: Millis, held: Held, patience: Patience) -> Run {
+        Run {
+            held,
+            patience,
+            since: now,
+            stopping: false,
+            first_report: None,
+            last_report: None,
+            told_speed: false,
+        }
     }
 
     /// Notes a report; answers once with the run's whole time over its estimate, when that is known.
--- a/crates/placement/src/types.rs
+++ b/crates/placement/src/types.rs
@@ -1,5 +1,6 @@
 //! What crosses the border of this package: settings, workers, what is held, decisions.
 
+use crate::policy::Policy;
 use std::sync::Arc;
 use streamusher_protocol::heartbeat::Resources;
 use streamusher_protocol::task::{RunEnd, TaskId};
@@ -19,6 +20,8 @@
     pub save_ms: Millis,
     /// What continuing from a checkpoint takes.
     pub restore_ms: Millis,
+    /// The mechanisms that are in use.
+    pub policy: Policy,
 }
 
 /// A worker as its heartbeats describe it.
@@ -47,6 +50,10 @@
     pub resources: Resources,
     /// The service that it runs for.
     pub service: Arc<str>,
+    /// The queue that its job was handed in to.
+    pub queue: Arc<str>,
+    /// How long its unit could wait.
+    pub slack_ms: Millis,
     /// 0 comes first.
     pub priority: u32,
     /// It writes checkpoints.
@@ -66,6 +73,8 @@
             unit: unit.id.clone(),
             resources: unit.resources,
             service: unit.service.clone(),
+            queue: unit.queue.clone(),
+            slack_ms: unit.slack_ms,
             priority: unit.priority,
             checkpoints: unit.checkpoints,
             long_running: unit.long_running,
--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use streamusher_placement::{Decision, Placement, Release, Settings, WorkerInfo};
+use streamusher_placement::{Decision, Placement, Policy, Release, Settings, WorkerInfo};
 use streamusher_protocol::heartbeat::Resources;
 use streamusher_protocol::task::{RunEnd, TaskId};
 use streamusher_protocol::unit::{StepId, Unit, UnitId, WorkerId};
@@ -13,7 +13,14 @@
 pub const TICK_MS: Millis = 20;
 
 pub fn settings(random_seed: u64) -> Settings {
-    Settings { random_seed, far_x: 1.5, stop_ms: STOP_MS, save_ms: 2_000, restore_ms: 100 }
+    Settings {
+        random_seed,
+        far_x: 1.5,
+        stop_ms: STOP_MS,
+        save_ms: 2_000,
+        restore_ms: 100,
+        policy: Policy::default(),
+    }
 }
 
 pub fn room(cpu: u64, mem_mb: u64, gpu: u64) -> Resources {
@@ -55,8 +62,10 @@
         tasks,
         resources: room(cpu, cpu, 0),
         service: "s".into(),
+        queue: format!("q{priority}").into(),
         priority,
         order,
+        slack_ms: 1_000,
         node_selector: None,
         affinity: None,
         anti_affinity: 0,
--- a/crates/placement/tests/urgency.rs
+++ b/crates/placement/tests/urgency.rs
@@ -7,6 +7,7 @@
 use streamusher_placement::WorkerInfo;
 use streamusher_protocol::task::{RunEnd, TaskId};
 use streamusher_protocol::unit::{Unit, UnitId};
+use streamusher_protocol::Millis;
 
 #[test]
 fn given_room_for_some_members_when_a_gang_waits_then_none_is_started() {
@@ -257,6 +258,9 @@
     assert!(empty >= 2, "{empty} workers are left whole");
 }
 
+/// Tasks that can wait have so much slack; the others have a second.
+const LONG_SLACK_MS: Millis = 16_000;
+
 /// A burst of urgent tasks comes each second; before the last one, a wide job of long tasks. Answers how many of
 /// the last burst start at once.
 fn started_of_last_burst(bursts: u64, burst: u64) -> (Cluster, usize) {
@@ -285,7 +289,7 @@
 fn long_task(index: u32) -> Unit {
     let tasks = vec![TaskId { index, ..task(100_000) }];
     let id = UnitId::of_task(&tasks[0]);
-    Unit { id, tasks, estimated_ms: 60_000, ..unit(100_000, 1_000, 2) }
+    Unit { id, tasks, estimated_ms: 60_000, slack_ms: LONG_SLACK_MS, ..unit(100_000, 1_000, 2) }
 }
 
 #[test]
@@ -296,3 +300,100 @@
     let long = cluster.runs.values().filter(|run| run.unit.priority == 2).count();
     assert!(long >= 14, "{long} of 40 cores");
 }
+
+/// Frequent short tasks that cannot wait; then a wide job of long tasks that can, of a priority. Answers how many of the tasks of
+/// the next burst start at once.
+fn short_tasks_started_beside_long_ones(priority_of_long: u32) -> usize {
+    let mut cluster = Cluster::new(1, ["w1", "w2", "w3", "w4"].map(|id| worker(id, 10_000, "r1")));
+    let mut started = 0;
+    for second in 1..=20_u64 {
+        if second == 20 {
+            (0..60)
+                .for_each(|index| cluster.enqueue(Unit { priority: priority_of_long, ..long_task(index) }));
+            cluster.run_for(500);
+        }
+        let first = 1_000 * second;
+        for number in first..first + 10 {
+            cluster.enqueue(Unit { estimated_ms: 400, queue: "short".into(), ..unit(number, 1_000, 1) });
+        }
+        started = cluster.place().len();
+        cluster.run_for(400);
+        let short = cluster.runs.iter().filter(|(_, run)| &*run.unit.queue == "short");
+        let over: Vec<_> = short.map(|(key, _)| key.clone()).collect();
+        over.iter().for_each(|(task, at)| cluster.end(task, at, RunEnd::Done));
+        cluster.run_for(600);
+    }
+    started
+}
+
+#[rstest]
+#[case::long_ones_less_urgent(2)]
+#[case::all_alike_urgent(1)]
+#[case::long_ones_more_urgent(0)]
+fn given_work_that_can_wait_when_it_floods_in_then_work_that_cannot_starts_whatever_the_priorities(
+    #[case] priority_of_long: u32,
+) {
+    assert_eq!(short_tasks_started_beside_long_ones(priority_of_long), 10, "of 10 short tasks");
+}
+
+#[test]
+fn given_short_urgent_work_that_can_wait_when_it_fills_the_room_then_nothing_is_kept_for_it() {
+    let mut cluster = Cluster::new(1, [worker("w1", 10_000, "r1")]);
+    for number in 1..=10 {
+        let patient = Unit { slack_ms: LONG_SLACK_MS, ..unit(number, 1_000, 0) };
+        cluster.enqueue(patient);
+        cluster.place();
+        cluster.run_for(300);
+        cluster.end_all_at("w1");
+    }
+    (20..30).for_each(|number| cluster.enqueue(unit(number, 1_000, 2)));
+    assert_eq!(cluster.place().len(), 10, "all of the room");
+}
+
+#[test]
+fn given_a_full_service_when_a_small_urgent_task_can_wait_then_nothing_is_stopped_until_half_its_slack_has_passed(
+) {
+    let mut cluster = Cluster::new(1, [worker("w1", 10_000, "r1")]);
+    (1..=10).for_each(|number| cluster.enqueue(Unit { estimated_ms: 60_000, ..unit(number, 1_000, 2) }));
+    assert_eq!(cluster.place().len(), 10);
+    cluster.enqueue(Unit { slack_ms: 10_000, ..unit(20, 1_000, 0) });
+    cluster.run_for(5_000 - STOP_MS - 100);
+    assert!(cluster.preempted.is_empty(), "its slack is not spent: {:?}", cluster.preempted);
+    cluster.run_for(1_000);
+    assert_eq!(cluster.preempted.len(), 1);
+}
+
+#[rstest]
+#[case::room_comes_in_time(3_000, 0)]
+#[case::room_comes_too_late(60_000, 2)]
+fn given_a_gang_that_can_wait_when_room_comes_then_others_are_stopped_only_if_it_comes_too_late(
+    #[case] others_ms: Millis, #[case] stopped: usize,
+) {
+    let mut cluster = Cluster::new(1, [worker("w1", 1_000, "r1"), worker("w2", 1_000, "r1")]);
+    let others = |number| Unit { estimated_ms: others_ms, ..unit(number, 1_000, 2) };
+    (1..=2).for_each(|number| cluster.enqueue(others(number)));
+    assert_eq!(cluster.place().len(), 2);
+    cluster.run_for(500);
+    cluster.enqueue(Unit { slack_ms: 10_000, ..gang(9, 2, 1_000, 1) });
+    cluster.run_for(1_000);
+    assert_eq!(cluster.preempted.len(), stopped);
+}
+
+#[test]
+fn given_work_that_can_wait_when_it_has_waited_for_long_then_less_is_kept_from_it() {
+    let mut cluster = Cluster::new(1, [worker("w1", 10_000, "r1")]);
+    for second in 1..=20_u64 {
+        let burst = if second % 2 == 0 { 6 } else { 1 };
+        (0..burst).for_each(|index| cluster.enqueue(unit(1_000 * second + index, 1_000, 0)));
+        cluster.run_for(500);
+        cluster.end_all_at("w1");
+        cluster.run_for(500);
+    }
+    let patient = |number| Unit { slack_ms: LONG_SLACK_MS, estimated_ms: 60_000, ..unit(number, 1_000, 2) };
+    (1..=10).for_each(|number| cluster.enqueue(patient(number)));
+    let at_first = cluster.place().len();
+    assert!((1..10).contains(&at_first), "{at_first} of 10 start at once");
+    (0..8).for_each(|index| cluster.enqueue(unit(90_000 + index, 500, 0)));
+    let later = cluster.run_for(8_000).len();
+    assert!(later > 8, "{later} starts, the urgent ones among them");
+}
--- a/crates/protocol/src/unit.rs
+++ b/crates/protocol/src/unit.rs
@@ -39,10 +39,14 @@
     pub resources: Resources,
     /// Whose workers may run it.
     pub service: Arc<str>,
+    /// The queue that its job was handed in to.
+    pub queue: Arc<str>,
     /// The queue's priority: 0 comes first and may preempt others.
     pub priority: u32,
     /// Order within a priority: lower first.
     pub order: u64,
+    /// Its step's part of the time that its job may spend waiting and still meet the queue's objective.
+    pub slack_ms: Millis,
     /// Label that the worker must have.
     pub node_selector: Option<Arc<str>>,
     /// Rack that holds the data; elsewhere it runs `far_x` times as long.
--- a/crates/scheduler/examples/takeover.rs
+++ b/crates/scheduler/examples/takeover.rs
@@ -19,7 +19,12 @@
     "steps":[{"count":4,"cpu":500,"mem_mb":256,"estimated_ms":900}]}"#;
 
 fn settings() -> Settings {
-    Settings { bounds: Bounds::default(), random_seed: 1, share_debt: None }
+    Settings {
+        bounds: Bounds::default(),
+        random_seed: 1,
+        share_debt: None,
+        policy: streamusher_scheduler::Policy::default(),
+    }
 }
 
 fn now(steady: u64) -> Now {
--- a/crates/scheduler/src/hedging.rs
+++ b/crates/scheduler/src/hedging.rs
@@ -7,6 +7,7 @@
 use crate::runs::{Phase, Run};
 use crate::scheduler::Scheduler;
 use crate::watch::HEARD_MS;
+use streamusher_placement::Mechanism;
 use streamusher_protocol::task::RunId;
 use streamusher_protocol::Millis;
 
@@ -26,6 +27,9 @@
 impl Scheduler {
     /// Asks for second copies of the hedged runs that are in doubt; once for each.
     pub(crate) fn hedge_doubtful(&mut self, now: Millis) {
+        if !self.settings.policy.has(Mechanism::Hedging) {
+            return;
+        }
         let may_be = |run: &Run| run.hedged && !run.stopping;
         let hedged = self.runs.all().filter(|(_, run)| may_be(run) && self.is_doubtful(now, run));
         let doubtful: Vec<RunId> = hedged.map(|(id, _)| id.clone()).collect();
--- a/crates/scheduler/src/judgements.rs
+++ b/crates/scheduler/src/judgements.rs
@@ -6,6 +6,7 @@
 use crate::scheduler::Scheduler;
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use streamusher_placement::Mechanism;
 use streamusher_protocol::store::Write;
 use streamusher_protocol::unit::WorkerId;
 use streamusher_protocol::Millis;
@@ -79,7 +80,7 @@
 impl Scheduler {
     /// Writes what has come to speak against workers, and removes what has faded.
     pub(crate) fn watch_judgements(&mut self, now: Millis) {
-        if now < self.judgements.next_look {
+        if now < self.judgements.next_look || !self.settings.policy.has(Mechanism::Judgements) {
             return;
         }
         self.judgements.next_look = now + LOOK_EVERY_MS;
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -32,3 +32,4 @@
 pub use event::{Effects, Event, OperatorOrder, OperatorReply, OrderKind, Reply, RequestId};
 pub use recovery::RecoverError;
 pub use scheduler::{Bounds, Scheduler, Settings};
+pub use streamusher_placement::{Mechanism, Policy};
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -131,6 +131,8 @@
         unit: assigned.unit.clone(),
         resources: assigned.resources,
         service: assigned.service.clone(),
+        queue: assigned.queue.clone(),
+        slack_ms: assigned.slack_ms,
         priority: assigned.priority,
         checkpoints: assigned.checkpoints,
         long_running: assigned.long_running,
@@ -150,5 +152,6 @@
         stop_ms: settings.bounds.stop_ms,
         save_ms: settings.bounds.save_ms,
         restore_ms: settings.bounds.restore_ms,
+        policy: settings.policy,
     }
 }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use streamusher_configuration::ConfigurationStore;
 use streamusher_jobs::JobBook;
-use streamusher_placement::{Decision, Placement, Release, WorkerInfo};
+use streamusher_placement::{Decision, Placement, Policy, Release, WorkerInfo};
 use streamusher_protocol::heartbeat::WorkerState;
 use streamusher_protocol::store::Write;
 use streamusher_protocol::task::{RunId, TaskId};
@@ -69,6 +69,8 @@
     pub random_seed: u64,
     /// Debts by recent use order work within a priority; none: by time alone.
     pub share_debt: Option<streamusher_share_debt::Settings>,
+    /// The mechanisms that take part in decisions.
+    pub policy: Policy,
 }
 
 /// The primary's state machine.
--- a/crates/scheduler/src/watch.rs
+++ b/crates/scheduler/src/watch.rs
@@ -3,6 +3,7 @@
 use crate::event::RequestId;
 use crate::runs::{Phase, Run};
 use crate::scheduler::Scheduler;
+use streamusher_placement::Mechanism;
 use streamusher_protocol::task::RunId;
 use streamusher_protocol::unit::WorkerId;
 use streamusher_protocol::{Millis, Now};
@@ -141,6 +142,9 @@
 
     /// Whether a run makes no progress although its worker is heard.
     fn stands_still(&self, now: Millis, run: &Run) -> bool {
+        if !self.settings.policy.has(Mechanism::Standstill) {
+            return false;
+        }
         if run.phase != Phase::Running || run.stopping || self.silence_of(now, &run.worker) > HEARD_MS {
             return false;
         }
@@ -174,6 +178,9 @@
     }
 
     fn ends_too_late(&self, now: Millis, run: &Run) -> bool {
+        if !self.settings.policy.has(Mechanism::Moves) {
+            return false;
+        }
         let leaves_at = self.workers.get(&run.worker).and_then(|worker| worker.leaves_at);
         leaves_at.is_some_and(|at| run.long_running || now + run.expected_rest(now) + LEAVING_MARGIN_MS > at)
     }
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -19,7 +19,7 @@
 
 pub fn settings() -> Settings {
     let bounds = Bounds { hold_max_ms: HOLD_MAX_MS, ..Bounds::default() };
-    Settings { bounds, random_seed: 1, share_debt: None }
+    Settings { bounds, random_seed: 1, share_debt: None, policy: streamusher_scheduler::Policy::default() }
 }
 
 pub struct World {
