--- a/crates/emulator/src/experiment.rs
+++ b/crates/emulator/src/experiment.rs
@@ -19,6 +19,8 @@
 const TRAFFIC_MS: Millis = 34_000;
 /// Troubles come in this part of the traffic.
 const TROUBLES_MS: Range<Millis> = 9_000..20_000;
+/// Kinds of troubles of workers.
+const TROUBLE_KINDS: usize = 5;
 /// How long troubles of workers last.
 const TROUBLE_MS: Millis = 6_000;
 
@@ -58,11 +60,11 @@
     }
 }
 
-/// One trouble for each eighth of the workers, another kind each time.
+/// One trouble for each eighth of the workers, another kind each time, and each kind once at least.
 fn worker_troubles(random: &mut Random, workers: usize) -> Vec<Planned> {
-    let count = (workers / 8).max(2);
+    let count = (workers / 8).max(TROUBLE_KINDS);
     let trouble = |(index, at, worker): (usize, Millis, usize)| {
-        let fault = match index % 5 {
+        let fault = match index % TROUBLE_KINDS {
             0 => Fault::CrashWorker { worker, back_ms: Some(TROUBLE_MS) },
             1 => Fault::GreyWorker { worker, share: 1.0, for_ms: TROUBLE_MS },
             2 => Fault::SlowWorker { worker, speed: 0.15, for_ms: TROUBLE_MS },
--- a/crates/emulator/src/workload/presets.rs
+++ b/crates/emulator/src/workload/presets.rs
@@ -203,9 +203,40 @@
     }
 }
 
-/// All workloads.
+/// Long chains of narrow steps near their data, beside wide single steps.
+pub fn chains() -> Workload {
+    let chain = Class { name: "chain", steps: spread(4.0, 0.3), width: spread(3.0, 0.5), ..lookups(1, 14.0) };
+    let wide = Class { name: "wide", steps: spread(1.0, 0.0), width: spread(60.0, 0.6), ..reports(0, 0.35) };
+    Workload {
+        name: "chains",
+        groups: vec![processors(20)],
+        classes: vec![Class { traits: Traits { near: 0.8, ..chain.traits }, ..chain }, wide],
+        far_x: 2.0,
+    }
+}
+
+/// Most of the room is taken by tasks that last; short work of the least priority lives beside them.
+pub fn standing() -> Workload {
+    Workload {
+        name: "standing",
+        groups: vec![processors(16)],
+        classes: vec![listeners(0, 0.9), lookups(2, 8.0), reports(1, 0.15)],
+        far_x: 1.5,
+    }
+}
+
+/// All workloads. The last two were held back: no decision was made by them.
 pub fn all() -> Vec<Workload> {
-    vec![short_first(), long_first(), level(), unlike_workers(), far_data(), gangs_only()]
+    vec![
+        short_first(),
+        long_first(),
+        level(),
+        unlike_workers(),
+        far_data(),
+        gangs_only(),
+        chains(),
+        standing(),
+    ]
 }
 
 /// The workload of a name.
