--- a/crates/placement/src/headroom.rs
+++ b/crates/placement/src/headroom.rs
@@ -21,6 +21,8 @@
 const PART_OF_NEWEST: f64 = 0.01;
 /// A queue changes its class when its mean slack is so many classes away from it: more than half, lest it swings.
 const CHANGED_CLASS: f64 = 0.75;
+/// Queues that are remembered; where there are more, all are learnt anew, lest those that are gone pile up.
+const MOST_QUEUES: usize = 4_096;
 /// Room is kept whole against classes from this distance on, in part against nearer ones.
 const WHOLE_DISTANCE: f64 = 2.0;
 
@@ -108,6 +110,9 @@
     /// Learns how long a unit of a queue may wait; answers the class of the queue.
     pub fn learn_slack(&mut self, queue: &Arc<str>, priority: u32, slack_ms: Millis) -> Patience {
         let observed = (slack_ms.max(1) as f64).log2();
+        if self.queues.len() >= MOST_QUEUES && !self.queues.contains_key(queue) {
+            self.queues.clear();
+        }
         let first = || QueuePatience { mean: observed, class: observed.round() as Patience, priority };
         let known = self.queues.entry(queue.clone()).or_insert_with(first);
         known.priority = priority;
