--- a/crates/coordination/src/backup.rs
+++ b/crates/coordination/src/backup.rs
@@ -3,10 +3,11 @@
 use crate::coordinator::Coordinator;
 use crate::copy::IncomingCopy;
 use crate::disk::Effect;
+use crate::events::Output;
 use crate::message::{Batch, Message};
 use crate::proposal::Purpose;
 use crate::times::{RECENT_BYTES, RECENT_COPY_BYTES, SEND_WINDOW};
-use crate::types::{DiskId, EpochRecord, Output, Position, StateMap};
+use crate::types::{DiskId, EpochRecord, Position, StateMap};
 use std::sync::Arc;
 use streamusher_protocol::store::Write;
 use streamusher_protocol::Millis;
--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -3,6 +3,7 @@
 use crate::bootstrap::first_witness;
 use crate::copy::IncomingCopy;
 use crate::disk::{DiskQueue, Effect};
+use crate::events::{Input, Output};
 use crate::message::{Batch, Message};
 use crate::peer::Acknowledged;
 use crate::proposal::{Promise, Proposal};
--- a/crates/coordination/src/disk.rs
+++ b/crates/coordination/src/disk.rs
@@ -1,8 +1,9 @@
 //! The disk as the state machine sees it: one change at a time, later ones merged, and effects that wait for them.
 
+use crate::events::Output;
 use crate::message::Message;
 use crate::times::{DISK_RETRY_MS, SLOW_SYNCS, SLOW_SYNC_MS, STUCK_SYNC_MS};
-use crate::types::{DiskChange, Output, Position, WitnessState};
+use crate::types::{DiskChange, Position, WitnessState};
 use std::collections::VecDeque;
 use std::sync::Arc;
 use streamusher_protocol::store::Write;
--- a/crates/coordination/src/lease.rs
+++ b/crates/coordination/src/lease.rs
@@ -1,9 +1,10 @@
 //! When a primary may act, whom it needs for that, and when it gives up its office.
 
 use crate::coordinator::Coordinator;
+use crate::events::Output;
 use crate::reign::Reign;
 use crate::times::ABDICATE_MS;
-use crate::types::{DiskId, EpochRecord, Output};
+use crate::types::{DiskId, EpochRecord};
 use streamusher_protocol::Millis;
 
 impl Coordinator {
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -1,7 +1,8 @@
 //! Epochs, witnesses, leases and primary-backup replication of the core machines, as one pure state machine for each:
 //! told the time and what has come in, it answers with what is to be sent and to be made durable.
 //!
-//! - [`types`]: settings, epochs, what is on disk, inputs and outputs.
+//! - [`types`]: settings, epochs, what is on disk.
+//! - [`events`]: inputs and outputs of the state machine.
 //! - [`message`]: what core machines say to each other.
 //! - `acceptor`: the witness; promises and accepts proposals of the next record.
 //! - `proposal`, `proposer`, `election`: how a record is proposed, and when a replica seeks the primary's place.
@@ -54,6 +55,7 @@
 mod copy;
 mod disk;
 mod election;
+pub mod events;
 mod lease;
 pub mod message;
 mod peer;
@@ -69,5 +71,6 @@
 pub mod types;
 
 pub use coordinator::Coordinator;
+pub use events::{Input, Output};
 pub use message::{Batch, Message};
 pub use types::*;
--- a/crates/coordination/src/replication.rs
+++ b/crates/coordination/src/replication.rs
@@ -1,12 +1,13 @@
 //! The primary: opens its reign, sends keepalives, batches and copies, and counts what is committed.
 
 use crate::coordinator::Coordinator;
+use crate::events::Output;
 use crate::message::{Batch, Message};
 use crate::peer::{Acknowledged, Peer};
 use crate::recent::write_bytes;
 use crate::reign::Reign;
 use crate::times::{BATCH_BYTES, LEAVE_MOST_MS, MOST_OUTSTANDING, SEND_WINDOW, SLOW_REST_MS};
-use crate::types::{DiskId, Output, PeerStatus, Position};
+use crate::types::{DiskId, PeerStatus, Position};
 use std::sync::Arc;
 use streamusher_protocol::store::Write;
 use streamusher_protocol::Millis;
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -2,8 +2,8 @@
 
 use crate::check::MOST_TASKS;
 use crate::effects::Effects;
+use crate::names::unit_id;
 use crate::pause::restart_pause;
-use crate::place::unit_id;
 use crate::plan::Plan;
 use crate::steps::{Iteration, Phase, Step};
 use crate::terms::QueueTerms;
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -16,6 +16,7 @@
 mod entry;
 mod error;
 mod job;
+mod names;
 mod pause;
 mod place;
 mod plan;
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -1,9 +1,10 @@
-//! Where tasks, runs and units stand in their job, and how they are named.
+//! Where tasks, runs and units stand in their job.
 
 use crate::job::Job;
+use crate::names::unit_id;
 use crate::steps::{Member, Step, UnitState};
-use streamusher_protocol::task::{JobId, RunId, TaskId};
-use streamusher_protocol::unit::{StepId, UnitId};
+use streamusher_protocol::task::{RunId, TaskId};
+use streamusher_protocol::unit::UnitId;
 
 /// A task's place in its job.
 #[derive(Clone, Copy, Debug)]
@@ -86,9 +87,3 @@
         TaskId { job: self.id.clone(), iteration, step: step as u32, index: member as u32 }
     }
 }
-
-/// The identifier of a unit.
-pub(crate) fn unit_id(job: &JobId, iteration: u32, step: usize, unit: usize, gang: bool) -> UnitId {
-    let index = if gang { None } else { Some(unit as u32) };
-    UnitId { step: StepId { job: job.clone(), iteration, step: step as u32 }, index }
-}
--- a/crates/placement/src/claim.rs
+++ b/crates/placement/src/claim.rs
@@ -3,9 +3,10 @@
 use crate::amounts::{amounts, times};
 use crate::copies::ANYWHERE_MS;
 use crate::headroom::Kept;
+use crate::key::{Key, Slot};
 use crate::placement::Placement;
 use crate::policy::Mechanism;
-use crate::queue::{Key, Slot, Waiting};
+use crate::queue::Waiting;
 use crate::room::{Insistence, Worker};
 use crate::run::Run;
 use crate::service::Service;
--- a/crates/placement/src/copies.rs
+++ b/crates/placement/src/copies.rs
@@ -1,8 +1,8 @@
 //! How many copies of a unit wait in how many queues, and when there are more.
 
+use crate::key::{Key, Slot};
 use crate::placement::Placement;
 use crate::policy::Mechanism;
-use crate::queue::{Key, Slot};
 use crate::ranking::{Ranked, PENALTY_OF_AVOIDED};
 use streamusher_protocol::Millis;
 
--- a/crates/placement/src/gang.rs
+++ b/crates/placement/src/gang.rs
@@ -2,10 +2,11 @@
 
 use crate::copies::ANYWHERE_MS;
 use crate::gather::{Plan, Reach};
+use crate::key::{Key, Slot};
 use crate::placement::Placement;
 use crate::policy::Mechanism;
 use crate::preempt::Group;
-use crate::queue::{Key, Slot, Waiting};
+use crate::queue::Waiting;
 use crate::service::{Pool, Service};
 use crate::types::Decision;
 use rand::seq::IndexedRandom;
--- a/crates/placement/src/gather.rs
+++ b/crates/placement/src/gather.rs
@@ -2,8 +2,9 @@
 
 use crate::amounts::{amounts, Amounts};
 use crate::headroom::Patience;
+use crate::key::{Key, Slot};
 use crate::placement::Placement;
-use crate::queue::{Key, Slot, Waiting};
+use crate::queue::Waiting;
 use crate::room::{Insistence, Reservation, Worker};
 use crate::run::Run;
 use crate::service::Service;
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -17,6 +17,7 @@
 mod gang;
 mod gather;
 mod headroom;
+mod key;
 mod learning;
 mod placement;
 mod policy;
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -2,9 +2,10 @@
 
 use crate::amounts::{amounts, dominant_share};
 use crate::headroom::Patience;
+use crate::key::{Key, Slot};
 use crate::learning::Charge;
 use crate::policy::Mechanism;
-use crate::queue::{Key, Queue, Slot, Waiting};
+use crate::queue::{Queue, Waiting};
 use crate::room::{Worker, Workers};
 use crate::run::Run;
 use crate::service::Service;
--- a/crates/placement/src/preempt.rs
+++ b/crates/placement/src/preempt.rs
@@ -2,9 +2,10 @@
 
 use crate::amounts::times;
 use crate::gather::{Plan, Reach, Site};
+use crate::key::{Key, Slot};
 use crate::placement::Placement;
 use crate::policy::Mechanism;
-use crate::queue::{Key, Slot, Waiting};
+use crate::queue::Waiting;
 use crate::room::Reservation;
 use crate::types::Decision;
 use streamusher_protocol::Millis;
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -2,6 +2,7 @@
 
 use crate::amounts::dominant_share;
 use crate::headroom::Patience;
+use crate::key::{Key, Slot};
 use crate::room::Worker;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use streamusher_protocol::unit::{Unit, UnitId};
@@ -11,17 +12,6 @@
 const FIRST_WAIT_MS: Millis = 50;
 const LAST_WAIT_MS: Millis = 800;
 
-/// Index of a worker.
-pub(crate) type Slot = u32;
-
-/// Where a unit stands among all that wait: lower first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub(crate) struct Key {
-    pub priority: u32,
-    order: u64,
-    serial: u64,
-}
-
 /// A unit that waits.
 #[derive(Clone, Debug)]
 pub(crate) struct Waiting {
--- a/crates/placement/src/ranking.rs
+++ b/crates/placement/src/ranking.rs
@@ -1,8 +1,9 @@
 //! Which workers a unit would go to: a sample and the best remembered, ranked by own counts and what is added.
 
+use crate::key::{Key, Slot};
 use crate::placement::Placement;
 use crate::policy::Mechanism;
-use crate::queue::{Key, Slot, Waiting};
+use crate::queue::Waiting;
 use crate::room::Worker;
 use crate::service::{Pool, Service};
 use rand::seq::IndexedRandom;
--- a/crates/placement/src/reorder.rs
+++ b/crates/placement/src/reorder.rs
@@ -1,7 +1,8 @@
 //! A unit that waits gets another place in the order.
 
+use crate::key::{Key, Slot};
 use crate::placement::Placement;
-use crate::queue::{Key, Slot, Waiting};
+use crate::queue::Waiting;
 use streamusher_protocol::unit::UnitId;
 
 impl Placement {
--- a/crates/placement/src/room.rs
+++ b/crates/placement/src/room.rs
@@ -2,8 +2,8 @@
 
 use crate::amounts::{dominant_share, times};
 use crate::headroom::Patience;
+use crate::key::{Key, Slot};
 use crate::learning::{Charge, Speed};
-use crate::queue::{Key, Slot};
 use crate::run::Run;
 use crate::types::WorkerInfo;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
--- a/crates/placement/src/service.rs
+++ b/crates/placement/src/service.rs
@@ -2,8 +2,8 @@
 
 use crate::amounts::{amounts, Amounts};
 use crate::headroom::Headroom;
+use crate::key::{Key, Slot};
 use crate::learning::{most_runs, Charge, Mean, Speed};
-use crate::queue::{Key, Slot};
 use crate::room::Worker;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
