--- a/crates/coordination/src/report.rs
+++ b/crates/coordination/src/report.rs
@@ -57,7 +57,7 @@
         }
     }
 
-    /// After [`Input::Leave`]: no longer primary, replaced as a replica, and no member that an even number can spare; or the
+    /// After [`Input::Leave`](crate::events::Input::Leave): no longer primary, replaced as a replica, and no member that an even number can spare; or the
     /// time for that is over.
     pub fn may_leave(&self) -> bool {
         let Some(since) = self.leaving else { return false };
