--- a/crates/placement/src/policy.rs
+++ b/crates/placement/src/policy.rs
@@ -89,7 +89,8 @@
         Policy { off: self.off | mechanism.bit() }
     }
 
-    /// First room that fits, in the order of the queue: the simplest policy that keeps the rules.
+    /// First room that fits, in the order of the queue, as something to measure against. Without [`Mechanism::Patience`] units
+    /// may wait for longer than the rules allow.
     #[must_use]
     pub fn simplest() -> Policy {
         Mechanism::ALL.into_iter().fold(Policy::default(), Policy::without)
