--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`faults`]: troubles of a day, drawn from a seed.
 //! - [`fleet`]: the machines with the real state machines, and all stand-ins joined.
 //! - [`search`]: days drawn from seeds.
+//! - [`losses`]: where a bench's play lost its worth, by the lines of jobs that missed their objective.
 //! - [`workload`], [`worth`], [`experiment`]: what clients hand in, what it earns, and two policies played on the same days.
 
 pub mod bounds;
@@ -19,6 +20,7 @@
 pub mod experiment;
 pub mod faults;
 pub mod fleet;
+pub mod losses;
 pub mod network;
 pub mod plant;
 pub mod queue;
--- /dev/null
+++ b/crates/emulator/src/losses.rs
@@ -0,0 +1,237 @@
+//! Where a play's worth was lost: the report of a bench and the log lines of the jobs that missed their objective, joined to
+//! a table by cause whose rows add up to what was lost.
+
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::fmt;
+use streamusher_jobs::Stage;
+use streamusher_scheduler::accounts::{MissedObjective, MISSED_OBJECTIVE};
+
+/// Worst windows that count, and their length.
+const WORST_WINDOWS: usize = 2;
+const MILLIS_PER_SECOND: f64 = 1_000.0;
+
+/// A play's report, as far as the table needs it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Report {
+    /// The play's figure.
+    #[serde(rename = "G")]
+    pub figure: f64,
+    /// What the figure is made of: name, weight, value.
+    pub parts: Vec<(String, f64, f64)>,
+    /// What is taken off: name, amount, price.
+    pub prices: Vec<(String, f64, f64)>,
+    /// Requests by class.
+    pub classes: Vec<Group>,
+    /// Requests by the window in which they were handed in, named by its first second.
+    pub windows: Vec<Group>,
+}
+
+/// Requests of a class or a window.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Group {
+    /// Its name.
+    pub name: String,
+    /// Requests, and how many of them were late, refused, failed, or not owed an answer.
+    pub n: u32,
+    /// Answered late.
+    pub late: u32,
+    /// Refused.
+    pub refused: u32,
+    /// Failed.
+    pub failed: u32,
+    /// Owed nothing.
+    pub not_owed: u32,
+    /// Earned of what was owed.
+    pub worth: f64,
+}
+
+/// A class of requests, as a deployment's site file tells it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// What a request in time is worth.
+    pub worth: f64,
+    /// Its part of the objective.
+    pub aim_ms: f64,
+    /// Its queues' priority.
+    #[serde(default)]
+    pub priority: u32,
+    /// How its jobs are made.
+    pub jobs: JobsOfClass,
+}
+
+/// How a class' jobs are made, as far as the table needs it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct JobsOfClass {
+    /// Factor of the objective on the work.
+    pub stretch: f64,
+}
+
+/// Why worth was lost.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Cause {
+    /// A job that was accepted spent time in a stage.
+    Spent(Stage),
+    /// No line tells: refused, not accepted in time, never ended, or a lasting job's tasks were not at work.
+    NotTold,
+    /// A price.
+    Price(String),
+    /// What rounding and the unequal worth of a class' jobs leave over.
+    Rest,
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Cause::Spent(stage) => {
+                let name = serde_json::to_value(stage).unwrap_or_default();
+                write!(f, "{}", name.as_str().unwrap_or_default().replace('_', " "))
+            }
+            Cause::NotTold => write!(f, "refused, not accepted, not ended, or lasting"),
+            Cause::Price(name) => write!(f, "price: {name}"),
+            Cause::Rest => write!(f, "rest"),
+        }
+    }
+}
+
+/// A job that missed its objective, placed in the day.
+#[derive(Clone, Debug)]
+pub struct Missed {
+    /// Seconds of the day at which it was due.
+    pub due_s: f64,
+    /// The line.
+    pub line: MissedObjective,
+}
+
+impl Missed {
+    fn is_of(&self, class: &Class) -> bool {
+        self.line.priority == class.priority
+            && self.line.target_latency_ms == class.aim_ms as u64
+            && (self.line.stretch - class.jobs.stretch).abs() < 1e-6
+    }
+
+    /// The part of its loss that falls to each stage: by the time that was not work.
+    fn by_stage(&self) -> BTreeMap<Stage, f64> {
+        let spent = self.line.spent_ms.iter().filter(|(stage, _)| **stage != Stage::Worked);
+        let total: u64 = spent.clone().map(|(_, spent_ms)| spent_ms).sum();
+        spent.map(|(stage, spent_ms)| (*stage, *spent_ms as f64 / total.max(1) as f64)).collect()
+    }
+}
+
+/// The jobs that missed their objective, from the log of a play: each line begins with the second of the day.
+pub fn missed_in(log: &str) -> Vec<Missed> {
+    let parse = |text: &str| {
+        let (before, json) = text.split_once(MISSED_OBJECTIVE)?;
+        let ended_s: f64 = before.split_whitespace().next()?.parse().ok()?;
+        let line: MissedObjective = serde_json::from_str(json.trim()).ok()?;
+        Some(Missed { due_s: ended_s - line.took_ms as f64 / MILLIS_PER_SECOND, line })
+    };
+    log.lines().filter_map(parse).collect()
+}
+
+/// Worth that was lost, by cause.
+#[derive(Clone, Debug, Default)]
+pub struct Losses {
+    /// What each cause has cost, as a part of the figure.
+    pub by_cause: BTreeMap<Cause, f64>,
+}
+
+impl Losses {
+    /// The table of a play. Its rows add up to 1 less the figure.
+    pub fn of(report: &Report, classes: &[Class], missed: &[Missed]) -> Losses {
+        let mut losses = Losses::default();
+        let [whole, windows, worst_class] = [0, 1, 2].map(|part| report.parts.get(part));
+        if let Some((_, weight, value)) = whole {
+            let all: Vec<&Group> = report.classes.iter().collect();
+            losses.add_groups(&all, classes, missed, weight * (1.0 - value));
+        }
+        if let Some((_, weight, value)) = windows {
+            let in_worst: Vec<Missed> = in_worst_windows(report, missed);
+            losses.add_window(report, &in_worst, weight * (1.0 - value));
+        }
+        if let Some((_, weight, value)) = worst_class {
+            let worst = report.classes.iter().min_by(|a, b| a.worth.total_cmp(&b.worth));
+            let worst: Vec<&Group> = worst.into_iter().collect();
+            losses.add_groups(&worst, classes, missed, weight * (1.0 - value));
+        }
+        for (name, _, price) in &report.prices {
+            losses.add(Cause::Price(name.clone()), *price);
+        }
+        let told: f64 = losses.by_cause.values().sum();
+        losses.add(Cause::Rest, 1.0 - report.figure - told);
+        losses
+    }
+
+    fn add(&mut self, cause: Cause, loss: f64) {
+        if loss.abs() > f64::EPSILON {
+            *self.by_cause.entry(cause).or_default() += loss;
+        }
+    }
+
+    /// Shares a loss out among classes by what each has lost, and within each by its jobs' lines.
+    fn add_groups(&mut self, groups: &[&Group], classes: &[Class], missed: &[Missed], loss: f64) {
+        let class_of = |group: &Group| classes.iter().find(|class| class.name == group.name);
+        let lost = |group: &Group| {
+            let worth = class_of(group).map_or(1.0, |class| class.worth);
+            worth * f64::from(group.n - group.not_owed) * (1.0 - group.worth)
+        };
+        let total: f64 = groups.iter().map(|group| lost(group)).sum();
+        for group in groups.iter().filter(|_| total > 0.0) {
+            let of_class = |missed: &&Missed| class_of(group).is_some_and(|class| missed.is_of(class));
+            let lines: Vec<&Missed> = missed.iter().filter(of_class).collect();
+            self.add_lines(&lines, group.missed(), loss * lost(group) / total);
+        }
+    }
+
+    fn add_window(&mut self, report: &Report, missed: &[Missed], loss: f64) {
+        let lines: Vec<&Missed> = missed.iter().collect();
+        let count = worst_windows(report).iter().map(|window| window.missed()).sum();
+        self.add_lines(&lines, count, loss);
+    }
+
+    /// Lines tell of their own number of requests; a loss of further ones is not told.
+    fn add_lines(&mut self, lines: &[&Missed], count: u32, loss: f64) {
+        let told = lines.len() as f64 / f64::from(count).max(lines.len() as f64).max(1.0);
+        self.add(Cause::NotTold, loss * (1.0 - told));
+        for line in lines {
+            for (stage, part) in line.by_stage() {
+                self.add(Cause::Spent(stage), loss * told * part / lines.len() as f64);
+            }
+        }
+    }
+
+    /// Adds the losses of another play, each counted for a part.
+    pub fn add_part(&mut self, other: &Losses, part: f64) {
+        other.by_cause.iter().for_each(|(cause, loss)| self.add(cause.clone(), loss * part));
+    }
+
+    /// The whole loss.
+    pub fn total(&self) -> f64 {
+        self.by_cause.values().sum()
+    }
+}
+
+impl Group {
+    fn missed(&self) -> u32 {
+        self.late + self.refused + self.failed
+    }
+}
+
+fn worst_windows(report: &Report) -> Vec<&Group> {
+    let mut windows: Vec<&Group> = report.windows.iter().collect();
+    windows.sort_by(|a, b| a.worth.total_cmp(&b.worth));
+    windows.truncate(WORST_WINDOWS);
+    windows
+}
+
+fn in_worst_windows(report: &Report, missed: &[Missed]) -> Vec<Missed> {
+    let starts = report.windows.iter().filter_map(|window| window.name.parse::<f64>().ok());
+    let starts: Vec<f64> = starts.collect();
+    let length = starts.windows(2).map(|pair| pair[1] - pair[0]).fold(f64::INFINITY, f64::min);
+    let worst: Vec<f64> =
+        worst_windows(report).iter().filter_map(|window| window.name.parse().ok()).collect();
+    let is_in = |missed: &&Missed| worst.iter().any(|start| (*start..start + length).contains(&missed.due_s));
+    missed.iter().filter(is_in).cloned().collect()
+}
--- /dev/null
+++ b/crates/emulator/tests/losses.rs
@@ -0,0 +1,87 @@
+//! The table of a play's losses: its rows add up, and each loss stands by the cause that the jobs' lines tell.
+
+use rstest::rstest;
+use streamusher_emulator::losses::{missed_in, Cause, Class, Losses, Report};
+use streamusher_jobs::Stage;
+
+const CLASSES: &str = r#"[
+    {"name": "check", "worth": 1.0, "aim_ms": 800, "priority": 0, "jobs": {"stretch": 1.5}},
+    {"name": "batch", "worth": 3.0, "aim_ms": 4000, "priority": 2, "jobs": {"stretch": 4.0}}
+]"#;
+
+/// Ten checks of which two were late, ten batches of which one was refused.
+fn report() -> Report {
+    let classes = r#"[
+        {"name": "check", "n": 10, "late": 2, "refused": 0, "failed": 0, "not_owed": 0, "worth": 0.9},
+        {"name": "batch", "n": 10, "late": 0, "refused": 1, "failed": 0, "not_owed": 0, "worth": 0.9}]"#;
+    let windows = r#"[
+        {"name": "0", "n": 8, "late": 0, "refused": 0, "failed": 0, "not_owed": 0, "worth": 1.0},
+        {"name": "2", "n": 6, "late": 2, "refused": 0, "failed": 0, "not_owed": 0, "worth": 0.7},
+        {"name": "4", "n": 6, "late": 0, "refused": 1, "failed": 0, "not_owed": 0, "worth": 0.5}]"#;
+    let parts = r#"[["whole day", 0.7, 0.9], ["worst windows", 0.15, 0.6], ["worst class", 0.15, 0.9]]"#;
+    let text = format!(
+        r#"{{"G": 0.82, "parts": {parts}, "prices": [["machine-seconds", 1.0, 0.03], ["bytes", 0.0, 0.0]],
+            "classes": {classes}, "windows": {windows}}}"#
+    );
+    serde_json::from_str(&text).expect("a report")
+}
+
+fn classes() -> Vec<Class> {
+    serde_json::from_str(CLASSES).expect("classes")
+}
+
+fn line(ended_s: f64, took_ms: u64, spent: &str) -> String {
+    format!(
+        r#"  {ended_s:.4} core-1 2026-01-30T07:42:31.000Z INFO streamusher_scheduler::accounts: objective missed: {{"job":"00ff00ff00ff00ff","iteration":0,"queue":"q","service":"s","priority":0,"target_latency_ms":800,"stretch":1.5,"failed":false,"due_unix_ms":1,"took_ms":{took_ms},"objective_ms":1800,"spent_ms":{spent}}}"#
+    )
+}
+
+fn near(a: f64, b: f64) -> bool {
+    (a - b).abs() < 1e-9
+}
+
+fn loss(losses: &Losses, cause: &Cause) -> f64 {
+    losses.by_cause.get(cause).copied().unwrap_or_default()
+}
+
+#[rstest]
+#[case::nothing_told("")]
+#[case::one_line(&line(5.0, 2_500, r#"{"worked":1000,"waited_for_room":1500}"#))]
+#[case::more_lines_than_late_requests(&[
+    line(5.0, 2_500, r#"{"worked":1000,"lost":1500}"#),
+    line(5.1, 2_500, r#"{"worked":1000,"ordered":1500}"#),
+    line(5.2, 2_500, r#"{"worked":1000,"stopped":1500}"#),
+].join("\n"))]
+fn given_any_log_when_a_play_is_told_then_its_rows_add_up_to_what_was_lost(#[case] log: &str) {
+    let report = report();
+    let losses = Losses::of(&report, &classes(), &missed_in(log));
+    assert!(near(losses.total(), 1.0 - report.figure), "{losses:?}");
+    assert!(losses.by_cause.values().all(|loss| *loss > -0.01), "{losses:?}");
+}
+
+#[rstest]
+fn given_two_late_jobs_when_both_are_told_then_their_class_loss_stands_by_their_stages() {
+    let log = [
+        line(5.0, 2_500, r#"{"worked":1000,"waited_for_room":1500}"#),
+        line(5.5, 2_500, r#"{"worked":1000,"waited_for_room":500,"lost":1000}"#),
+    ];
+    let losses = Losses::of(&report(), &classes(), &missed_in(&log.join("\n")));
+    // Of the whole day's 0.07 a quarter is the checks', by worth; of the worst windows' 0.06 and three misses two are told.
+    let of_lines = 0.07 / 4.0 + 0.06 * 2.0 / 3.0 + 0.015;
+    let lost = of_lines / 2.0 * (1_000.0 / 1_500.0);
+    assert!(near(loss(&losses, &Cause::Spent(Stage::Lost)), lost), "{losses:?}");
+    assert!(near(loss(&losses, &Cause::Spent(Stage::WaitedForRoom)), of_lines - lost), "{losses:?}");
+    assert!(near(loss(&losses, &Cause::NotTold), 0.07 * 0.75 + 0.02), "{losses:?}");
+    assert!(near(loss(&losses, &Cause::Price("machine-seconds".into())), 0.03), "{losses:?}");
+}
+
+#[rstest]
+fn given_lines_of_other_kinds_when_a_log_is_read_then_only_whole_lines_of_missed_objectives_count() {
+    let log = format!(
+        "built in 3 s\n  1.0 core-1 INFO objective missed: {{\"job\":\n{}\n  2.0 core-1 INFO primary from epoch 2 on",
+        line(5.0, 2_500, r#"{"worked":1000,"unknown":1500}"#)
+    );
+    let missed = missed_in(&log);
+    assert_eq!(missed.len(), 1);
+    assert!(near(missed[0].due_s, 2.5));
+}
--- a/crates/jobs/src/book.rs
+++ b/crates/jobs/src/book.rs
@@ -9,7 +9,8 @@
 use crate::job::Job;
 use crate::plan::Plan;
 use crate::record;
-use crate::runs::Outcome;
+use crate::runs::{Outcome, RunOver};
+use crate::spent::{RunTimes, Stage};
 use crate::terms::{QueueTerms, Settings};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -83,6 +84,11 @@
         self.jobs.get(id).map(|entry| entry.queue().clone())
     }
 
+    /// The rack near which a task's data lies, if its job names one.
+    pub fn affinity(&self, task: &TaskId) -> Option<Arc<str>> {
+        self.kept(&task.job)?.plan.step(task.step)?.affinity.clone()
+    }
+
     /// Jobs of a queue that are pending.
     pub fn waiting(&self, queue: &str) -> u64 {
         self.pending.get(queue).copied().unwrap_or(0)
@@ -115,7 +121,7 @@
         }
         while let Some((planned, unit)) = self.fx.timers.due_resume(now) {
             let job = unit.step.job.clone();
-            self.change(&job, |job, fx| job.resume(planned, &unit, fx));
+            self.change(&job, |job, fx| job.resume(now, planned, &unit, fx));
         }
         while let Some(id) = self.fx.timers.due_expiry(now) {
             self.jobs.remove(&id);
@@ -137,22 +143,48 @@
 
     /// Records a run's end as its worker listed it. False if the run is not recorded as assigned: nothing changed.
     pub fn ended(&mut self, now: Now, run: &RunId, how: RunEnd, checkpoint: &str) -> bool {
-        self.over(now, run, how.into(), checkpoint)
+        let vain = match how {
+            RunEnd::Failed => Stage::Failed,
+            RunEnd::Stopped => Stage::Stopped,
+            _ => Stage::Lost,
+        };
+        self.over(now, run, how.into(), vain, checkpoint)
     }
 
     /// Records that a run is over without a noted end, as its worker is gone or its lease is over.
     pub fn lost(&mut self, now: Now, run: &RunId) {
-        self.over(now, run, Outcome::Over, "");
+        self.over(now, run, Outcome::Over, Stage::Lost, "");
     }
 
     /// Records that a run never began and never will.
     pub fn withdrawn(&mut self, now: Now, run: &RunId) {
-        self.over(now, run, Outcome::Over, "");
+        self.over(now, run, Outcome::Over, Stage::Stopped, "");
+    }
+
+    /// Records where the time of a unit went that is about to begin: it waited, for these causes.
+    pub fn waited(&mut self, now: Now, unit: &UnitId, waits: &[(Stage, Millis)]) {
+        let Some(job) = self.kept_mut(&unit.step.job) else { return };
+        let (step, index) = (unit.step.step as usize, unit.index.unwrap_or(0) as usize);
+        let Some(entry) = job.step_mut(unit.step.iteration, step) else { return };
+        // While a hedged task's first run goes on, its time is that run's.
+        let runs = entry.members_of(index).any(|member| entry.members[member].earlier.is_some());
+        let Some(state) = entry.units.get_mut(index).filter(|_| !runs) else { return };
+        waits.iter().for_each(|(stage, waited_ms)| state.spent.add(*stage, *waited_ms));
+        state.told_until = now.steady;
+    }
+
+    /// Records how a run went that has ended, before [`JobBook::ended`] records its end.
+    pub fn ran(&mut self, run: &RunId, times: RunTimes) {
+        let Some(job) = self.kept_mut(&run.task.job) else { return };
+        let Some(place) = job.place_of_run(run) else { return };
+        let state = job.unit_mut(place.iteration, place.step, place.unit);
+        state.into_iter().for_each(|state| state.run_times = Some(times));
     }
 
-    fn over(&mut self, now: Now, run: &RunId, outcome: Outcome, checkpoint: &str) -> bool {
+    fn over(&mut self, now: Now, run: &RunId, outcome: Outcome, vain: Stage, checkpoint: &str) -> bool {
         self.note(now);
-        let changed = self.change(&run.task.job, |job, fx| job.over(now, run, outcome, checkpoint, fx));
+        let end = RunOver { outcome, vain };
+        let changed = self.change(&run.task.job, |job, fx| job.over(now, run, end, checkpoint, fx));
         changed.unwrap_or(false)
     }
 
@@ -218,6 +250,7 @@
             ready: ready.iter().filter_map(|id| self.unit(id)).collect(),
             revoked: std::mem::take(&mut self.fx.revoked).into_iter().collect(),
             stop: std::mem::take(&mut self.fx.stop).into_iter().collect(),
+            completions: std::mem::take(&mut self.fx.completions),
         }
     }
 
--- a/crates/jobs/src/changes.rs
+++ b/crates/jobs/src/changes.rs
@@ -1,5 +1,6 @@
 //! What the record hands out: writes, units to place, runs to stop, and views of single runs.
 
+use crate::completion::Completion;
 use std::sync::Arc;
 use streamusher_protocol::heartbeat::Resources;
 use streamusher_protocol::store::Write;
@@ -19,6 +20,8 @@
     pub revoked: Vec<UnitId>,
     /// Runs to stop.
     pub stop: Vec<RunId>,
+    /// Iterations that ended, with where their time went.
+    pub completions: Vec<Completion>,
 }
 
 /// A run that may be ordered once the writes that record it are committed.
--- /dev/null
+++ b/crates/jobs/src/completion.rs
@@ -0,0 +1,74 @@
+//! How an iteration of a job ended, beside what its queue asks for.
+
+use crate::job::Job;
+use crate::spent::{Stage, TimeSpent};
+use std::sync::Arc;
+use streamusher_protocol::task::JobId;
+use streamusher_protocol::{Millis, Now};
+
+/// An iteration that is done, or the one in which its job failed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Completion {
+    /// The job.
+    pub job: JobId,
+    /// The iteration.
+    pub iteration: u32,
+    /// Its queue.
+    pub queue: Arc<str>,
+    /// The service whose workers ran it.
+    pub service: Arc<str>,
+    /// Its queue's priority.
+    pub priority: u32,
+    /// Part of the objective, from its queue.
+    pub target_latency_ms: Millis,
+    /// Factor of the objective on the work, from its queue.
+    pub stretch: f64,
+    /// Every task is done; otherwise an attempt too many failed.
+    pub is_done: bool,
+    /// When it was due or, if that was later, handed in; since 1970.
+    pub due_unix_ms: Millis,
+    /// From then to its end.
+    pub took_ms: Millis,
+    /// How long it might take by its queue's terms, with the work as it turned out.
+    pub objective_ms: Millis,
+    /// Where the time went.
+    pub spent: TimeSpent,
+}
+
+impl Completion {
+    /// Whether it ended well and in time.
+    pub fn is_in_time(&self) -> bool {
+        self.is_done && self.took_ms <= self.objective_ms
+    }
+}
+
+impl Job {
+    /// How an iteration ended that ends now. What of its time was not seen is unknown; the objective counts the work on the
+    /// chain as it turned out, and the estimated one where most was not seen.
+    pub(crate) fn completion(
+        &self, now: Now, iteration: u32, is_done: bool, mut spent: TimeSpent,
+    ) -> Completion {
+        let due_unix_ms = self.plan.due_at(iteration).max(self.submitted);
+        let took_ms = now.unix.saturating_sub(due_unix_ms);
+        let unknown_ms = took_ms.saturating_sub(spent.total_ms());
+        spent.add(Stage::Unknown, unknown_ms);
+        let is_seen = is_done && 2 * unknown_ms < took_ms;
+        let seen_ms = spent.of(Stage::Worked) + spent.of(Stage::Failed);
+        let work_ms = if is_seen { seen_ms } else { self.plan.chain_ms };
+        let stretched_ms = (self.terms.stretch.max(0.0) * work_ms as f64) as Millis;
+        Completion {
+            job: self.id.clone(),
+            iteration,
+            queue: self.terms.queue.clone(),
+            service: self.terms.service.clone(),
+            priority: self.terms.priority,
+            target_latency_ms: self.terms.target_latency_ms,
+            stretch: self.terms.stretch,
+            is_done,
+            due_unix_ms,
+            took_ms,
+            objective_ms: self.terms.target_latency_ms.saturating_add(stretched_ms),
+            spent,
+        }
+    }
+}
--- a/crates/jobs/src/effects.rs
+++ b/crates/jobs/src/effects.rs
@@ -1,5 +1,6 @@
 //! What a change to a job brings about outside of it, collected until it is taken.
 
+use crate::completion::Completion;
 use crate::due::Timers;
 use std::collections::BTreeSet;
 use streamusher_protocol::task::{JobId, RunId, TaskId};
@@ -19,6 +20,8 @@
     pub revoked: BTreeSet<UnitId>,
     /// Runs to stop.
     pub stop: BTreeSet<RunId>,
+    /// Iterations that ended.
+    pub completions: Vec<Completion>,
     /// What is to be done later.
     pub timers: Timers,
 }
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -5,6 +5,7 @@
 use crate::names::unit_id;
 use crate::pause::restart_pause;
 use crate::plan::Plan;
+use crate::spent::{Stage, TimeSpent};
 use crate::steps::{Iteration, Phase, Step};
 use crate::terms::QueueTerms;
 use std::collections::{BTreeMap, BTreeSet};
@@ -148,14 +149,19 @@
         let lasts = self.lasts(step);
         let limit = self.terms.max_attempts;
         let id = self.unit_id(iteration, step, unit);
+        let chain = self.iterations.get(&iteration).map(|content| content.latest.clone());
         let Some(state) = self.unit_mut(iteration, step, unit) else { return };
         if matches!(state.phase, Phase::Done | Phase::Abandoned) {
             return;
         }
         if !lasts && state.failed >= limit.max(1) {
-            self.finish(JobState::Failed, fx);
+            let spent = state.spent.clone();
+            self.fail(now, iteration, spent, fx);
             return;
         }
+        if state.phase == Phase::Blocked {
+            state.follow(now.steady, chain.unwrap_or_default());
+        }
         let pause = if lasts { restart_pause(state.failed) } else { 0 };
         if pause > 0 {
             let until = now.steady.saturating_add(pause);
@@ -167,11 +173,20 @@
         fx.ready.insert(id);
     }
 
+    /// Ends the job as one of its units has no attempt left.
+    pub fn fail(&mut self, now: Now, iteration: u32, spent: TimeSpent, fx: &mut Effects) {
+        if self.end.is_none() {
+            fx.completions.push(self.completion(now, iteration, false, spent));
+        }
+        self.finish(JobState::Failed, fx);
+    }
+
     /// Ends the pause of a unit, if it is the one planned for that time.
-    pub fn resume(&mut self, planned: Millis, id: &UnitId, fx: &mut Effects) {
+    pub fn resume(&mut self, now: Now, planned: Millis, id: &UnitId, fx: &mut Effects) {
         let unit = id.index.unwrap_or(0) as usize;
         let Some(state) = self.unit_mut(id.step.iteration, id.step.step as usize, unit) else { return };
         if state.phase == Phase::Paused(planned) {
+            state.tell(now.steady, Stage::Paused);
             state.phase = Phase::Waiting;
             fx.ready.insert(id.clone());
         }
--- a/crates/jobs/src/runs.rs
+++ b/crates/jobs/src/runs.rs
@@ -4,6 +4,7 @@
 use crate::effects::Effects;
 use crate::job::Job;
 use crate::place::Place;
+use crate::spent::Stage;
 use crate::steps::{EarlierRun, Iteration, Phase, Step};
 use std::sync::Arc;
 use streamusher_protocol::job::JobState;
@@ -25,6 +26,15 @@
     Over,
 }
 
+/// How a run was over.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RunOver {
+    /// What it means for its unit.
+    pub outcome: Outcome,
+    /// What its time was spent on, if not on work that is done.
+    pub vain: Stage,
+}
+
 impl From<RunEnd> for Outcome {
     fn from(how: RunEnd) -> Outcome {
         match how {
@@ -54,6 +64,7 @@
         state.run = run;
         state.phase = Phase::Assigned;
         state.began = now.steady;
+        state.run_times = None;
         state.assigned = workers.len() as u32;
         state.started_from = state.checkpoint.clone();
         let checkpoint = state.checkpoint.clone();
@@ -82,14 +93,12 @@
     }
 
     /// Records that a run is over; false if it is not recorded as assigned.
-    pub fn over(
-        &mut self, now: Now, run: &RunId, outcome: Outcome, checkpoint: &str, fx: &mut Effects,
-    ) -> bool {
+    pub fn over(&mut self, now: Now, run: &RunId, how: RunOver, checkpoint: &str, fx: &mut Effects) -> bool {
         let Some(place) = self.place_of_run(run) else { return false };
         self.note_checkpoint(place, checkpoint);
         let worker = self.release_worker(place, run, fx);
         if self.end.is_none() {
-            self.judge(now, place, outcome, worker, fx);
+            self.judge(now, place, how, worker, fx);
         }
         self.drop_if_over(place.iteration, fx);
         true
@@ -134,21 +143,23 @@
         worker
     }
 
-    fn judge(
-        &mut self, now: Now, place: Place, outcome: Outcome, worker: Option<WorkerId>, fx: &mut Effects,
-    ) {
+    fn judge(&mut self, now: Now, place: Place, how: RunOver, worker: Option<WorkerId>, fx: &mut Effects) {
+        let RunOver { outcome, vain } = how;
         let lasts = self.lasts(place.step);
+        let limit = self.terms.max_attempts.max(1);
         let Some(state) = self.unit_mut(place.iteration, place.step, place.unit) else { return };
         if state.phase == Phase::Done {
             return;
         }
         if outcome == Outcome::Done && !lasts {
+            state.tell_done(now.steady);
             self.unit_done(now, place, fx);
             return;
         }
         if lasts && now.steady.saturating_sub(state.began) >= SOUND_RUN_MS {
             state.failed = 0;
         }
+        state.tell(now.steady, vain);
         if outcome == Outcome::Failed {
             worker.iter().for_each(|w| {
                 state.avoid(w);
@@ -159,9 +170,10 @@
                 state.failed = state.failed.saturating_add(1);
             }
         }
-        let hopeless = !lasts && state.failed >= self.terms.max_attempts.max(1);
+        let hopeless = !lasts && state.failed >= limit;
         if hopeless && outcome == Outcome::Failed {
-            self.finish(JobState::Failed, fx);
+            let spent = state.spent.clone();
+            self.fail(now, place.iteration, spent, fx);
             return;
         }
         match place.is_earlier {
@@ -255,11 +267,13 @@
         let Some(content) = self.iterations.get_mut(&place.iteration) else { return };
         let freed = content.unit_done(&self.plan, place.step, place.unit);
         let is_complete = content.open_steps == 0;
+        let spent = content.latest.clone();
         for step in freed {
             self.step_ready(now, place.iteration, step, fx);
         }
         if is_complete {
             self.completed += 1;
+            fx.completions.push(self.completion(now, place.iteration, true, spent));
         }
         if self.completed == self.plan.iterations() {
             self.finish(JobState::Succeeded, fx);
--- /dev/null
+++ b/crates/jobs/src/spent.rs
@@ -0,0 +1,100 @@
+//! Where the time of an iteration went: along the chain of units that its end waited for, each millisecond in one stage.
+
+use serde::{Deserialize, Serialize};
+use streamusher_protocol::Millis;
+
+/// What a unit spends its time on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Stage {
+    /// Waited while no worker took its work, or none that it may run at.
+    WaitedForWorker,
+    /// Waited while no worker that could run it had the room free.
+    WaitedForRoom,
+    /// Waited while room was being gathered for it.
+    WaitedForReservation,
+    /// Waited with room free, which was kept for others or at workers that are avoided.
+    WaitedWithRoomFree,
+    /// Waited after a failure before it was restarted.
+    Paused,
+    /// From the decision to the first report of the run, and from the run's end to its report.
+    Ordered,
+    /// Ran, up to what the run would have taken at a usual worker near its data.
+    Worked,
+    /// Ran for longer than that: at a slow or sick worker, or away from its data.
+    RanSlowly,
+    /// Ran in vain: the run failed.
+    Failed,
+    /// Ran in vain: the run was stopped, for a more urgent one or to be moved.
+    Stopped,
+    /// Ran in vain: the run was lost with its worker, or its lease ended.
+    Lost,
+    /// Not told: before the present primary took over.
+    Unknown,
+}
+
+impl Stage {
+    /// All of them.
+    pub const ALL: [Stage; 12] = [
+        Stage::WaitedForWorker,
+        Stage::WaitedForRoom,
+        Stage::WaitedForReservation,
+        Stage::WaitedWithRoomFree,
+        Stage::Paused,
+        Stage::Ordered,
+        Stage::Worked,
+        Stage::RanSlowly,
+        Stage::Failed,
+        Stage::Stopped,
+        Stage::Lost,
+        Stage::Unknown,
+    ];
+}
+
+/// Milliseconds in each stage.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct TimeSpent([u32; Stage::ALL.len()]);
+
+impl TimeSpent {
+    /// Adds to a stage.
+    pub fn add(&mut self, stage: Stage, spent_ms: Millis) {
+        let spent_ms = u32::try_from(spent_ms).unwrap_or(u32::MAX);
+        let total = &mut self.0[stage as usize];
+        *total = total.saturating_add(spent_ms);
+    }
+
+    /// Time in a stage, in milliseconds.
+    pub fn of(&self, stage: Stage) -> Millis {
+        self.0[stage as usize].into()
+    }
+
+    /// Time in all stages.
+    pub fn total_ms(&self) -> Millis {
+        self.0.iter().map(|spent_ms| Millis::from(*spent_ms)).sum()
+    }
+
+    /// The stages with any time.
+    pub fn stages(&self) -> impl Iterator<Item = (Stage, Millis)> + '_ {
+        Stage::ALL.into_iter().map(|stage| (stage, self.of(stage))).filter(|(_, spent_ms)| *spent_ms > 0)
+    }
+}
+
+/// How a run went, as far as its worker's reports tell.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RunTimes {
+    /// From the first report that showed it to its end.
+    pub ran_ms: Millis,
+    /// How much longer than at a usual worker near its data it took; 1 where nothing tells.
+    pub slowness: f64,
+}
+
+impl RunTimes {
+    /// Splits the time from a run's order to its end.
+    pub(crate) fn add_done(self, held_ms: Millis, spent: &mut TimeSpent) {
+        let ran_ms = self.ran_ms.min(held_ms);
+        let worked_ms = (ran_ms as f64 / self.slowness.max(1.0)) as Millis;
+        spent.add(Stage::Ordered, held_ms - ran_ms);
+        spent.add(Stage::Worked, worked_ms);
+        spent.add(Stage::RanSlowly, ran_ms - worked_ms);
+    }
+}
--- a/crates/jobs/src/steps.rs
+++ b/crates/jobs/src/steps.rs
@@ -4,6 +4,7 @@
 //! a member has only the worker at which the unit's newest run of it sits.
 
 use crate::plan::Plan;
+use crate::spent::{RunTimes, Stage, TimeSpent};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use streamusher_protocol::unit::WorkerId;
@@ -45,6 +46,12 @@
     pub assigned: u32,
     /// When the newest run was assigned, by the steady clock.
     pub began: Millis,
+    /// Up to when its time is told in `spent`, by the steady clock.
+    pub told_until: Millis,
+    /// Where its time went, with that of the chain of units before it.
+    pub spent: TimeSpent,
+    /// How its newest run went, once the run has ended.
+    pub run_times: Option<RunTimes>,
     /// The newest checkpoint known.
     pub checkpoint: Arc<str>,
     /// What the newest run was started with.
@@ -54,6 +61,27 @@
 }
 
 impl UnitState {
+    /// Its turn has come after units that spent this time, the last before it.
+    pub fn follow(&mut self, now: Millis, chain: TimeSpent) {
+        self.spent = chain;
+        self.told_until = now;
+    }
+
+    /// What it did since its time was last told.
+    pub fn tell(&mut self, now: Millis, stage: Stage) {
+        self.spent.add(stage, now.saturating_sub(self.told_until));
+        self.told_until = now;
+    }
+
+    /// Its newest run has done its work.
+    pub fn tell_done(&mut self, now: Millis) {
+        match self.run_times.take() {
+            Some(times) => times.add_done(now.saturating_sub(self.told_until), &mut self.spent),
+            None => self.tell(now, Stage::Worked),
+        }
+        self.told_until = now;
+    }
+
     /// Remembers a worker to avoid; whether that is news.
     pub fn avoid(&mut self, worker: &WorkerId) -> bool {
         if self.avoid.contains(worker) {
@@ -148,6 +176,8 @@
     pub open_steps: u32,
     /// Tasks that are assigned.
     pub assigned: u32,
+    /// Where the time of the unit went that was done last, and of the chain before it.
+    pub latest: TimeSpent,
 }
 
 impl Iteration {
@@ -164,13 +194,19 @@
                 members: vec![Member::default(); count],
             }
         });
-        Iteration { steps: steps.collect(), open_steps: plan.request.steps.len() as u32, assigned: 0 }
+        Iteration {
+            steps: steps.collect(),
+            open_steps: plan.request.steps.len() as u32,
+            assigned: 0,
+            latest: TimeSpent::default(),
+        }
     }
 
     /// Notes that a unit is done. Gives the steps that are free to begin by that.
     pub fn unit_done(&mut self, plan: &Plan, step: usize, unit: usize) -> Vec<usize> {
         let entry = &mut self.steps[step];
         entry.units[unit].phase = Phase::Done;
+        self.latest = entry.units[unit].spent.clone();
         entry.open = entry.open.saturating_sub(1);
         if entry.open > 0 {
             return Vec::new();
--- a/crates/jobs/src/stored.rs
+++ b/crates/jobs/src/stored.rs
@@ -89,6 +89,7 @@
         }
         unit.run = record.run;
         unit.began = now.steady;
+        unit.told_until = now.steady;
         if record.worker.is_some() {
             unit.assigned += 1;
             content.assigned += 1;
--- a/crates/placement/src/claim.rs
+++ b/crates/placement/src/claim.rs
@@ -151,7 +151,8 @@
             self.refile(slot);
             placed.push((task, id));
         }
-        out.push(Decision::Start { unit: waiting.unit.id, on: placed });
+        let waits = waiting.waits.ended(now);
+        out.push(Decision::Start { unit: waiting.unit.id, on: placed, waits });
     }
 
     /// The last check before room is taken, whoever chose the workers: no worker is filled beyond its room.
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -6,7 +6,7 @@
 //! - `room`, `run`: what takes a worker's room, how long still, and what stopping it would lose.
 //! - `queue`, `reorder`, `copies`, `ranking`, `claim`: copies of a unit wait at several workers, the first with room claims it.
 //! - `gather`, `gang`, `preempt`: room for all members at once, and for what is urgent.
-//! - `explain`: why a unit waits, for operators.
+//! - `explain`, `waits`: why a unit waits, for operators, and what it has waited for.
 //! - `policy`: which of the mechanisms are in use.
 //! - `headroom`, `learning`: room kept for urgent work; workers that fail or are slow.
 
@@ -29,6 +29,7 @@
 mod run;
 mod service;
 mod types;
+mod waits;
 
 pub use explain::{WaitReason, WaitingUnit};
 pub use placement::Placement;
--- a/crates/placement/src/preempt.rs
+++ b/crates/placement/src/preempt.rs
@@ -82,6 +82,7 @@
     }
 
     pub(crate) fn look_again(&mut self, now: Millis, key: Key) {
+        self.note_wait(now, key);
         let Some(waiting) = self.queue.get(key) else { return };
         let latest = if waiting.reserved.is_empty() { Millis::MAX } else { waiting.reserved_until };
         self.queue.look_again(now, key, latest);
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -4,6 +4,7 @@
 use crate::headroom::Patience;
 use crate::key::{Key, Slot};
 use crate::room::Worker;
+use crate::waits::Waits;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use streamusher_protocol::unit::{Unit, UnitId};
 use streamusher_protocol::Millis;
@@ -24,6 +25,8 @@
     /// The workers at which room is kept for it.
     pub reserved: Vec<Slot>,
     pub reserved_until: Millis,
+    /// What it has waited for until its last look, and for what it waits since.
+    pub waits: Waits,
     wait_ms: Millis,
     due: Option<Millis>,
 }
@@ -64,6 +67,7 @@
             copies: Vec::new(),
             reserved: Vec::new(),
             reserved_until: 0,
+            waits: Waits::new(now),
             wait_ms: FIRST_WAIT_MS,
             due: None,
         };
--- a/crates/placement/src/types.rs
+++ b/crates/placement/src/types.rs
@@ -1,5 +1,6 @@
 //! What crosses the border of this package: settings, workers, what is held, decisions.
 
+use crate::explain::WaitReason;
 use crate::policy::Policy;
 use std::sync::Arc;
 use streamusher_protocol::heartbeat::Resources;
@@ -109,6 +110,8 @@
         unit: UnitId,
         /// Each of its tasks with its worker.
         on: Vec<(TaskId, WorkerId)>,
+        /// What it waited for, as far as it waited.
+        waits: Vec<(WaitReason, Millis)>,
     },
     /// Stop a run so that a unit of higher priority gets its room; call `stopping` when the stop is ordered.
     Preempt {
--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use streamusher_placement::{Decision, Placement, Policy, Release, Settings, WorkerInfo};
+use streamusher_placement::{Decision, Placement, Policy, Release, Settings, WaitReason, WorkerInfo};
 use streamusher_protocol::heartbeat::Resources;
 use streamusher_protocol::task::{RunEnd, TaskId};
 use streamusher_protocol::unit::{StepId, Unit, UnitId, WorkerId};
@@ -92,6 +92,8 @@
     pub runs: BTreeMap<(TaskId, WorkerId), Entry>,
     pub waiting: BTreeMap<UnitId, Unit>,
     pub starts: usize,
+    /// What each started unit has waited for.
+    pub waits: BTreeMap<UnitId, Vec<(WaitReason, Millis)>>,
     pub preempted: Vec<TaskId>,
 }
 
@@ -104,6 +106,7 @@
             runs: BTreeMap::new(),
             waiting: BTreeMap::new(),
             starts: 0,
+            waits: BTreeMap::new(),
             preempted: Vec::new(),
         };
         workers.into_iter().for_each(|info| cluster.worker(info));
@@ -137,8 +140,9 @@
         let mut started = Vec::new();
         for decision in self.placement.place(self.now) {
             match decision {
-                Decision::Start { unit, on } => {
+                Decision::Start { unit, on, waits } => {
                     self.check_start(&unit, &on);
+                    self.waits.insert(unit, waits);
                     started.extend(on);
                 }
                 Decision::Preempt { task, worker } => self.preempt(task, worker),
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`event`]: what comes in and goes out.
 //! - `runs`: the runs that take room at workers, from the order to the proven end.
 //! - `workers`: workers and the agents beside them: reports, leases, orders.
+//! - [`accounts`]: where the time of jobs went that missed their objective.
 //! - `clients`, `operators`: the calls of clients and operators.
 //! - `hedging`: second copies of hedged tasks whose run is in doubt.
 //! - [`explain`]: answers to operators about one job or user.
@@ -14,6 +15,7 @@
 //! - `share_debt`: what users have lately used, where it is switched on.
 //! - `watch`: what happens by time alone: leases that end, tasks that stand still, workers that leave.
 
+pub mod accounts;
 mod clients;
 pub mod event;
 pub mod explain;
--- a/crates/scheduler/src/reports.rs
+++ b/crates/scheduler/src/reports.rs
@@ -167,6 +167,7 @@
         let Some(run) = known else { return };
         let ran_ms = now.steady.saturating_sub(run.since);
         self.debt_of_end(now.steady, id, how, checkpoint);
+        self.note_times(now.steady, worker, id, ran_ms);
         self.jobs.ended(now, id, how, checkpoint);
         self.free(now.steady, id, Release::Ended { how, ran_ms });
     }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -1,5 +1,6 @@
 //! The scheduler itself: takes events, joins the parts, gives out effects.
 
+use crate::accounts::{log_missed, stages_of};
 use crate::event::{Effects, Event, Reply, RequestId};
 use crate::judgements::Judgements;
 use crate::runs::{Phase, Run, Runs};
@@ -188,11 +189,15 @@
         for run in changes.stop {
             self.stop_run(&run);
         }
+        changes.completions.into_iter().for_each(log_missed);
     }
 
     fn carry_out(&mut self, now: Now, decision: Decision) {
         match decision {
-            Decision::Start { unit, on } => self.begin(now, &unit, &on),
+            Decision::Start { unit, on, waits } => {
+                self.jobs.waited(now, &unit, &stages_of(&waits));
+                self.begin(now, &unit, &on);
+            }
             Decision::Preempt { task, worker } => {
                 if let Some(run) = self.runs.of_task(&task, &worker) {
                     log::info!(
