Control plane: calls that reach an elected primary before it may act wait for it

A call now waits there for up to 400 ms while the machine's reign is opening; it is carried out once it may act, and refused, with nothing done, where another one is elected or the time is over. Ruled out: naming the primary only once it acts, which the other members do not know.

--- a/crates/controlplane/src/driver.rs
+++ b/crates/controlplane/src/driver.rs
@@ -88,6 +88,13 @@
     }
 }
 
+/// A call that came after the election and before this machine could act. Nothing of it was done.
+struct Early {
+    request: RequestId,
+    call: Call,
+    until: Millis,
+}
+
 /// A call that was handed to the scheduler and is not answered yet.
 struct Outstanding {
     /// Whether it asks for a change.
@@ -105,6 +112,13 @@
     reply: Reply,
 }
 
+/// How long a call waits for a machine that was elected to act: one round of commits, with room for a slow disk. Whoever is
+/// refused asks others, which takes longer.
+const EARLY_MS: Millis = 400;
+
+/// Calls that wait so; a newly elected primary is called by every agent and gate.
+const MOST_EARLY: usize = 4_096;
+
 /// One core machine: replication, and the scheduler while this is the primary.
 pub struct Driver<R = Coordinator, S = Scheduler> {
     settings: Settings,
@@ -113,6 +127,8 @@
     /// The epoch for which a scheduler is being recovered.
     recovering: Option<u64>,
     next_request: RequestId,
+    /// Calls that came before this machine could act.
+    early: VecDeque<Early>,
     outstanding: BTreeMap<RequestId, Outstanding>,
     held: VecDeque<Held>,
     publication: Publication,
@@ -129,6 +145,7 @@
             scheduler: None,
             recovering: None,
             next_request: 1,
+            early: VecDeque::new(),
             outstanding: BTreeMap::new(),
             held: VecDeque::new(),
             publication: Publication::default(),
@@ -141,11 +158,41 @@
     pub fn call(&mut self, now: Now, call: Call) -> (RequestId, Vec<Action>) {
         let request = self.next_request;
         self.next_request += 1;
-        if self.scheduler.is_none() || !self.may_answer(now.steady) {
-            let answer = Answer::NotPrimary(self.replication.view(now.steady));
-            self.actions.push(Action::Answer { request, answer });
-            return (request, std::mem::take(&mut self.actions));
+        if self.is_at_work(now) {
+            self.carry_out(now, request, call);
+        } else if self.replication.is_opening() && self.early.len() < MOST_EARLY {
+            self.early.push_back(Early { request, call, until: now.steady + EARLY_MS });
+        } else {
+            self.refuse(now, request);
         }
+        (request, std::mem::take(&mut self.actions))
+    }
+
+    fn is_at_work(&self, now: Now) -> bool {
+        self.scheduler.is_some() && self.may_answer(now.steady)
+    }
+
+    fn refuse(&mut self, now: Now, request: RequestId) {
+        let answer = Answer::NotPrimary(self.replication.view(now.steady));
+        self.actions.push(Action::Answer { request, answer });
+    }
+
+    /// Carries out the calls that came before this machine could act; those whose time is over are refused.
+    fn take_early(&mut self, now: Now) {
+        while let Some(early) = self.early.front() {
+            if !self.is_at_work(now) && self.replication.is_opening() && now.steady < early.until {
+                return;
+            }
+            let Some(Early { request, call, until }) = self.early.pop_front() else { return };
+            if self.is_at_work(now) && now.steady < until {
+                self.carry_out(now, request, call);
+            } else {
+                self.refuse(now, request);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, now: Now, request: RequestId, call: Call) {
         self.outstanding.insert(request, Outstanding::of(&call));
         let event = match call {
             Call::Client(call) => Event::Client { request, call },
@@ -153,11 +200,11 @@
             Call::Operator(order) => Event::Operator { request, order },
         };
         self.run(now, event, Some(request));
-        (request, std::mem::take(&mut self.actions))
     }
 
     /// The caller has left.
     pub fn abandon(&mut self, now: Now, request: RequestId) -> Vec<Action> {
+        self.early.retain(|early| early.request != request);
         if self.outstanding.remove(&request).is_some() {
             self.run(now, Event::Abandoned { request }, None);
         }
@@ -169,6 +216,7 @@
         let outputs = self.replication.handle(now.steady, input);
         self.follow(now, outputs);
         self.release(now);
+        self.take_early(now);
         std::mem::take(&mut self.actions)
     }
 
@@ -180,6 +228,7 @@
             self.run(now, Event::Tick, None);
         }
         self.release(now);
+        self.take_early(now);
         std::mem::take(&mut self.actions)
     }
 
@@ -268,6 +317,7 @@
             }
             self.release(now);
         }
+        self.take_early(now);
         std::mem::take(&mut self.actions)
     }
 
--- a/crates/controlplane/src/ports.rs
+++ b/crates/controlplane/src/ports.rs
@@ -15,6 +15,8 @@
     fn append(&mut self, now: Millis, writes: Vec<Write>) -> (u64, Vec<Output>);
     /// Whether replies may be released now.
     fn may_act(&self, now: Millis) -> bool;
+    /// Whether this machine was elected and is about to act.
+    fn is_opening(&self) -> bool;
     /// Sequence of the newest append.
     fn appended(&self) -> u64;
     /// Sequence up to which appends are committed.
@@ -57,6 +59,10 @@
         Coordinator::may_act(self, now)
     }
 
+    fn is_opening(&self) -> bool {
+        Coordinator::is_opening(self)
+    }
+
     fn appended(&self) -> u64 {
         Coordinator::appended(self)
     }
--- a/crates/controlplane/tests/driver.rs
+++ b/crates/controlplane/tests/driver.rs
@@ -21,6 +21,7 @@
 #[derive(Default)]
 struct Script {
     lease: bool,
+    opening: bool,
     appended: u64,
     committed: u64,
     epoch: u64,
@@ -47,6 +48,10 @@
         self.0.borrow().lease
     }
 
+    fn is_opening(&self) -> bool {
+        self.0.borrow().opening
+    }
+
     fn appended(&self) -> u64 {
         self.0.borrow().appended
     }
@@ -182,7 +187,15 @@
     }
 
     fn tick(&mut self) -> Vec<(RequestId, Answer)> {
-        answers(self.driver.tick(now()))
+        self.tick_at(now())
+    }
+
+    fn tick_at(&mut self, now: Now) -> Vec<(RequestId, Answer)> {
+        answers(self.driver.tick(now))
+    }
+
+    fn set_opening(&mut self, opening: bool) {
+        self.script.0.borrow_mut().opening = opening;
     }
 }
 
@@ -284,6 +297,66 @@
     assert_eq!(events(), ["recover 3 0", "client 4"]);
 }
 
+/// Elected, with its scheduler recovered, and its first batch on the way to the replicas.
+fn opening() -> Fixture {
+    let mut fixture = idle();
+    fixture.set_opening(true);
+    fixture.told(Output::Elected { epoch: 3 });
+    events();
+    fixture
+}
+
+#[test]
+fn given_an_elected_machine_when_called_before_it_may_act_then_the_calls_are_carried_out_in_order_once_it_acts(
+) {
+    let mut fixture = opening();
+    for call in [agent(), client(ClientMethod::Post), operator(OrderKind::Read)] {
+        assert!(fixture.call(call).is_empty());
+    }
+    assert!(fixture.tick().is_empty());
+    assert_eq!(events(), [] as [&str; 0]);
+
+    fixture.set_lease(true);
+    fixture.set_opening(false);
+    next_effects(&[], vec![(1, agent_reply(3))]);
+    let answers = fixture.commit(0);
+    assert!(matches!(&answers[..], [(1, Answer::Reply(_))]), "{answers:?}");
+    assert_eq!(events(), ["agent 1", "client 2", "operator 3"]);
+}
+
+#[rstest]
+#[case::another_is_elected(false, 0)]
+#[case::its_batch_is_not_committed_in_time(true, 1_000)]
+fn given_calls_that_came_early_when_the_machine_does_not_act_then_they_are_refused_and_nothing_is_done(
+    #[case] opening: bool, #[case] later_ms: Millis,
+) {
+    let mut fixture = opening_with_a_call();
+    fixture.set_opening(opening);
+    let later = Now { steady: now().steady + later_ms, unix: now().unix + later_ms };
+    let answers = fixture.tick_at(later);
+    assert!(matches!(&answers[..], [(1, Answer::NotPrimary(_))]), "{answers:?}");
+    assert_eq!(events(), [] as [&str; 0]);
+    fixture.set_lease(true);
+    assert!(fixture.tick().is_empty());
+    assert_eq!(events(), ["tick"]);
+}
+
+fn opening_with_a_call() -> Fixture {
+    let mut fixture = opening();
+    assert!(fixture.call(client(ClientMethod::Post)).is_empty());
+    fixture
+}
+
+#[test]
+fn given_a_call_that_came_early_when_its_caller_leaves_then_it_is_not_carried_out() {
+    let mut fixture = opening_with_a_call();
+    assert!(answers(fixture.driver.abandon(now(), 1)).is_empty());
+    fixture.set_lease(true);
+    fixture.set_opening(false);
+    assert!(fixture.tick().is_empty());
+    assert_eq!(events(), ["tick"]);
+}
+
 #[test]
 fn given_a_recovery_that_ends_after_the_office_was_left_then_it_counts_no_more() {
     let mut fixture = idle();
--- a/crates/coordination/src/lease.rs
+++ b/crates/coordination/src/lease.rs
@@ -15,6 +15,13 @@
         is_allowed && self.lease_end().is_some_and(|end| now < end)
     }
 
+    /// Whether this machine was elected and its reign is not open yet: its first batch is on its way to the replicas.
+    pub fn is_opening(&self) -> bool {
+        let is_named = self.witness.decided.primary == Some(self.witness.id);
+        let opens = |reign: &Reign| !reign.is_open() && !reign.yielded;
+        is_named && (self.opening.is_some() || self.reign.as_ref().is_some_and(opens))
+    }
+
     /// End of the shortest lease among all that are needed; none while one is missing.
     pub(crate) fn lease_end(&self) -> Option<Millis> {
         let reign = self.reign.as_ref()?;
