Placement: a worker's speed by its runs beside their step's others, freed of distance

A trial's log of each far start showed workers near the data ranked as two to three times slower than usual, though all are alike: speed was the mean of run time over estimate; the tasks of a step share one estimate, off by a factor of two and more, and a run away from its data counted as a slow one of its worker.

A run's time, freed of far_x, is now held against those of its step's other tasks (pace.rs, the newest 1,024 steps), and against the estimate only where there is none; the deviation taken for noise is that which the service shows.

--- a/crates/placement/src/claim.rs
+++ b/crates/placement/src/claim.rs
@@ -144,7 +144,8 @@
         let Some(waiting) = self.taken_from_queue(key, &on) else { return };
         let mut placed = Vec::with_capacity(on.len());
         for (task, slot) in on {
-            let run = Run::new(now, Held::from(&waiting.unit), waiting.patience);
+            let mut run = Run::new(now, Held::from(&waiting.unit), waiting.patience);
+            run.far_x = self.far_x(&waiting.unit, slot);
             let Some(worker) = self.workers.get_mut(slot) else { continue };
             let id = worker.info.id.clone();
             worker.take(&task, run);
--- a/crates/placement/src/learning.rs
+++ b/crates/placement/src/learning.rs
@@ -24,8 +24,13 @@
 const BLEND: f64 = 0.15;
 /// Observations of a worker's speed halve in weight in this time, so that a slow one is tried again.
 const SPEED_HALF_LIFE_MS: f64 = 10_000.0;
-/// Estimates are rough: this many standard errors, each of about one, are taken for noise.
+/// This many standard errors are taken for noise.
 const NOISE: f64 = 1.0;
+/// Standard deviation of single observations where little is known of it: estimates are rough.
+const FIRST_DEVIATION: f64 = 1.0;
+/// Observations before the deviation that was seen counts.
+const LEAST_FOR_DEVIATION: f64 = 10.0;
+const LEAST_DEVIATION: f64 = 0.1;
 const MOST_OBSERVATIONS: f64 = 20.0;
 const SLOWEST: f64 = 8.0;
 
@@ -92,10 +97,11 @@
     }
 }
 
-/// Mean of the logarithm of run time over estimate.
+/// Mean of the logarithm of run time over what is usual for such a run.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Speed {
     mean: f64,
+    variance: f64,
     observations: f64,
     at: Millis,
 }
@@ -107,11 +113,21 @@
         }
         let known = self.weight(now);
         let part = (1.0 / (known + 1.0)).max(BLEND);
-        self.mean += part * (ratio.ln() - self.mean);
+        let distance = ratio.ln() - self.mean;
+        self.mean += part * distance;
+        self.variance = (1.0 - part) * (self.variance + part * distance * distance);
         self.observations = (known + 1.0).min(MOST_OBSERVATIONS);
         self.at = now;
     }
 
+    /// Standard deviation of single observations.
+    fn deviation(&self) -> f64 {
+        if self.observations < LEAST_FOR_DEVIATION {
+            return FIRST_DEVIATION;
+        }
+        self.variance.sqrt().clamp(LEAST_DEVIATION, FIRST_DEVIATION)
+    }
+
     fn weight(&self, now: Millis) -> f64 {
         if self.observations == 0.0 {
             return 0.0;
@@ -126,7 +142,7 @@
             return 1.0;
         }
         let distance = self.mean - usual.mean;
-        let sure = (distance.abs() - NOISE / weight.sqrt()).max(0.0);
+        let sure = (distance.abs() - NOISE * usual.deviation() / weight.sqrt()).max(0.0);
         (sure * distance.signum()).exp().clamp(1.0 / SLOWEST, SLOWEST)
     }
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -8,6 +8,7 @@
 //! - `gather`, `gang`, `preempt`: room for all members at once, and for what is urgent.
 //! - `explain`, `waits`: why a unit waits, for operators, and what it has waited for.
 //! - `policy`: which of the mechanisms are in use.
+//! - `pace`: a run's time beside those of its step's other tasks.
 //! - `headroom`, `learning`: room kept for urgent work; workers that fail or are slow.
 
 mod amounts;
@@ -19,6 +20,7 @@
 mod headroom;
 mod key;
 mod learning;
+mod pace;
 mod placement;
 mod policy;
 mod preempt;
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -171,7 +171,7 @@
         let Some(found) = self.workers.get_mut(slot) else { return };
         let Some(run) = found.give_back(task) else { return };
         self.note_demand(now, &run.held, run.patience, -1.0);
-        self.learn(now, slot, &run.held, how);
+        self.learn(now, slot, &run, how);
         self.refile(slot);
         self.dirty.insert(slot);
         self.freed.insert(run.held.service);
@@ -203,10 +203,10 @@
         let Some(slot) = self.workers.slot_of(worker) else { return };
         let Some(found) = self.workers.get_mut(slot) else { return };
         let Some(run) = found.runs.get_mut(task) else { return };
-        let Some(ratio) = run.progress(now, percent) else { return };
-        found.speed.learn(now, ratio);
+        let Some(near_ms) = run.progress(now, percent) else { return };
+        let held = run.held.clone();
         if let Some(service) = self.services.get_mut(&found.info.service) {
-            service.speed.learn(now, ratio);
+            service.learn_speed(now, &held, near_ms, &mut found.speed);
         }
     }
 
@@ -349,7 +349,8 @@
         }
     }
 
-    fn learn(&mut self, now: Millis, slot: Slot, held: &Held, how: Release) {
+    fn learn(&mut self, now: Millis, slot: Slot, run: &Run, how: Release) {
+        let held = &run.held;
         let charges = self.uses(Mechanism::Charges);
         let Some(worker) = self.workers.get_mut(slot) else { return };
         let change = if charges { worker.charge.learn(now, how) } else { 0.0 };
@@ -358,14 +359,15 @@
         }
         let Release::Ended { how: RunEnd::Done, ran_ms } = how else { return };
         // A run that continued from a checkpoint did not run its whole time.
-        let tells_speed = held.estimated_ms > 0 && !held.checkpoints && !held.long_running;
-        let ratio = tells_speed.then(|| ran_ms.max(1) as f64 / held.estimated_ms as f64);
-        if let Some(ratio) = ratio {
-            worker.speed.learn(now, ratio);
-        }
-        if let Some(service) = self.services.get_mut(&held.service).filter(|_| !held.long_running) {
-            service.learn_run(now, ran_ms, ratio);
+        let tells_speed = !held.checkpoints && !held.long_running;
+        let near_ms = ran_ms.max(1) as f64 / run.far_x;
+        let Some(service) = self.services.get_mut(&held.service).filter(|_| !held.long_running) else {
+            return;
+        };
+        if tells_speed {
+            service.learn_speed(now, held, near_ms, &mut worker.speed);
         }
+        service.learn_run(ran_ms);
     }
 }
 
--- a/crates/placement/src/ranking.rs
+++ b/crates/placement/src/ranking.rs
@@ -133,9 +133,7 @@
 
     /// How much longer than usual the unit takes at a worker, in its run times: wrong rack, slow, failing.
     fn penalty(&self, now: Millis, unit: &Unit, worker: &Worker, service: &Service) -> f64 {
-        let far = self.uses(Mechanism::Distance)
-            && unit.affinity.as_ref().is_some_and(|rack| !worker.has_label(rack));
-        let far_x = if far { self.settings.far_x.max(1.0) } else { 1.0 };
+        let far_x = if self.uses(Mechanism::Distance) { self.far_x_at(unit, worker) } else { 1.0 };
         let slowness = self.slowness_at(now, worker, service);
         let avoided = if self.uses(Mechanism::Avoidance) && unit.avoid.contains(&worker.info.id) {
             PENALTY_OF_AVOIDED
@@ -145,6 +143,20 @@
         avoided + far_x * slowness - 1.0 + RUNS_PER_CHARGE * worker.charge.at(now)
     }
 
+    /// How much longer a run takes at a worker than near its data.
+    pub(crate) fn far_x(&self, unit: &Unit, slot: Slot) -> f64 {
+        self.workers.get(slot).map_or(1.0, |worker| self.far_x_at(unit, worker))
+    }
+
+    fn far_x_at(&self, unit: &Unit, worker: &Worker) -> f64 {
+        let is_far = unit.affinity.as_ref().is_some_and(|rack| !worker.has_label(rack));
+        if is_far {
+            self.settings.far_x.max(1.0)
+        } else {
+            1.0
+        }
+    }
+
     /// How long the unit would take at a worker.
     pub(crate) fn expected_ms(&self, now: Millis, unit: &Unit, worker: &Worker, service: &Service) -> f64 {
         if unit.long_running {
--- a/crates/placement/src/run.rs
+++ b/crates/placement/src/run.rs
@@ -25,6 +25,8 @@
     pub patience: Patience,
     /// When its room was taken.
     pub since: Millis,
+    /// How much longer it takes here than near its data.
+    pub far_x: f64,
     /// It was told to stop; its room is taken until its end is known.
     pub stopping: bool,
     first_report: Option<(Millis, f64)>,
@@ -38,6 +40,7 @@
             held,
             patience,
             since: now,
+            far_x: 1.0,
             stopping: false,
             first_report: None,
             last_report: None,
@@ -45,15 +48,15 @@
         }
     }
 
-    /// Notes a report; answers once with the run's whole time over its estimate, when that is known.
+    /// Notes a report; answers once with the run's whole time near its data, when that is known.
     pub fn progress(&mut self, now: Millis, percent: f64) -> Option<f64> {
         let percent = if percent.is_finite() { percent.clamp(0.0, 100.0) } else { return None };
         self.first_report.get_or_insert((now, percent));
         self.last_report = Some((now, percent));
         let whole_ms = self.whole_ms()?;
-        let tell = !self.told_speed && !self.held.long_running && self.held.estimated_ms > 0;
+        let tell = !self.told_speed && !self.held.long_running;
         self.told_speed |= tell;
-        tell.then(|| whole_ms / self.held.estimated_ms as f64)
+        tell.then(|| whole_ms / self.far_x)
     }
 
     /// Whole run time by the distance of two reports.
--- a/crates/placement/src/service.rs
+++ b/crates/placement/src/service.rs
@@ -4,7 +4,9 @@
 use crate::headroom::Headroom;
 use crate::key::{Key, Slot};
 use crate::learning::{most_runs, Charge, Mean, Speed};
+use crate::pace::Paces;
 use crate::room::Worker;
+use crate::types::Held;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use streamusher_protocol::heartbeat::Resources;
@@ -48,6 +50,8 @@
     /// Sum of the workers' charges.
     charges: Charge,
     run_ms: Mean,
+    /// Run times of its newest steps' tasks.
+    paces: Paces,
     /// Largest share of a worker that a unit asked for lately.
     largest_share: f64,
     largest_at: Millis,
@@ -156,11 +160,21 @@
         most_runs(charge, self.charges.at(now) / self.all.members.len().max(1) as f64)
     }
 
-    pub fn learn_run(&mut self, now: Millis, ran_ms: Millis, ratio: Option<f64>) {
+    pub fn learn_run(&mut self, ran_ms: Millis) {
         self.run_ms.learn(ran_ms as f64);
-        if let Some(ratio) = ratio {
-            self.speed.learn(now, ratio);
+    }
+
+    /// A run takes, or took, this time near its data: tells the speed of its worker by the step's other tasks, or by its
+    /// estimate where there is none. A gang's members all take the time of the slowest.
+    pub fn learn_speed(&mut self, now: Millis, held: &Held, near_ms: f64, worker: &mut Speed) {
+        if held.gang {
+            return;
         }
+        let by_step = self.paces.compare(&held.unit.step, near_ms);
+        let by_estimate = || (held.estimated_ms > 0).then(|| near_ms / held.estimated_ms as f64);
+        let Some(ratio) = by_step.or_else(by_estimate) else { return };
+        worker.learn(now, ratio);
+        self.speed.learn(now, ratio);
     }
 
     /// Notes what share of a worker a unit asks for.
