--- a/crates/emulator/src/losses.rs
+++ b/crates/emulator/src/losses.rs
@@ -10,6 +10,8 @@
 /// Worst windows that count, and their length.
 const WORST_WINDOWS: usize = 2;
 const MILLIS_PER_SECOND: f64 = 1_000.0;
+/// Ends a line after which the log says how many it kept back.
+const MORE_SINCE: &str = " more since)";
 
 /// A play's report, as far as the table needs it.
 #[derive(Clone, Debug, Deserialize)]
@@ -103,6 +105,8 @@
     pub due_s: f64,
     /// The line.
     pub line: MissedObjective,
+    /// How many misses it stands for: itself, and its part of those that the log's limit kept back about then.
+    pub stands_for: f64,
 }
 
 impl Missed {
@@ -120,15 +124,33 @@
     }
 }
 
-/// The jobs that missed their objective, from the log of a play: each line begins with the second of the day.
+/// The jobs that missed their objective, from the log of a play: each line begins with the second of the day. Logs limit the lines
+/// of one place, and the first after a pause says how many were kept back: the lines before it stand for these too.
 pub fn missed_in(log: &str) -> Vec<Missed> {
-    let parse = |text: &str| {
-        let (before, json) = text.split_once(MISSED_OBJECTIVE)?;
-        let ended_s: f64 = before.split_whitespace().next()?.parse().ok()?;
-        let line: MissedObjective = serde_json::from_str(json.trim()).ok()?;
-        Some(Missed { due_s: ended_s - line.took_ms as f64 / MILLIS_PER_SECOND, line })
-    };
-    log.lines().filter_map(parse).collect()
+    let mut all: Vec<Missed> = Vec::new();
+    let mut first_of_burst = 0;
+    for (missed, kept_back) in log.lines().filter_map(parse) {
+        let burst = &mut all[first_of_burst..];
+        if kept_back > 0 && !burst.is_empty() {
+            let part = f64::from(kept_back) / burst.len() as f64;
+            burst.iter_mut().for_each(|told| told.stands_for += part);
+            first_of_burst = all.len();
+        }
+        all.push(missed);
+    }
+    all
+}
+
+/// A line, and how many before it the log kept back.
+fn parse(text: &str) -> Option<(Missed, u32)> {
+    let (before, told) = text.split_once(MISSED_OBJECTIVE)?;
+    let (json, rest) = told.split_at(told.rfind('}')? + 1);
+    let ended_s: f64 = before.split_whitespace().next()?.parse().ok()?;
+    let line: MissedObjective = serde_json::from_str(json).ok()?;
+    let kept_back = rest.trim().strip_prefix('(').and_then(|rest| rest.strip_suffix(MORE_SINCE));
+    let kept_back = kept_back.and_then(|count| count.parse().ok()).unwrap_or(0);
+    let due_s = ended_s - line.took_ms as f64 / MILLIS_PER_SECOND;
+    Some((Missed { due_s, line, stands_for: 1.0 }, kept_back))
 }
 
 /// Worth that was lost, by cause.
@@ -191,13 +213,14 @@
         self.add_lines(&lines, count, loss);
     }
 
-    /// Lines tell of their own number of requests; a loss of further ones is not told.
+    /// Lines tell of as many requests as they stand for; a loss of further ones is not told.
     fn add_lines(&mut self, lines: &[&Missed], count: u32, loss: f64) {
-        let told = lines.len() as f64 / f64::from(count).max(lines.len() as f64).max(1.0);
+        let told_count: f64 = lines.iter().map(|line| line.stands_for).sum();
+        let told = told_count / f64::from(count).max(told_count).max(1.0);
         self.add(Cause::NotTold, loss * (1.0 - told));
         for line in lines {
             for (stage, part) in line.by_stage() {
-                self.add(Cause::Spent(stage), loss * told * part / lines.len() as f64);
+                self.add(Cause::Spent(stage), loss * told * part * line.stands_for / told_count);
             }
         }
     }
--- a/crates/emulator/tests/losses.rs
+++ b/crates/emulator/tests/losses.rs
@@ -75,6 +75,14 @@
     assert!(near(loss(&losses, &Cause::Price("machine-seconds".into())), 0.03), "{losses:?}");
 }
 
+#[rstest]
+fn given_a_log_that_kept_lines_back_when_it_is_read_then_the_lines_before_stand_for_them() {
+    let late = |ended_s| line(ended_s, 2_500, r#"{"worked":1000,"unknown":1500}"#);
+    let log = format!("{}\n{}\n{} (6 more since)\n{}", late(5.0), late(5.1), late(16.0), late(16.1));
+    let stands_for: Vec<f64> = missed_in(&log).iter().map(|missed| missed.stands_for).collect();
+    assert_eq!(stands_for, vec![4.0, 4.0, 1.0, 1.0]);
+}
+
 #[rstest]
 fn given_lines_of_other_kinds_when_a_log_is_read_then_only_whole_lines_of_missed_objectives_count() {
     let log = format!(
