--- a/crates/controlplane/src/driver.rs
+++ b/crates/controlplane/src/driver.rs
@@ -4,39 +4,18 @@
 //! at that moment. A primary that is deposed before answers what surely did nothing with [`Answer::NotPrimary`], and a
 //! call that may come into force all the same with [`Answer::Unknown`].
 
+use crate::calls::{is_refusal, Outstanding};
+pub use crate::calls::{Answer, Call};
+use crate::early::EarlyCalls;
 use crate::ports::{Replication, StateMachine};
 use crate::publication::Publication;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use streamusher_configuration::relay::Published;
 use streamusher_coordination::{Coordinator, DiskChange, Input, Message, Output, StateMap};
-use streamusher_protocol::internal::{AgentSync, ClientCall, ClientMethod, ClusterView, CoreAddress};
+use streamusher_protocol::internal::CoreAddress;
 use streamusher_protocol::{Millis, Now};
-use streamusher_scheduler::{
-    Effects, Event, OperatorOrder, OrderKind, RecoverError, Reply, RequestId, Scheduler, Settings,
-};
-
-/// A call from outside.
-#[derive(Clone, Debug)]
-pub enum Call {
-    /// Of a gate, for a client.
-    Client(ClientCall),
-    /// Of an agent.
-    Agent(AgentSync),
-    /// Of an operator.
-    Operator(OperatorOrder),
-}
-
-/// How a call ends.
-#[derive(Clone, Debug)]
-pub enum Answer {
-    /// As the scheduler says; committed.
-    Reply(Reply),
-    /// Nothing was done.
-    NotPrimary(ClusterView),
-    /// It may come into force, or may not.
-    Unknown,
-}
+use streamusher_scheduler::{Effects, Event, RecoverError, Reply, RequestId, Scheduler, Settings};
 
 /// What the program has to do.
 #[derive(Debug)]
@@ -88,23 +67,6 @@
     }
 }
 
-/// A call that came after the election and before this machine could act. Nothing of it was done.
-struct Early {
-    request: RequestId,
-    call: Call,
-    until: Millis,
-}
-
-/// A call that was handed to the scheduler and is not answered yet.
-struct Outstanding {
-    /// Whether it asks for a change.
-    mutating: bool,
-    /// It changed nothing, and its reply says so.
-    refused: bool,
-    /// The epoch that its agent knows.
-    agent_epoch: Option<u64>,
-}
-
 struct Held {
     /// Commits that the reply rests on.
     sequence: u64,
@@ -112,13 +74,6 @@
     reply: Reply,
 }
 
-/// How long a call waits for a machine that was elected to act: one round of commits, with room for a slow disk. Whoever is
-/// refused asks others, which takes longer.
-const EARLY_MS: Millis = 400;
-
-/// Calls that wait so; a newly elected primary is called by every agent and gate.
-const MOST_EARLY: usize = 4_096;
-
 /// One core machine: replication, and the scheduler while this is the primary.
 pub struct Driver<R = Coordinator, S = Scheduler> {
     settings: Settings,
@@ -128,7 +83,7 @@
     recovering: Option<u64>,
     next_request: RequestId,
     /// Calls that came before this machine could act.
-    early: VecDeque<Early>,
+    early: EarlyCalls,
     outstanding: BTreeMap<RequestId, Outstanding>,
     held: VecDeque<Held>,
     publication: Publication,
@@ -145,7 +100,7 @@
             scheduler: None,
             recovering: None,
             next_request: 1,
-            early: VecDeque::new(),
+            early: EarlyCalls::default(),
             outstanding: BTreeMap::new(),
             held: VecDeque::new(),
             publication: Publication::default(),
@@ -160,8 +115,8 @@
         self.next_request += 1;
         if self.is_at_work(now) {
             self.carry_out(now, request, call);
-        } else if self.replication.is_opening() && self.early.len() < MOST_EARLY {
-            self.early.push_back(Early { request, call, until: now.steady + EARLY_MS });
+        } else if self.replication.is_opening() && self.early.has_room() {
+            self.early.push(now.steady, request, call);
         } else {
             self.refuse(now, request);
         }
@@ -179,15 +134,13 @@
 
     /// Carries out the calls that came before this machine could act; those whose time is over are refused.
     fn take_early(&mut self, now: Now) {
-        while let Some(early) = self.early.front() {
-            if !self.is_at_work(now) && self.replication.is_opening() && now.steady < early.until {
-                return;
-            }
-            let Some(Early { request, call, until }) = self.early.pop_front() else { return };
-            if self.is_at_work(now) && now.steady < until {
-                self.carry_out(now, request, call);
+        loop {
+            let is_opening = !self.is_at_work(now) && self.replication.is_opening();
+            let Some(early) = self.early.pop(now.steady, is_opening) else { return };
+            if self.is_at_work(now) && !early.is_over(now.steady) {
+                self.carry_out(now, early.request, early.call);
             } else {
-                self.refuse(now, request);
+                self.refuse(now, early.request);
             }
         }
     }
@@ -204,7 +157,7 @@
 
     /// The caller has left.
     pub fn abandon(&mut self, now: Now, request: RequestId) -> Vec<Action> {
-        self.early.retain(|early| early.request != request);
+        self.early.abandon(request);
         if self.outstanding.remove(&request).is_some() {
             self.run(now, Event::Abandoned { request }, None);
         }
@@ -384,27 +337,3 @@
         self.replication.set_seeds(seeds);
     }
 }
-
-impl Outstanding {
-    fn of(call: &Call) -> Outstanding {
-        let mutating = match call {
-            Call::Client(call) => call.method != ClientMethod::Get,
-            Call::Agent(_) => false,
-            Call::Operator(order) => order.kind != OrderKind::Read,
-        };
-        let agent_epoch = match call {
-            Call::Agent(sync) => Some(sync.epoch),
-            _ => None,
-        };
-        Outstanding { mutating, refused: false, agent_epoch }
-    }
-}
-
-/// Whether the reply says that nothing was changed.
-fn is_refusal(reply: &Reply) -> bool {
-    match reply {
-        Reply::Client(reply) => !(200..300).contains(&reply.status),
-        Reply::Operator(reply) => !(200..300).contains(&reply.status),
-        Reply::Agent(_) => false,
-    }
-}
--- a/crates/controlplane/src/lib.rs
+++ b/crates/controlplane/src/lib.rs
@@ -9,9 +9,11 @@
 //! - [`parameters`], [`options`], [`program`]: settings, command line, and the process.
 //! - [`cluster_status`], [`show_disk`]: the operators' commands.
 
+pub mod calls;
 pub mod cluster_status;
 pub mod disk;
 pub mod driver;
+mod early;
 pub mod internal;
 pub mod machine;
 pub mod operators;
--- a/crates/jobs/src/book.rs
+++ b/crates/jobs/src/book.rs
@@ -5,7 +5,7 @@
 use crate::check::check;
 use crate::effects::Effects;
 use crate::entry::Entry;
-use crate::error::{RecordError, SubmitError};
+use crate::error::SubmitError;
 use crate::job::Job;
 use crate::plan::Plan;
 use crate::record;
@@ -37,15 +37,6 @@
         JobBook { settings, jobs: HashMap::new(), pending: HashMap::new(), fx: Effects::default(), steady: 0 }
     }
 
-    /// The record as it was written: `records` are all keys `job/...` and `task/...` of the replicated state, in any
-    /// order. Units that wait are given out by the next [`JobBook::take_changes`]. An ended job's state is kept for
-    /// the whole time again, as the clock by which it ended is gone.
-    pub fn recover(
-        settings: Settings, now: Now, records: impl Iterator<Item = (Arc<str>, Arc<str>)>,
-    ) -> Result<JobBook, RecordError> {
-        crate::recover::recover(settings, now, records)
-    }
-
     /// Takes a job, once for each identifier whatever the body.
     pub fn submit(
         &mut self, now: Now, id: &JobId, request: JobRequest, terms: &QueueTerms,
--- a/crates/jobs/src/recover.rs
+++ b/crates/jobs/src/recover.rs
@@ -11,29 +11,33 @@
 use streamusher_protocol::task::{JobId, TaskId};
 use streamusher_protocol::Now;
 
-/// Rebuilds the record; nothing is left to be written by that.
-pub(crate) fn recover(
-    settings: Settings, now: Now, records: impl Iterator<Item = (Arc<str>, Arc<str>)>,
-) -> Result<JobBook, RecordError> {
-    let mut book = JobBook::new(settings);
-    let mut tasks = Vec::new();
-    for (key, value) in records {
-        match Key::parse(&key)? {
-            Key::Job(id) => {
-                let record: JobRecord = record::read(&key, &value)?;
-                let entry = restored_entry(&id, record);
-                let entry = entry.map_err(|reason| RecordError::Value { key, reason })?;
-                book.insert_restored(now, id, entry);
+impl JobBook {
+    /// The record as it was written: `records` are all keys `job/...` and `task/...` of the replicated state, in any
+    /// order. Units that wait are given out by the next [`JobBook::take_changes`]. An ended job's state is kept for
+    /// the whole time again, as the clock by which it ended is gone.
+    pub fn recover(
+        settings: Settings, now: Now, records: impl Iterator<Item = (Arc<str>, Arc<str>)>,
+    ) -> Result<JobBook, RecordError> {
+        let mut book = JobBook::new(settings);
+        let mut tasks = Vec::new();
+        for (key, value) in records {
+            match Key::parse(&key)? {
+                Key::Job(id) => {
+                    let record: JobRecord = record::read(&key, &value)?;
+                    let entry = restored_entry(&id, record);
+                    let entry = entry.map_err(|reason| RecordError::Value { key, reason })?;
+                    book.insert_restored(now, id, entry);
+                }
+                Key::Task(id) => tasks.push((id, record::read::<TaskRecord>(&key, &value)?)),
             }
-            Key::Task(id) => tasks.push((id, record::read::<TaskRecord>(&key, &value)?)),
         }
+        tasks.sort_unstable_by(|a, b| a.0.cmp(&b.0));
+        for (task, record) in tasks {
+            restore_task(&mut book, now, &task, record)?;
+        }
+        book.resume_all(now);
+        Ok(book)
     }
-    tasks.sort_unstable_by(|a, b| a.0.cmp(&b.0));
-    for (task, record) in tasks {
-        restore_task(&mut book, now, &task, record)?;
-    }
-    book.resume_all(now);
-    Ok(book)
 }
 
 fn restored_entry(id: &JobId, record: JobRecord) -> Result<Entry, String> {
