--- a/crates/emulator/tests/control_side.rs
+++ b/crates/emulator/tests/control_side.rs
@@ -42,7 +42,7 @@
 
 #[rstest]
 fn given_a_core_cut_into_halves_when_both_are_reached_then_neither_answers_anything_old(
-    #[values(3, 4, 5, 6)] cores: usize, #[values(310, 311, 312)] seed: u64,
+    #[values(3, 4, 5, 6)] cores: usize, #[values(310, 311, 312, 314, 318)] seed: u64,
 ) {
     let schedule = quiet()
         .with(4_000, Fault::ManyChanges { count: 120, gap_ms: 80 })
