--- a/crates/controlplane/src/lib.rs
+++ b/crates/controlplane/src/lib.rs
@@ -9,7 +9,7 @@
 //! - [`parameters`], [`options`], [`program`]: settings, command line, and the process.
 //! - [`cluster_status`], [`show_disk`]: the operators' commands.
 
-pub mod calls;
+mod calls;
 pub mod cluster_status;
 pub mod disk;
 pub mod driver;
--- a/crates/controlplane/tests/driver.rs
+++ b/crates/controlplane/tests/driver.rs
@@ -347,6 +347,15 @@
     fixture
 }
 
+#[test]
+fn given_more_early_calls_than_may_wait_when_one_more_comes_then_it_is_refused_at_once() {
+    const MOST_CALLS: usize = 4_096;
+    let mut fixture = opening();
+    (0..MOST_CALLS).for_each(|_| assert!(fixture.call(client(ClientMethod::Get)).is_empty()));
+    let answers = fixture.call(client(ClientMethod::Get));
+    assert!(matches!(answers[..], [(_, Answer::NotPrimary(_))]), "{answers:?}");
+}
+
 #[test]
 fn given_a_call_that_came_early_when_its_caller_leaves_then_it_is_not_carried_out() {
     let mut fixture = opening_with_a_call();
--- a/crates/emulator/src/losses.rs
+++ b/crates/emulator/src/losses.rs
@@ -4,11 +4,17 @@
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::fmt;
-use streamusher_jobs::Stage;
-use streamusher_scheduler::accounts::{MissedObjective, MISSED_OBJECTIVE};
+use streamusher_jobs::{Completion, Stage};
+use streamusher_scheduler::accounts::MISSED_OBJECTIVE;
 
-/// Worst windows that count, and their length.
+/// Parts of the figure, as reports name them.
+const WHOLE_DAY: &str = "whole day";
+const WORST_WINDOWS_PART: &str = "worst windows";
+const WORST_CLASS: &str = "worst class";
+/// Worst windows that count.
 const WORST_WINDOWS: usize = 2;
+/// Two stretches that differ by less are one: they pass through text.
+const EQUAL_STRETCH: f64 = 1e-6;
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 /// Ends a line after which the log says how many it kept back.
 const MORE_SINCE: &str = " more since)";
@@ -29,6 +35,14 @@
     pub windows: Vec<Group>,
 }
 
+impl Report {
+    /// What a part has cost; nothing where the figure does not have it.
+    fn loss_of(&self, part: &str) -> f64 {
+        let found = self.parts.iter().find(|(name, _, _)| name == part);
+        found.map_or(0.0, |(_, weight, value)| weight * (1.0 - value))
+    }
+}
+
 /// Requests of a class or a window.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Group {
@@ -104,7 +118,7 @@
     /// Seconds of the day at which it was due.
     pub due_s: f64,
     /// The line.
-    pub line: MissedObjective,
+    pub line: Completion,
     /// How many misses it stands for: itself, and its part of those that the log's limit kept back about then.
     pub stands_for: f64,
 }
@@ -113,14 +127,14 @@
     fn is_of(&self, class: &Class) -> bool {
         self.line.priority == class.priority
             && self.line.target_latency_ms == class.aim_ms as u64
-            && (self.line.stretch - class.jobs.stretch).abs() < 1e-6
+            && (self.line.stretch - class.jobs.stretch).abs() < EQUAL_STRETCH
     }
 
     /// The part of its loss that falls to each stage: by the time that was not work.
     fn by_stage(&self) -> BTreeMap<Stage, f64> {
-        let spent = self.line.spent_ms.iter().filter(|(stage, _)| **stage != Stage::Worked);
-        let total: u64 = spent.clone().map(|(_, spent_ms)| spent_ms).sum();
-        spent.map(|(stage, spent_ms)| (*stage, *spent_ms as f64 / total.max(1) as f64)).collect()
+        let total = self.line.spent.total_ms() - self.line.spent.of(Stage::Worked);
+        let spent = self.line.spent.stages().filter(|(stage, _)| *stage != Stage::Worked);
+        spent.map(|(stage, spent_ms)| (stage, spent_ms as f64 / total.max(1) as f64)).collect()
     }
 }
 
@@ -146,7 +160,7 @@
     let (before, told) = text.split_once(MISSED_OBJECTIVE)?;
     let (json, rest) = told.split_at(told.rfind('}')? + 1);
     let ended_s: f64 = before.split_whitespace().next()?.parse().ok()?;
-    let line: MissedObjective = serde_json::from_str(json).ok()?;
+    let line: Completion = serde_json::from_str(json).ok()?;
     let kept_back = rest.trim().strip_prefix('(').and_then(|rest| rest.strip_suffix(MORE_SINCE));
     let kept_back = kept_back.and_then(|count| count.parse().ok()).unwrap_or(0);
     let due_s = ended_s - line.took_ms as f64 / MILLIS_PER_SECOND;
@@ -164,20 +178,12 @@
     /// The table of a play. Its rows add up to 1 less the figure.
     pub fn of(report: &Report, classes: &[Class], missed: &[Missed]) -> Losses {
         let mut losses = Losses::default();
-        let [whole, windows, worst_class] = [0, 1, 2].map(|part| report.parts.get(part));
-        if let Some((_, weight, value)) = whole {
-            let all: Vec<&Group> = report.classes.iter().collect();
-            losses.add_groups(&all, classes, missed, weight * (1.0 - value));
-        }
-        if let Some((_, weight, value)) = windows {
-            let in_worst: Vec<Missed> = in_worst_windows(report, missed);
-            losses.add_window(report, &in_worst, weight * (1.0 - value));
-        }
-        if let Some((_, weight, value)) = worst_class {
-            let worst = report.classes.iter().min_by(|a, b| a.worth.total_cmp(&b.worth));
-            let worst: Vec<&Group> = worst.into_iter().collect();
-            losses.add_groups(&worst, classes, missed, weight * (1.0 - value));
-        }
+        let all: Vec<&Group> = report.classes.iter().collect();
+        losses.add_groups(&all, classes, missed, report.loss_of(WHOLE_DAY));
+        losses.add_window(report, &in_worst_windows(report, missed), report.loss_of(WORST_WINDOWS_PART));
+        let worst = report.classes.iter().min_by(|a, b| a.worth.total_cmp(&b.worth));
+        let worst: Vec<&Group> = worst.into_iter().collect();
+        losses.add_groups(&worst, classes, missed, report.loss_of(WORST_CLASS));
         for (name, _, price) in &report.prices {
             losses.add(Cause::Price(name.clone()), *price);
         }
--- a/crates/emulator/tests/losses.rs
+++ b/crates/emulator/tests/losses.rs
@@ -32,7 +32,7 @@
 
 fn line(ended_s: f64, took_ms: u64, spent: &str) -> String {
     format!(
-        r#"  {ended_s:.4} core-1 2026-01-30T07:42:31.000Z INFO streamusher_scheduler::accounts: objective missed: {{"job":"00ff00ff00ff00ff","iteration":0,"queue":"q","service":"s","priority":0,"target_latency_ms":800,"stretch":1.5,"failed":false,"due_unix_ms":1,"took_ms":{took_ms},"objective_ms":1800,"spent_ms":{spent}}}"#
+        r#"  {ended_s:.4} core-1 2026-01-30T07:42:31.000Z INFO streamusher_scheduler::accounts: objective missed: {{"job":"00ff00ff00ff00ff","iteration":0,"queue":"q","service":"s","priority":0,"target_latency_ms":800,"stretch":1.5,"is_done":true,"due_unix_ms":1,"took_ms":{took_ms},"objective_ms":1800,"spent_ms":{spent}}}"#
     )
 }
 
--- a/crates/jobs/src/book.rs
+++ b/crates/jobs/src/book.rs
@@ -75,11 +75,6 @@
         self.jobs.get(id).map(|entry| entry.queue().clone())
     }
 
-    /// The rack near which a task's data lies, if its job names one.
-    pub fn affinity(&self, task: &TaskId) -> Option<Arc<str>> {
-        self.kept(&task.job)?.plan.step(task.step)?.affinity.clone()
-    }
-
     /// Jobs of a queue that are pending.
     pub fn waiting(&self, queue: &str) -> u64 {
         self.pending.get(queue).copied().unwrap_or(0)
--- a/crates/jobs/src/completion.rs
+++ b/crates/jobs/src/completion.rs
@@ -2,12 +2,13 @@
 
 use crate::job::Job;
 use crate::spent::{Stage, TimeSpent};
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use streamusher_protocol::task::JobId;
 use streamusher_protocol::{Millis, Now};
 
 /// An iteration that is done, or the one in which its job failed.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Completion {
     /// The job.
     pub job: JobId,
@@ -31,7 +32,8 @@
     pub took_ms: Millis,
     /// How long it might take by its queue's terms, with the work as it turned out.
     pub objective_ms: Millis,
-    /// Where the time went.
+    /// Where the time went along the chain of tasks that its end waited for; the sum is `took_ms`.
+    #[serde(rename = "spent_ms")]
     pub spent: TimeSpent,
 }
 
--- a/crates/jobs/src/spent.rs
+++ b/crates/jobs/src/spent.rs
@@ -1,6 +1,7 @@
 //! Where the time of an iteration went: along the chain of units that its end waited for, each millisecond in one stage.
 
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use streamusher_protocol::Millis;
 
 /// What a unit spends its time on.
@@ -29,7 +30,7 @@
     Stopped,
     /// Ran in vain: the run was lost with its worker, or its lease ended.
     Lost,
-    /// Not told: before the present primary took over.
+    /// Not told: before the present primary took over, or before the unit was put back into the queue with other terms.
     Unknown,
 }
 
@@ -51,8 +52,9 @@
     ];
 }
 
-/// Milliseconds in each stage.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+/// Milliseconds in each stage; stored as a map of the stages with any.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "BTreeMap<Stage, Millis>", into = "BTreeMap<Stage, Millis>")]
 pub struct TimeSpent([u32; Stage::ALL.len()]);
 
 impl TimeSpent {
@@ -79,6 +81,20 @@
     }
 }
 
+impl From<BTreeMap<Stage, Millis>> for TimeSpent {
+    fn from(stages: BTreeMap<Stage, Millis>) -> TimeSpent {
+        let mut spent = TimeSpent::default();
+        stages.into_iter().for_each(|(stage, spent_ms)| spent.add(stage, spent_ms));
+        spent
+    }
+}
+
+impl From<TimeSpent> for BTreeMap<Stage, Millis> {
+    fn from(spent: TimeSpent) -> BTreeMap<Stage, Millis> {
+        spent.stages().collect()
+    }
+}
+
 /// How a run went, as far as its worker's reports tell.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RunTimes {
--- a/crates/placement/src/learning.rs
+++ b/crates/placement/src/learning.rs
@@ -30,6 +30,7 @@
 const FIRST_DEVIATION: f64 = 1.0;
 /// Observations before the deviation that was seen counts.
 const LEAST_FOR_DEVIATION: f64 = 10.0;
+/// Run times of equal tasks differ by no less than about a tenth.
 const LEAST_DEVIATION: f64 = 0.1;
 const MOST_OBSERVATIONS: f64 = 20.0;
 const SLOWEST: f64 = 8.0;
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -291,6 +291,14 @@
         found.zip(usual).map_or(1.0, |(worker, usual)| self.slowness_at(now, worker, usual))
     }
 
+    /// How much longer a run at a worker is taken to last than at a usual worker near its data. Whether a run that a former
+    /// primary has ordered is away from its data is not known.
+    pub fn slowness_of_run(&self, now: Millis, task: &TaskId, worker: &WorkerId) -> f64 {
+        let found = self.workers.slot_of(worker).and_then(|slot| self.workers.get(slot));
+        let far_x = found.and_then(|worker| worker.runs.get(task)).map_or(1.0, |run| run.far_x);
+        far_x * self.slowness(now, worker)
+    }
+
     /// Whether a mechanism is in use.
     pub(crate) fn uses(&self, mechanism: Mechanism) -> bool {
         self.settings.policy.has(mechanism)
--- a/crates/placement/src/waits.rs
+++ b/crates/placement/src/waits.rs
@@ -64,14 +64,14 @@
         let pool = service.pool(waiting.unit.node_selector.as_deref());
         let members = pool.into_iter().flat_map(|pool| pool.members.iter().copied());
         let slots = copies.chain(members).take(MOST_LOOKED_AT);
-        let eligible: Vec<Slot> = slots.filter(|slot| self.is_eligible(&waiting.unit, *slot)).collect();
-        let has_room = |slot: &Slot| {
-            let worker = self.workers.get(*slot);
+        let mut eligible = slots.filter(|slot| self.is_eligible(&waiting.unit, *slot)).peekable();
+        let has_room = |slot: Slot| {
+            let worker = self.workers.get(slot);
             worker.is_some_and(|worker| worker.free().covers(&waiting.unit.resources))
         };
         Some(match () {
-            () if eligible.is_empty() => WaitReason::NoWorkerTakesWork,
-            () if !waiting.is_gang() && eligible.iter().any(has_room) => WaitReason::RoomIsKeptForOthers,
+            () if eligible.peek().is_none() => WaitReason::NoWorkerTakesWork,
+            () if !waiting.is_gang() && eligible.any(has_room) => WaitReason::RoomIsKeptForOthers,
             () => WaitReason::NoRoomIsFree,
         })
     }
--- a/crates/placement/tests/speed.rs
+++ b/crates/placement/tests/speed.rs
@@ -101,3 +101,18 @@
     let slowness = slowness(&cluster);
     assert!(slowness.iter().all(|(_, slowness)| (0.9..1.1).contains(slowness)), "{slowness:?}");
 }
+
+#[test]
+fn given_a_run_away_from_its_data_when_it_runs_at_a_usual_worker_then_it_is_taken_to_last_far_x_times_as_long(
+) {
+    let mut cluster = Cluster::new(1, [worker("w1", 1_000, "r1"), worker("w3", 1_000, "r2")]);
+    cluster.enqueue(Unit { affinity: Some("r1".into()), ..unit(1, 900, 2) });
+    cluster.enqueue(Unit { affinity: Some("r1".into()), ..unit(2, 900, 2) });
+    cluster.run_for(2_000);
+    let slowness = |number| {
+        let at = cluster.where_is(number).expect("it runs");
+        (at.to_string(), cluster.placement.slowness_of_run(cluster.now, &task(number), &at.into()))
+    };
+    assert_eq!(slowness(1), ("w1".to_string(), 1.0));
+    assert_eq!(slowness(2), ("w3".to_string(), settings(1).far_x));
+}
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -189,7 +189,7 @@
         for run in changes.stop {
             self.stop_run(&run);
         }
-        changes.completions.into_iter().for_each(log_missed);
+        changes.completions.iter().for_each(log_missed);
     }
 
     fn carry_out(&mut self, now: Now, decision: Decision) {
--- a/crates/scheduler/tests/accounts.rs
+++ b/crates/scheduler/tests/accounts.rs
@@ -4,9 +4,9 @@
 
 use std::cell::RefCell;
 use std::sync::Once;
-use streamusher_jobs::Stage;
+use streamusher_jobs::{Completion, Stage};
 use streamusher_protocol::task::RunEnd;
-use streamusher_scheduler::accounts::{MissedObjective, MISSED_OBJECTIVE};
+use streamusher_scheduler::accounts::MISSED_OBJECTIVE;
 use support::given::given_an_ordered_task;
 
 thread_local! {
@@ -36,7 +36,7 @@
     });
 }
 
-fn missed() -> Vec<MissedObjective> {
+fn missed() -> Vec<Completion> {
     let parse = |line: &String| serde_json::from_str(line.strip_prefix(MISSED_OBJECTIVE)?).ok();
     LINES.with_borrow(|lines| lines.iter().filter_map(parse).collect())
 }
@@ -55,10 +55,10 @@
     let missed = missed();
     assert_eq!(missed.len(), 1);
     let missed = &missed[0];
-    assert!(!missed.failed);
+    assert!(missed.is_done);
     assert_eq!(missed.took_ms, 4_500);
-    assert_eq!(missed.spent_ms.values().sum::<u64>(), missed.took_ms);
-    assert_eq!((missed.spent_ms[&Stage::Ordered], missed.spent_ms[&Stage::Worked]), (4_000, 500));
+    assert_eq!(missed.spent.total_ms(), missed.took_ms);
+    assert_eq!((missed.spent.of(Stage::Ordered), missed.spent.of(Stage::Worked)), (4_000, 500));
 }
 
 #[test]
