Front: a new connection does not give way to itself, nor do those in the reserve to each other

Observed: the_reserve_is_for_call_backs failed 1 of 40 runs beside 20 busy processes, "an answer" missing. Cause: a connection that is accepted while all others are busy was itself the one that gives way: silent, as its request had not come yet, and it was closed without an answer unless its bytes were there already. A call-back on a new connection, which the reserve is for, was lost the same way, and a second new connection closed the first one in the reserve.

Change: ClientConnections::make_room_for never chooses the new connection, and none in the reserve while that has room; the condition stands in one place (admit). connections_in_the_reserve_do_not_give_way_to_each_other fails 2 of 10 runs on the old program on a quiet machine.

--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -38,6 +38,8 @@
     at: Activity,
     since: Instant,
     worker: bool,
+    /// It stands in the reserve: see [`ClientConnection::reserved`].
+    reserved: bool,
     /// Dropping it closes the connection, unless a request is in hand.
     _keep: Sender<()>,
 }
@@ -46,6 +48,8 @@
 pub(crate) struct ClientConnections {
     open: Cell<usize>,
     workers: Cell<usize>,
+    /// Open connections in the reserve.
+    reserved: Cell<usize>,
     entries: RefCell<BTreeMap<u64, Entry>>,
     next: Cell<u64>,
     closing: Cell<(bool, bool)>,
@@ -53,6 +57,10 @@
     bodies: Rc<Cell<usize>>,
     most_bodies: usize,
     most_idle: usize,
+    /// Connections beside those in the reserve, at most.
+    max_unreserved: usize,
+    /// Connections in the reserve, at most.
+    max_reserved: usize,
     /// Closed when a successor takes the clients' address over.
     hand_over: (Sender<()>, Receiver<()>),
 }
@@ -63,12 +71,15 @@
         ClientConnections {
             open: Cell::default(),
             workers: Cell::default(),
+            reserved: Cell::default(),
             entries: RefCell::default(),
             next: Cell::default(),
             closing: Cell::default(),
             bodies: Rc::default(),
             most_bodies: limits.body_bytes(),
             most_idle: limits.idle_front_sockets(),
+            max_unreserved: limits.front_sockets(),
+            max_reserved: limits.front_reserve(),
             hand_over: bounded(1),
         }
     }
@@ -119,20 +130,51 @@
     /// oldest. Guards against floods of connections that never say anything, or never end it, in the place of
     /// those that usual clients keep.
     pub(crate) fn make_room(&self) -> bool {
+        self.close_least_needed(|_, _| true)
+    }
+
+    /// Makes room for a connection that was just accepted; whether it is to be asked again, once the one that gives way has
+    /// closed. The new one does not give way to itself, nor do those in the reserve while that has room: their requests
+    /// may be on their way, and a worker's call-back among them is what frees the others.
+    pub(super) fn make_room_for(&self, accepted: &ClientConnection) -> bool {
+        let is_other = |number| number != accepted.number;
+        if self.open() > self.max_unreserved + self.max_reserved {
+            return self.close_least_needed(|number, _| is_other(number));
+        }
+        self.unreserved() > self.max_unreserved
+            && self.close_least_needed(|number, entry| is_other(number) && !entry.reserved)
+    }
+
+    /// Puts a new connection for which no room could be made into the reserve; false where that is full too.
+    pub(super) fn admit(&self, accepted: &mut ClientConnection) -> bool {
+        if self.unreserved() > self.max_unreserved {
+            accepted.reserved = true;
+            self.reserved.set(self.reserved.get() + 1);
+        }
+        if let Some(entry) = self.entries.borrow_mut().get_mut(&accepted.number) {
+            entry.reserved = accepted.reserved;
+        }
+        self.open() <= self.max_unreserved + self.max_reserved
+    }
+
+    /// Connections that are open beside those in the reserve.
+    fn unreserved(&self) -> usize {
+        self.open() - self.reserved.get()
+    }
+
+    fn close_least_needed(&self, is_candidate: impl Fn(u64, &Entry) -> bool) -> bool {
         let mut entries = self.entries.borrow_mut();
         let gives_way = |e: &Entry| match e.at {
             Activity::Busy => false,
             Activity::Reading => !e.worker, // the oldest: a usual client's comes in at once
             _ => true,
         };
-        let candidates = entries.iter().filter(|(_, e)| gives_way(e));
-        let Some(number) = candidates
+        let least_needed = entries
+            .iter()
+            .filter(|(number, e)| gives_way(e) && is_candidate(**number, e))
             .min_by_key(|(_, e)| (e.at, e.since))
-            .map(|(n, _)| *n)
-        else {
-            return false;
-        };
-        entries.remove(&number).is_some()
+            .map(|(number, _)| *number);
+        least_needed.is_some_and(|number| entries.remove(&number).is_some())
     }
 
     /// Closes the clients' that are idle for longest, of more than may be kept. Guards against clients that open a
@@ -188,6 +230,7 @@
             at: Activity::Silent,
             since: Instant::now(),
             worker: false,
+            reserved: false,
             _keep: keep,
         };
         all.entries.borrow_mut().insert(number, entry);
@@ -264,6 +307,9 @@
         self.all
             .workers
             .set(self.all.workers.get() - usize::from(self.worker));
+        self.all
+            .reserved
+            .set(self.all.reserved.get() - usize::from(self.reserved));
     }
 }
 
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -37,7 +37,6 @@
 ) -> io::Result<(Rc<ClientConnections>, SocketAddr)> {
     let listener = Async::new(shared_listener(addr)?)?;
     let addr = listener.get_ref().local_addr()?;
-    let (most, reserve) = (limits.front_sockets(), limits.front_reserve());
     let connections = Rc::new(ClientConnections::new(limits));
     let (hub, all) = (hub.clone(), connections.clone());
     hub.clone().spawn(async move {
@@ -62,12 +61,11 @@
                 }
                 Ok((stream, _)) => {
                     let mut socket = ClientConnection::new(&all);
-                    while all.open() > most && all.make_room() {
+                    while all.make_room_for(&socket) {
                         future::yield_now().await; // lets the one given up close
                     }
                     hub.with(|core, _| core.counters.front_sockets += 1);
-                    socket.reserved = all.open() > most;
-                    if all.open() > most + reserve {
+                    if !all.admit(&mut socket) {
                         // Guards against connections that queue up outside, where they would hear nothing.
                         hub.with(|core, _| core.counters.front_sockets_refused += 1);
                         let conn = Conn::new(stream);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -590,6 +590,47 @@
     );
 }
 
+/// Guards against call-backs that lose their connections to each other: workers open them at the same time, and what they
+/// send may be on its way when the next one is accepted.
+#[test]
+fn connections_in_the_reserve_do_not_give_way_to_each_other() {
+    let worker = Worker::start("s-1", RUNS_ON);
+    let mut config = config(&[&worker]);
+    config["limits"]["sockets"] = 64.into();
+    let program = Program::with(Files::new(), &config, None, &[&worker]);
+    let limits = streamusher::config::Limits {
+        sockets: 64,
+        memory_mb: 192,
+    };
+    let clients: Vec<_> = (0..limits.front_sockets())
+        .map(|n| {
+            let mut client = connect(program.addr);
+            let text = operation("depth-log", &format!("a{n}"), 60_000);
+            client.write_all(text.as_bytes()).unwrap();
+            assert!(matches!(worker.next(), Sent::Job { .. }));
+            worker.told.recv_timeout(LONG).expect("it has started");
+            client
+        })
+        .collect();
+    let mut silent: Vec<_> = (0..limits.front_reserve())
+        .map(|_| connect(program.addr))
+        .collect();
+    for (n, stream) in silent.iter_mut().enumerate() {
+        let body = json!({"id": format!("a{n}"), "from": "s-1", "state": "done", "result": "log"});
+        let body = body.to_string();
+        let text = format!(
+            "POST /v1/job-events HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let answer = exchange(stream, &text).expect("an answer");
+        assert_eq!(answer.status(), 204);
+    }
+    for client in clients.iter().take(limits.front_reserve()) {
+        let answer = read_message(&mut BufReader::new(client)).expect("an answer");
+        assert_eq!(answer.body, "log");
+    }
+}
+
 /// Guards against a head without end, which must not be kept.
 #[test]
 fn an_endless_head_is_refused() {
