Dispatcher: a copy withdrawn before its start does not keep its worker from the retry

Change: an attempt that was cancelled and never told to have started does not count as tried (Job::has_tried). The platform gives a worker one attempt of a request at a time, and a cancel names the request alone: HttpDriver hands a retry over only when the cancel of the earlier attempt at that worker is over.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -115,6 +115,8 @@
     worker: WorkerId,
     /// A driver was given it.
     handed: bool,
+    /// Its driver has said that it begins.
+    begun: bool,
     sent: Micros,
     started: Option<Micros>,
     ended_at: Option<Micros>,
@@ -300,12 +302,20 @@
         self.inputs.push(Input::Step(step, news));
     }
 
-    /// The route step that a worker's call-back means: by the operation's id and the worker's name.
+    /// The route step that a worker's call-back means: by the operation's id and the worker's name. Of a second step at the
+    /// same worker nothing is heard before it begins ([`Core::begin`]): until then the first one is meant, which has ended.
     pub fn find_step(&self, id: &str, worker: &str) -> Option<StepId> {
         let job = *self.by_id.get(id)?;
-        let at =
-            |s: &RouteStep| self.workers[s.worker.0 as usize].member.name == worker && !s.ended;
-        let attempt = self.operations.get(&job)?.steps.iter().rposition(at)? as u32;
-        Some(StepId { job, attempt })
+        let steps = &self.operations.get(&job)?.steps;
+        let is_there =
+            |step: &RouteStep| self.workers[step.worker.0 as usize].member.name == worker;
+        let attempt = steps
+            .iter()
+            .rposition(|step| is_there(step) && !step.ended)?;
+        let is_repeat = steps[..attempt].iter().any(is_there);
+        (steps[attempt].begun || !is_repeat).then_some(StepId {
+            job,
+            attempt: attempt as u32,
+        })
     }
 }
--- a/src/core/steps.rs
+++ b/src/core/steps.rs
@@ -102,6 +102,7 @@
         entered.steps.push(RouteStep {
             worker,
             handed: !useless,
+            begun: false,
             sent: now,
             started: None,
             ended_at: None,
@@ -139,6 +140,14 @@
         may.then(|| entered.deadline - now)
     }
 
+    /// The same for a driver that then begins the step at once: what its worker tells from then on is of this step.
+    pub fn begin(&mut self, now: Micros, step: StepId) -> Option<Micros> {
+        let left_us = self.may_begin(now, step)?;
+        let entered = self.operations.get_mut(&step.job)?;
+        entered.steps.get_mut(step.attempt as usize)?.begun = true;
+        Some(left_us)
+    }
+
     /// Has the driver give a step up that is still out.
     pub(super) fn call_off(&self, step: StepId) {
         let Some(entered) = self.operations.get(&step.job) else {
--- a/src/drmaa/worker.rs
+++ b/src/drmaa/worker.rs
@@ -53,7 +53,7 @@
         // The connection may have come up late: see the platform's driver.
         let Some(deadline) = self
             .hub
-            .with(|core, now| core.may_begin(now, step).map(|left| now + left))
+            .with(|core, now| core.begin(now, step).map(|left| now + left))
         else {
             self.pool.give_back(addr, taken);
             return Ending::NeverSent;
--- a/src/net/route.rs
+++ b/src/net/route.rs
@@ -6,10 +6,11 @@
 use crate::core::{Driver, Ending, Member, Operation, StepId, StepNews};
 use crate::interface::{LoadReport, Micros, WorkerId};
 use crate::runtime::Hub;
-use async_channel::{bounded, Sender};
+use async_channel::{bounded, Receiver, Sender};
 use async_io::Timer;
 use futures_lite::future;
 use std::cell::RefCell;
+use std::collections::hash_map::Entry;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write;
 use std::net::SocketAddr;
@@ -31,8 +32,28 @@
     me: Weak<HttpDriver>,
     hub: Rc<Hub>,
     pool: Rc<Pool>,
-    /// Steps not taken by their worker yet; dropping one ends its exchange and closes the connection.
-    handing: RefCell<BTreeMap<StepId, Sender<()>>>,
+    /// Steps not taken by their worker yet; handing one its cancel ends its exchange and closes the connection.
+    handing: RefCell<BTreeMap<StepId, Sender<PendingCancel>>>,
+    /// Cancels that are on their way. A worker gets one attempt of an operation at a time, and a cancel names the operation
+    /// alone: a later attempt at the same worker waits until the cancel of the earlier one is over.
+    cancels: RefCell<HashMap<CancelKey, Receiver<()>>>,
+}
+
+/// The address of a worker and the id of an operation.
+type CancelKey = (SocketAddr, String);
+
+/// Lasts as long as a cancel is on its way.
+struct PendingCancel {
+    driver: Rc<HttpDriver>,
+    key: CancelKey,
+    /// Dropping it wakes those that wait for the end of the cancel.
+    _over: Sender<()>,
+}
+
+impl Drop for PendingCancel {
+    fn drop(&mut self) {
+        self.driver.cancels.borrow_mut().remove(&self.key);
+    }
 }
 
 impl HttpDriver {
@@ -42,9 +63,38 @@
             hub,
             pool,
             handing: RefCell::default(),
+            cancels: RefCell::default(),
+        })
+    }
+
+    /// A cancel begins, which is over when what is returned is dropped. None where the address is none, or where an earlier
+    /// cancel is on its way: the attempt waits behind that one, and the worker has not heard of it.
+    fn begin_cancel(&self, operation: &Operation, worker: &Member) -> Option<PendingCancel> {
+        let key = (worker.addr.parse().ok()?, operation.id.clone());
+        let (over, is_over) = bounded(1);
+        match self.cancels.borrow_mut().entry(key.clone()) {
+            Entry::Occupied(_) => return None,
+            Entry::Vacant(vacant) => vacant.insert(is_over),
+        };
+        Some(PendingCancel {
+            driver: self.me(),
+            key,
+            _over: over,
         })
     }
 
+    /// Waits until no cancel of the operation is on its way to this worker.
+    async fn cancel_over(&self, addr: SocketAddr, operation: &Operation) {
+        let pending = self
+            .cancels
+            .borrow()
+            .get(&(addr, operation.id.clone()))
+            .cloned();
+        if let Some(is_over) = pending {
+            let _ = is_over.recv().await; // nothing is sent on it: it ends with the cancel
+        }
+    }
+
     fn me(&self) -> Rc<HttpDriver> {
         self.me.upgrade().expect("called through an Rc")
     }
@@ -57,6 +107,7 @@
         operation: &Operation,
         lent: &mut Option<Lent>,
     ) -> Result<(), (Ending, Option<LoadReport>)> {
+        self.cancel_over(addr, operation).await;
         let mut taken = self
             .pool
             .take(addr, Use::Work)
@@ -64,7 +115,7 @@
             .map_err(|e| (e, None))?;
         // The connection may have come up late: guards against an attempt for a client that has gone, at a worker
         // that leaves, or past a key's window.
-        let Some(left_us) = self.hub.with(|core, now| core.may_begin(now, step)) else {
+        let Some(left_us) = self.hub.with(|core, now| core.begin(now, step)) else {
             self.pool.give_back(addr, taken);
             return Err((Ending::NeverSent, None));
         };
@@ -200,7 +251,7 @@
 
 impl Driver for HttpDriver {
     fn send(&self, step: StepId, operation: &Arc<Operation>, worker: &Member, left_us: Micros) {
-        let (give_up, given_up) = bounded::<()>(1);
+        let (give_up, given_up) = bounded(1);
         self.handing.borrow_mut().insert(step, give_up);
         let (me, operation, addr) = (
             self.me(),
@@ -216,8 +267,9 @@
             };
             let mut lent = None;
             let handed = async { Some(me.hand_over(step, addr, &operation, &mut lent).await) };
+            let mut pending_cancel = None;
             let cancelled = async {
-                let _ = given_up.recv().await;
+                pending_cancel = given_up.recv().await.ok();
                 None
             };
             // A call-back may have ended the step before any answer: the connection is not kept for ever.
@@ -237,19 +289,23 @@
                 (None, Some(lent)) => drop(me.take_back(addr, &operation.id, lent).await),
                 (None, None) => {} // not written whole: the worker never began it
             }
+            drop(pending_cancel); // over only now: an attempt that waits for it may begin
         });
     }
 
     fn cancel(&self, step: StepId, operation: &Arc<Operation>, worker: &Member) {
-        if self.handing.borrow_mut().remove(&step).is_some() {
-            return; // its own task sees to it
-        }
-        let Ok(addr) = worker.addr.parse::<SocketAddr>() else {
+        let handing = self.handing.borrow_mut().remove(&step); // dropping it ends the hand-over
+        let Some(pending) = self.begin_cancel(operation, worker) else {
             return;
         };
-        let (me, operation) = (self.me(), operation.clone());
-        self.hub
-            .spawn(async move { me.cancel_taken(addr, &operation.id).await });
+        if let Some(give_up) = handing {
+            let _ = give_up.try_send(pending); // the task that hands the job over sees to the cancel
+            return;
+        }
+        self.hub.spawn(async move {
+            let (addr, id) = &pending.key;
+            pending.driver.cancel_taken(*addr, id).await;
+        });
     }
 
     fn probe(&self, worker: WorkerId, member: &Member) {
--- a/src/state/job.rs
+++ b/src/state/job.rs
@@ -29,6 +29,15 @@
         self.started_at.is_none() && self.is_in_flight()
     }
 
+    /// Cancelled before it was known to run, and ended so.
+    fn was_withdrawn_unstarted(&self) -> bool {
+        let ended_cancelled = matches!(
+            self.outcome,
+            Some(AttemptOutcome::Cancelled | AttemptOutcome::NotSent)
+        );
+        self.cancelled && self.started_at.is_none() && ended_cancelled
+    }
+
     /// In flight, and known to run.
     pub(crate) fn is_running(&self) -> bool {
         self.started_at.is_some() && self.is_in_flight()
@@ -88,11 +97,14 @@
         now >= self.arrived_at.saturating_add(self.request.expires_in_us)
     }
 
-    /// Whether it had an attempt at this incarnation of a worker.
+    /// Whether it had an attempt at this incarnation of a worker that is more than a copy which was withdrawn unstarted: that
+    /// one tells nothing against the worker, which may be the only one left for a retry.
     pub(crate) fn has_tried(&self, worker: WorkerId, incarnation: u32) -> bool {
-        self.attempts
-            .iter()
-            .any(|attempt| attempt.worker == worker && attempt.incarnation == incarnation)
+        self.attempts.iter().any(|attempt| {
+            attempt.worker == worker
+                && attempt.incarnation == incarnation
+                && !attempt.was_withdrawn_unstarted()
+        })
     }
 
     /// The workers of its attempts in flight, in the order of the attempts.
