--- a/crates/emulator/src/fleet/reachability.rs
+++ b/crates/emulator/src/fleet/reachability.rs
@@ -20,12 +20,11 @@
     let now = env.now;
     let limits = env.settings.limits;
     let history = &mut env.fault_history;
-    let was_lost_lately =
-        history.majority_lost && now < history.last_control_event_at + 2 * limits.contact_ms;
-    history.last_control_event_at = now;
+    let last_event_at = std::mem::replace(&mut history.last_control_event_at, now);
+    let was_lost_lately = history.majority_lost && now < last_event_at + 2 * limits.contact_ms;
     let majority_lost = was_lost_lately || !control_has_majority(env);
     env.fault_history.majority_lost = majority_lost;
-    let has_recovered = now >= env.fault_history.last_control_event_at + limits.recovery_ms;
+    let has_recovered = now >= last_event_at + limits.recovery_ms;
     let still_overlapped = env.fault_history.overlapped && !has_recovered;
     let exceeds_tolerance = lost_control_machines(env) > env.settings.tolerance;
     env.fault_history.overlapped = env.allows_overlaps && (still_overlapped || exceeds_tolerance);
--- a/crates/fair-share/src/inversion_bound.rs
+++ b/crates/fair-share/src/inversion_bound.rs
@@ -20,10 +20,6 @@
 
 /// The largest difference of true keys, in milliseconds, by which a start may precede a unit that should have started
 /// before it, when the version that ranked both had this age. Never above the largest delay, plus rounding.
-#[expect(
-    clippy::cast_possible_truncation,
-    reason = "settings that pass their check keep it far below 2^64"
-)]
 pub fn max_inversion_ms(settings: &FairShareSettings, age_ms: Millis) -> Millis {
     let max_delay = u128::from(settings.max_delay_ms);
     let age = u128::from(age_ms);
@@ -45,5 +41,5 @@
         .saturating_mul(age)
         .div_ceil(FOUR_THOUSANDTHS * half_life);
     let bound = by_growth.saturating_add(by_decay).min(max_delay) + ROUNDING_MS;
-    bound as Millis
+    Millis::try_from(bound).unwrap_or(Millis::MAX)
 }
--- a/crates/fleet/src/quota/mod.rs
+++ b/crates/fleet/src/quota/mod.rs
@@ -258,7 +258,7 @@
         let Some(quota) = self.quota_index(grant.terms, grant.quota) else {
             return;
         };
-        let until = grant.sent_at + self.terms.lease;
+        let until = grant.sent_at.saturating_add(self.terms.lease);
         let units = grant.units.min(self.terms.quotas[quota].units);
         let loans = &mut self.loans[quota];
         let allowance = &mut self.allowances[quota];
--- a/crates/fleet/src/usage_counters/member_usage.rs
+++ b/crates/fleet/src/usage_counters/member_usage.rs
@@ -259,7 +259,10 @@
         let incoming = self.collect_base(part, newest_period)?;
         // The own sums over the same incarnations are never more than what those counted, so neither is the join.
         let mut own = self.base.rows.clone();
-        let later = self.incarnations.split_off(&(part.up_to + 1));
+        let later = match part.up_to.checked_add(1) {
+            Some(first) => self.incarnations.split_off(&first),
+            None => BTreeMap::new(),
+        };
         for rows in std::mem::replace(&mut self.incarnations, later).into_values() {
             rows.add_to(&mut own);
         }
--- a/crates/fleet/tests/quota_model.rs
+++ b/crates/fleet/tests/quota_model.rs
@@ -415,3 +415,20 @@
         .join();
     assert!(found.discovery(QUOTA_HOLDS).is_some());
 }
+
+/// The largest time that a peer can name is no reason to panic, and lends nothing.
+#[test]
+fn grant_sent_at_the_largest_time_is_ignored() {
+    let fleet = Fleet::new(5, false);
+    let mut leases = fleet.start_member(0, 1, 0);
+    let grant = LeaseGrant {
+        terms: leases.terms().fingerprint(),
+        quota: 0,
+        sequence: 1,
+        sent_at: Micros::MAX,
+        units: 2,
+        spare_units: 0,
+    };
+    leases.on_lease_grant(1, &name(1), &grant);
+    assert_eq!(leases.allowances[0].held().borrowed, 0);
+}
--- a/crates/fleet/tests/usage_counters.rs
+++ b/crates/fleet/tests/usage_counters.rs
@@ -106,3 +106,26 @@
         );
     }
 }
+
+/// The largest number that a peer can name is no reason to panic.
+#[test]
+fn base_up_to_the_largest_incarnation_is_merged() {
+    let mut counters = UsageCounters::new(Incarnation::new("a", 1));
+    let other: Arc<str> = Arc::from("b");
+    let base = Delta::Base {
+        name: other.clone(),
+        first_incarnation: 1,
+        up_to: u64::MAX,
+        total_rows: 0,
+        rows: Vec::new(),
+    };
+    counters.merge(&base, 9);
+    let later = Delta::Incarnation {
+        incarnation: Incarnation::new("b", 7),
+        after: 0,
+        up_to: 1,
+        rows: Vec::new(),
+    };
+    counters.merge(&later, 9);
+    assert_eq!(counters.rejected_late(), 1, "the base holds all of it");
+}
--- a/crates/jobs/src/run_result.rs
+++ b/crates/jobs/src/run_result.rs
@@ -17,12 +17,14 @@
 }
 
 impl RunResult {
-    /// The stage that counts the run's time where the unit has to run again.
-    pub(crate) fn wasted_stage(self) -> LatencyStage {
+    /// The stage that counts the run's time where the unit has to run again. Only a long-running task does so after a
+    /// success: it was at work.
+    pub(crate) fn stage_before_rerun(self) -> LatencyStage {
         match self {
             RunResult::Failed => LatencyStage::Failed,
             RunResult::Stopped => LatencyStage::Stopped,
-            RunResult::Succeeded | RunResult::Lost => LatencyStage::Lost,
+            RunResult::Succeeded => LatencyStage::Worked,
+            RunResult::Lost => LatencyStage::Lost,
         }
     }
 }
--- a/crates/runtime/src/http/body.rs
+++ b/crates/runtime/src/http/body.rs
@@ -1,6 +1,6 @@
 //! Reading JSON bodies, with errors that name the field.
 
-use serde::de::DeserializeOwned;
+use serde::de::{DeserializeOwned, IgnoredAny};
 
 /// The longest key that is shown in an error, in characters: bodies come from outside.
 const MAX_KEY_CHARS: usize = 60;
@@ -25,10 +25,23 @@
 
 fn body_error(body: &[u8], error: &serde_json::Error) -> BodyError {
     let reason = error.to_string();
-    let field = quoted_field(&reason)
-        .or_else(|| last_key_before(body, error))
-        .unwrap_or_else(|| "(body)".to_owned());
-    BodyError { field, reason }
+    let field = if is_followed_by_other_bytes(body) {
+        None
+    } else {
+        quoted_field(&reason).or_else(|| last_key_before(body, error))
+    };
+    BodyError {
+        field: field.unwrap_or_else(|| "(body)".to_owned()),
+        reason,
+    }
+}
+
+/// Whether a whole JSON value stands at the beginning and something else behind it: then no field of it is wrong.
+fn is_followed_by_other_bytes(body: &[u8]) -> bool {
+    let mut values = serde_json::Deserializer::from_slice(body).into_iter::<IgnoredAny>();
+    let has_value = matches!(values.next(), Some(Ok(_)));
+    let rest = body.get(values.byte_offset()..).unwrap_or_default();
+    has_value && !rest.iter().all(u8::is_ascii_whitespace)
 }
 
 /// The name in "missing field `NAME`".
--- a/crates/runtime/src/settings/validation.rs
+++ b/crates/runtime/src/settings/validation.rs
@@ -1,6 +1,6 @@
 //! Checks that go beyond a key's type.
 
-use super::{ProcessSettings, SettingsError};
+use super::{DeploymentLimits, ProcessSettings, SettingsError};
 
 /// Checks settings that were parsed; `path` is the file's name in errors.
 pub(super) fn validate(settings: &ProcessSettings, path: &str) -> Result<(), SettingsError> {
@@ -37,6 +37,27 @@
             "give how long a worker holds runs, above 0",
         ));
     }
+    validate_bounds(&settings.bounds, path)
+}
+
+/// Times are finite and not negative; those in `_ms` are whole numbers by their type.
+fn validate_bounds(bounds: &DeploymentLimits, path: &str) -> Result<(), SettingsError> {
+    let seconds = [
+        ("bounds.seed_lag_s", bounds.seed_lag_s),
+        ("bounds.reuse_after_s", bounds.reuse_after_s),
+        ("bounds.catch_up_s", bounds.catch_up_s),
+        ("bounds.grace_s", bounds.grace_s),
+        ("bounds.recovery_s", bounds.recovery_s),
+        ("bounds.finish_s", bounds.finish_s),
+        ("bounds.status_s", bounds.status_s),
+        ("bounds.save_s", bounds.save_s),
+    ];
+    for (key, value) in seconds {
+        if !(value.is_finite() && value >= 0.0) {
+            let remedy = "give a time in seconds, from 0";
+            return Err(key_error(path, key, value.to_string(), remedy));
+        }
+    }
     Ok(())
 }
 
--- a/crates/runtime/tests/settings.rs
+++ b/crates/runtime/tests/settings.rs
@@ -97,6 +97,8 @@
 #[case::missing("ip = \"10.1.0.38\"", "", "ip", "(missing)")]
 #[case::in_a_table("grace_s = 6.5", "grace_s = [6]", "bounds.grace_s", "[6]")]
 #[case::below_zero("early_ms = 250", "early_ms = -1", "bounds.early_ms", "-1")]
+#[case::seconds_below_zero("grace_s = 6.5", "grace_s = -0.5", "bounds.grace_s", "-0.5")]
+#[case::endless_seconds("grace_s = 6.5", "status_s = inf", "bounds.status_s", "inf")]
 #[case::no_seeds(
     "seeds = [\"10.1.0.43:8144\", \"10.2.0.45:8144\"]",
     "seeds = []",
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -95,9 +95,12 @@
     pub fn update_settings(&mut self, settings: Settings) {
         self.settings = settings;
         self.add_classes();
-        let penalties = self.best_workers.len() + 1;
+        let classes = self.best_workers.len();
         for worker in &mut self.workers {
-            worker.penalties.resize(penalties, None);
+            // The last one is for all classes: it stays the last behind those of the new ones.
+            let for_all_classes = worker.penalties.pop().flatten();
+            worker.penalties.resize(classes, None);
+            worker.penalties.push(for_all_classes);
         }
         self.rebuild_pools();
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -766,3 +766,28 @@
     );
     assert!(sends(&dispatcher.arrive(2, IDEMPOTENT)).is_empty());
 }
+
+/// A worker's penalty for all classes stays one for all when classes are added: guards against one that counts for the first
+/// new class alone.
+#[test]
+fn a_penalty_for_all_classes_outlives_new_classes() {
+    let mut settings = settings_with_wide_targets();
+    let mut dispatcher = TestDispatcher::new(settings.clone(), 2);
+    for job in 0..4 {
+        let sent = sends(&dispatcher.arrive(job, IDEMPOTENT));
+        if sent == [0] {
+            dispatcher.end_attempt(job, 0, AttemptOutcome::ConnectFailed);
+        }
+        dispatcher.handle_event(Event::ClientGone { job: JobId(job) });
+    }
+    let class = settings.classes[IDEMPOTENT as usize].clone();
+    settings.classes.push(class);
+    let new_class = settings.classes.len() as u32 - 1;
+    dispatcher.balancer.update_settings(settings);
+    for job in 10..30 {
+        let class = if job % 2 == 0 { IDEMPOTENT } else { new_class };
+        let sent = sends(&dispatcher.arrive(job, class));
+        assert_eq!(sent, [1], "job {job} of class {class}");
+        dispatcher.handle_event(Event::ClientGone { job: JobId(job) });
+    }
+}
