Scheduler: time-outs of runs count from the end of a recovery; two refusals of changes told apart

Cause, time-outs: a new primary recovers beside its event loop, and the clocks of runs began when the recovery began. With more than 2 s of it, as at 10^5 jobs, start commands that no agent could have read were withdrawn and sent anew.

Cause, 503: a full list of rejected changes and a change too old to be remembered shared one outcome and the latter's text. ChangeOutcome::Forgotten and TooManyAhead take the place of Undecided, each with its remedy.

Measured: the tests of scheduler, configuration, controlplane, coordination, jobs, runtime, fleet and fair-share pass.

--- a/crates/configuration/src/store.rs
+++ b/crates/configuration/src/store.rs
@@ -41,9 +41,15 @@
         /// The record by which it stays rejected when the version on which it builds becomes current.
         writes: Vec<Write>,
     },
-    /// It is neither acknowledged nor rejected: 503. Either it builds on a version so old that it is no longer known whether
-    /// it was applied, or on a version to come while too many such changes are remembered.
-    Undecided {
+    /// It is neither acknowledged nor rejected: 503. It builds on a version so old that it is no longer known whether it was
+    /// applied.
+    Forgotten {
+        /// The current version; 0 for none.
+        current_version: u64,
+    },
+    /// It is neither acknowledged nor rejected: 503. It builds on a version to come, and no more rejections of such changes
+    /// can be remembered ([`MAX_REJECTED_CHANGES`](crate::MAX_REJECTED_CHANGES)).
+    TooManyAhead {
         /// The current version; 0 for none.
         current_version: u64,
     },
@@ -161,7 +167,7 @@
     fn reject(&mut self, id: &ChangeId, base_version: u64) -> ChangeOutcome {
         let current_version = self.version();
         if base_version < current_version && self.applied.may_have_forgotten(base_version) {
-            return ChangeOutcome::Undecided { current_version };
+            return ChangeOutcome::Forgotten { current_version };
         }
         if base_version <= current_version || cfg!(feature = "mutant-refusals") {
             return ChangeOutcome::VersionConflict {
@@ -174,7 +180,7 @@
                 current_version,
                 writes,
             },
-            None => ChangeOutcome::Undecided { current_version },
+            None => ChangeOutcome::TooManyAhead { current_version },
         }
     }
 
--- a/crates/configuration/tests/changes_model.rs
+++ b/crates/configuration/tests/changes_model.rs
@@ -165,7 +165,9 @@
         ChangeOutcome::AlreadyApplied { .. } => (Reply::Acknowledged, None, Vec::new()),
         ChangeOutcome::VersionConflict { writes, .. } => (Reply::Rejected, None, writes),
         ChangeOutcome::Invalid(_) => (Reply::Rejected, None, Vec::new()),
-        ChangeOutcome::Undecided { .. } => (Reply::Undecided, None, Vec::new()),
+        ChangeOutcome::Forgotten { .. } | ChangeOutcome::TooManyAhead { .. } => {
+            (Reply::Undecided, None, Vec::new())
+        }
     };
     if !writes.is_empty() {
         let writes = writes
--- a/crates/controlplane/src/driver/mod.rs
+++ b/crates/controlplane/src/driver/mod.rs
@@ -125,7 +125,10 @@
         if self.recovering_epoch == Some(epoch) {
             self.recovering_epoch = None;
             match scheduler {
-                Ok(scheduler) => self.start_scheduler(epoch, scheduler),
+                Ok(mut scheduler) => {
+                    scheduler.on_recovered(now);
+                    self.start_scheduler(epoch, scheduler);
+                }
                 Err(error) => {
                     log::error!("epoch {epoch}: recovering the scheduler's state failed: {error}");
                 }
--- a/crates/controlplane/src/driver/state_machine.rs
+++ b/crates/controlplane/src/driver/state_machine.rs
@@ -17,6 +17,8 @@
         now: Now,
         state: StateMap,
     ) -> Result<Self, RecoverError>;
+    /// The recovery has ended: events come from now on.
+    fn on_recovered(&mut self, _now: Now) {}
     /// Handles an event.
     fn handle(&mut self, now: Now, event: Event) -> Effects;
     /// Version of the newest configuration, committed or not; 0 for none.
@@ -39,6 +41,10 @@
         Scheduler::recover(settings.clone(), epoch, now, state)
     }
 
+    fn on_recovered(&mut self, now: Now) {
+        Scheduler::on_recovered(self, now);
+    }
+
     fn handle(&mut self, now: Now, event: Event) -> Effects {
         Scheduler::handle(self, now, event)
     }
--- a/crates/scheduler/src/runs.rs
+++ b/crates/scheduler/src/runs.rs
@@ -75,6 +75,12 @@
         }
     }
 
+    /// The time up to now does not count: no agent could read a command in it.
+    pub(crate) fn restart_clocks(&mut self, now: Millis) {
+        self.phase_began_at = now;
+        self.progressed_at = now;
+    }
+
     /// Whether the run is to be stopped.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stop_revision.is_some()
@@ -136,6 +142,13 @@
         self.runs.insert(id, run);
     }
 
+    /// Restarts the clocks of all runs ([`ActiveRun::restart_clocks`]).
+    pub(crate) fn restart_clocks(&mut self, now: Millis) {
+        for run in self.runs.values_mut() {
+            run.restart_clocks(now);
+        }
+    }
+
     pub(crate) fn get(&self, id: &RunId) -> Option<&ActiveRun> {
         self.runs.get(id)
     }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -51,6 +51,12 @@
         })
     }
 
+    /// The recovery has ended and events come from now on. With a large state that is seconds after it began, in which no
+    /// agent could read a command: time-outs of runs count from here.
+    pub fn on_recovered(&mut self, now: Now) {
+        self.state.runs.restart_clocks(now.steady_ms);
+    }
+
     /// Handles an event.
     pub fn handle(&mut self, now: Now, event: Event) -> Effects {
         match event {
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -117,11 +117,18 @@
 
     /// Another machine becomes primary, with the replicated state alone.
     pub(crate) fn take_over(&mut self) {
+        self.take_over_within(0);
+    }
+
+    /// The same, and its recovery takes so long.
+    pub(crate) fn take_over_within(&mut self, recovery_ms: Millis) {
         self.epoch += 1;
         let state = self.state.clone();
         self.scheduler =
             Scheduler::recover(self.settings.clone(), self.epoch, clock(self.now), state)
                 .expect("own state");
+        self.now += recovery_ms;
+        self.scheduler.on_recovered(clock(self.now));
         self.responses.clear();
     }
 
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -119,3 +119,17 @@
         .expect("the agent holds no commands yet");
     assert_eq!(commands.instance.as_deref(), Some("i-1"));
 }
+
+/// A state of the design target's size takes seconds to recover: agents read no command in that time.
+#[test]
+fn time_of_the_recovery_counts_for_no_time_out() {
+    let (mut cluster, mut agent) = with_commanded_task();
+    let first = agent.start.clone();
+    cluster.take_over_within(6_000);
+    agent.heartbeat_without_starts();
+    cluster.settle(&mut agent);
+    cluster.wait(100);
+    cluster.settle(&mut agent);
+    assert_eq!(agent.start, first, "the start command is still in force");
+    assert!(agent.stop.is_empty());
+}
