Emulator: a rule for refused fencing tokens, many processes at once, processors under a quota

The checker's rule DUTY: a process that knows of a higher token of another one (epoch of the record, proposal number, epoch known to gate or agent) does not call with a lower one more than three times later than a lease after that. The time that work itself takes is not modelled.

Mutants: mutant-deposed (a primary that keeps its record) and mutant-not-primary (gates and agents that ignore a refusal) are found by DUTY; mutant-rejected (a proposer that ignores a rejection) by a test of the coordinator, as the fleet's candidates settle within a lease.

--- a/crates/coordination/src/coordinator.rs
+++ b/crates/coordination/src/coordinator.rs
@@ -539,7 +539,9 @@
 impl Coordinator {
     /// Takes over a decided record if it is newer than the newest one known.
     fn adopt_record(&mut self, record: &Arc<EpochRecord>) {
-        if record.epoch <= self.core.record().epoch {
+        let names_other = record.primary != Some(self.core.id());
+        let is_kept = cfg!(feature = "mutant-deposed") && self.term.is_some() && names_other;
+        if record.epoch <= self.core.record().epoch || is_kept {
             return;
         }
         log_record_change(self.core.record(), record);
--- a/crates/coordination/src/proposer.rs
+++ b/crates/coordination/src/proposer.rs
@@ -184,7 +184,7 @@
     ) {
         let is_rejected =
             |proposal: &mut Proposal| proposal.instance() == instance && promise > proposal.number;
-        if self.proposal.take_if(is_rejected).is_none() {
+        if cfg!(feature = "mutant-rejected") || self.proposal.take_if(is_rejected).is_none() {
             return;
         }
         self.highest_round = self.highest_round.max(promise.round);
--- a/crates/coordination/tests/messages.rs
+++ b/crates/coordination/tests/messages.rs
@@ -476,3 +476,48 @@
         _ => Message::TermEnded { from, term },
     }
 }
+
+fn proposal_numbers(messages: &[Message]) -> Vec<ProposalNumber> {
+    let number = |message: &Message| match message {
+        Message::Prepare { number, .. } | Message::Accept { number, .. } => Some(*number),
+        _ => None,
+    };
+    messages.iter().filter_map(number).collect()
+}
+
+/// Ticks the machine until `end_ms`; the numbers of all proposals that it sends.
+fn proposals_until(
+    machine: &mut Coordinator,
+    now_ms: &mut u64,
+    end_ms: u64,
+) -> Vec<ProposalNumber> {
+    let mut numbers = Vec::new();
+    while *now_ms < end_ms {
+        *now_ms += 20;
+        let outputs = machine.handle(*now_ms, Input::Tick);
+        numbers.extend(proposal_numbers(&sync_all(machine, *now_ms, outputs)));
+    }
+    numbers
+}
+
+/// A proposer that was refused since another one has used a higher number goes on with a higher one only.
+#[test]
+fn rejected_proposal_number_is_not_used_again() {
+    let mut machine = started();
+    let mut now_ms = 1_001;
+    let first = proposals_until(&mut machine, &mut now_ms, 1_500);
+    let rejected = *first.last().expect("a proposal");
+    let promise = ProposalNumber {
+        round: rejected.round + 5,
+        ..rejected
+    };
+    let rejection = Message::Rejected {
+        instance: 1,
+        promise,
+    };
+    receive(&mut machine, now_ms, rejection);
+    let end_ms = now_ms + 3_000;
+    let later = proposals_until(&mut machine, &mut now_ms, end_ms);
+    assert!(!later.is_empty(), "it proposes again");
+    assert!(later.iter().all(|number| *number > promise), "{later:?}");
+}
--- a/crates/dataplane/src/control_plane/discovery.rs
+++ b/crates/dataplane/src/control_plane/discovery.rs
@@ -111,7 +111,8 @@
     /// The member at the internal address `from` sent its view.
     pub fn on_view(&mut self, now: Millis, from: &str, view: &ClusterView) {
         self.probes.on_completed(from);
-        if view.epoch < self.epoch {
+        let is_kept = cfg!(feature = "mutant-not-primary") && self.primary().is_some();
+        if view.epoch < self.epoch || is_kept {
             return;
         }
         let is_newer = view.epoch > self.epoch;
@@ -146,6 +147,9 @@
 
     /// The member at `address` rejected a request as it is not the primary; `view` came with the rejection.
     pub fn on_not_primary(&mut self, now: Millis, address: &str, view: &ClusterView) {
+        if cfg!(feature = "mutant-not-primary") {
+            return;
+        }
         self.on_request_failed(now, address);
         self.on_view(now, address, view);
         let names_itself = self.is_current_primary(address);
--- a/crates/emulator/src/checker/state.rs
+++ b/crates/emulator/src/checker/state.rs
@@ -1,6 +1,7 @@
 //! The checker with all that it has observed.
 
 use super::configurations::Configurations;
+use super::fencing_rule::FencingHistory;
 use super::records::{EndNumber, EndPosition, JobRecord, TaskRecord, WorkerInstance};
 use super::violation::{Rule, Violation};
 use crate::limits::DeploymentLimits;
@@ -26,6 +27,8 @@
     pub(super) limits: DeploymentLimits,
     /// Whether times of day jump in this simulation.
     pub(super) clocks_step: bool,
+    /// For how long a call may go on after its token was refused.
+    pub(super) lease_ms: Millis,
     pub(super) tasks: BTreeMap<TaskId, TaskRecord>,
     /// Ends that were reported and not acknowledged yet.
     pub(super) unacknowledged_ends: BTreeMap<EndNumber, EndPosition>,
@@ -35,22 +38,25 @@
     pub(super) configurations: Configurations,
     /// Tasks of cancelled jobs that were reported as still running.
     pub(super) overdue: BTreeSet<TaskId>,
+    pub(super) fencing: FencingHistory,
     pub(super) starts: u64,
     violations: Vec<Violation>,
 }
 
 impl Checker {
     /// Nothing observed yet.
-    pub(crate) fn new(limits: DeploymentLimits, clocks_step: bool) -> Checker {
+    pub(crate) fn new(limits: DeploymentLimits, clocks_step: bool, lease_ms: Millis) -> Checker {
         Checker {
             limits,
             clocks_step,
+            lease_ms,
             tasks: BTreeMap::new(),
             unacknowledged_ends: BTreeMap::new(),
             drains: BTreeMap::new(),
             jobs: BTreeMap::new(),
             configurations: Configurations::default(),
             overdue: BTreeSet::new(),
+            fencing: FencingHistory::default(),
             starts: 0,
             violations: Vec::new(),
         }
--- a/crates/emulator/src/checker/violation.rs
+++ b/crates/emulator/src/checker/violation.rs
@@ -32,6 +32,8 @@
     Config,
     /// A valid request is not acknowledged although there are no faults.
     Acks,
+    /// A process goes on with a fencing token that was refused.
+    Duty,
 }
 
 impl fmt::Display for Rule {
--- a/crates/emulator/src/faults/kinds.rs
+++ b/crates/emulator/src/faults/kinds.rs
@@ -201,6 +201,51 @@
         /// Time until they are started again.
         down_ms: Millis,
     },
+    /// Many processes go at the same moment.
+    TakeManyDown {
+        /// Which.
+        targets: ManyTargets,
+        /// Whether their machines lose power, so that nobody is told; else the processes are killed.
+        power_loss: bool,
+        /// Time until they are started again.
+        down_ms: Millis,
+    },
+}
+
+/// Processes that go at once, by role.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ManyTargets {
+    /// Of the gates.
+    pub gates: Portion,
+    /// Of the agents.
+    pub agents: Portion,
+    /// Of the control machines, the primary first.
+    pub control_machines: Portion,
+}
+
+/// How many of several machines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Portion {
+    /// None of them.
+    None,
+    /// One of them.
+    One,
+    /// Half of them, rounded down.
+    Half,
+    /// All of them.
+    All,
+}
+
+impl Portion {
+    /// How many of `count`.
+    pub fn of(self, count: usize) -> usize {
+        match self {
+            Portion::None => 0,
+            Portion::One => count.min(1),
+            Portion::Half => count / 2,
+            Portion::All => count,
+        }
+    }
 }
 
 /// Strikes a worker.
--- a/crates/emulator/src/faults/mod.rs
+++ b/crates/emulator/src/faults/mod.rs
@@ -10,8 +10,8 @@
 mod schedule;
 
 pub use kinds::{
-    ClientAction, ControlDegradation, ControlOutage, ControlTarget, DataPlaneFault, OperatorAction,
-    WorkerFault,
+    ClientAction, ControlDegradation, ControlOutage, ControlTarget, DataPlaneFault, ManyTargets,
+    OperatorAction, Portion, WorkerFault,
 };
 pub use schedule::{Fault, FaultSchedule, PlannedFault, ScheduleScope};
 
--- a/crates/emulator/src/fleet/agent.rs
+++ b/crates/emulator/src/fleet/agent.rs
@@ -123,6 +123,7 @@
         sequence,
     };
     let request = RpcRequest::primary(ControlRequest::Agent(sync));
+    discovery::on_primary_call(env, machine);
     rpc::call(env, caller, primary, request, SYNC_TIMEOUT_MS);
 }
 
--- a/crates/emulator/src/fleet/builder.rs
+++ b/crates/emulator/src/fleet/builder.rs
@@ -101,7 +101,7 @@
         operator_responses_lost_until: 0,
         fault_history: FaultHistory::default(),
         allows_overlaps: schedule.allows_overlaps,
-        checker: Checker::new(settings.limits, schedule.steps_clocks()),
+        checker: Checker::new(settings.limits, schedule.steps_clocks(), settings.lease_ms),
         submitted_jobs: SubmittedJobs::default(),
         traffic_digest: None,
         verbose: false,
--- a/crates/emulator/src/fleet/control.rs
+++ b/crates/emulator/src/fleet/control.rs
@@ -78,6 +78,9 @@
     message: Message,
 ) -> Option<PendingActions> {
     let now = env.clocks(machine);
+    let caller = env.fenced_caller(machine);
+    env.checker
+        .on_control_message_received(env.now, caller, &message);
     let actions = env
         .machines
         .control_mut(machine)?
@@ -187,6 +190,9 @@
     let Some(receiver) = env.machines.at_address(receiver) else {
         return;
     };
+    let caller = env.fenced_caller(machine);
+    env.checker
+        .on_control_message_sent(env.now, caller, &message);
     if env.network.draw_loss() {
         return;
     }
--- a/crates/emulator/src/fleet/discovery.rs
+++ b/crates/emulator/src/fleet/discovery.rs
@@ -3,6 +3,7 @@
 use super::environment::Environment;
 use super::rpc;
 use super::rpc_message::{Caller, RpcOutcome, RpcRequest};
+use crate::checker::{FencingToken, Matter};
 use crate::network::MachineId;
 use streamusher_dataplane::control_plane::PrimaryDiscovery;
 use streamusher_protocol::internal::CoreAddress;
@@ -66,6 +67,17 @@
     }
 }
 
+/// A process is about to send a request to the primary that it knows.
+pub(crate) fn on_primary_call(env: &mut Environment, machine: MachineId) {
+    let caller = env.fenced_caller(machine);
+    let Some(discovery) = env.machines.discovery_mut(machine) else {
+        return;
+    };
+    let token = FencingToken::Epoch(discovery.epoch());
+    env.checker
+        .on_fenced_call(env.now, caller, Matter::PrimaryRequest, token);
+}
+
 /// A call to the suspected primary is over: what is learnt from that.
 pub(crate) fn on_primary_call_returned(
     env: &mut Environment,
@@ -74,6 +86,12 @@
     outcome: &RpcOutcome,
 ) {
     let now = env.clocks(machine).steady_ms;
+    if let RpcOutcome::NotPrimary(view) = outcome {
+        let caller = env.fenced_caller(machine);
+        let token = FencingToken::Epoch(view.epoch);
+        env.checker
+            .on_token_refused(env.now, caller, Matter::PrimaryRequest, token);
+    }
     let address = env.machines[receiver].address.internal.clone();
     let Some(discovery) = env.machines.discovery_mut(machine) else {
         return;
--- a/crates/emulator/src/fleet/environment.rs
+++ b/crates/emulator/src/fleet/environment.rs
@@ -6,7 +6,7 @@
 use super::rpc_message::OpenCalls;
 use super::settings::FleetSettings;
 use super::traffic_digest::TrafficDigest;
-use crate::checker::Checker;
+use crate::checker::{Checker, FencedCaller};
 use crate::event_queue::EventQueue;
 use crate::network::{MachineId, Network};
 use crate::random::Random;
@@ -65,6 +65,14 @@
         self.machines[machine].read_clocks(self.now)
     }
 
+    /// The present life of a machine's process.
+    pub(crate) fn fenced_caller(&self, machine: MachineId) -> FencedCaller {
+        FencedCaller {
+            machine,
+            boot: self.machines[machine].boot,
+        }
+    }
+
     /// The present time and the submitted jobs, for simulated workers.
     pub(crate) fn moment(&self) -> Moment<'_> {
         Moment {
--- a/crates/emulator/src/fleet/gate.rs
+++ b/crates/emulator/src/fleet/gate.rs
@@ -60,6 +60,7 @@
         client_request,
     };
     let request = RpcRequest::primary(ControlRequest::Client(request));
+    discovery::on_primary_call(env, machine);
     rpc::call(env, caller, primary, request, FORWARD_TIMEOUT_MS);
 }
 
--- a/crates/emulator/src/fleet/lifecycle.rs
+++ b/crates/emulator/src/fleet/lifecycle.rs
@@ -42,6 +42,7 @@
         unix_error_ms,
     };
     env.machines.add(Machine {
+        id,
         role,
         name: format!("{}-{index}", role.name()).into(),
         address: CoreAddress {
@@ -53,6 +54,7 @@
         unix_error_at_start_ms: unix_error_ms,
         boot: 0,
         frozen_until: None,
+        cpu_quota: env.settings.cpu_quota,
         removed: false,
         disk: Disk::default(),
         bootstrap: role == Role::Control && index < env.settings.control_machines,
--- a/crates/emulator/src/fleet/machine.rs
+++ b/crates/emulator/src/fleet/machine.rs
@@ -3,6 +3,7 @@
 use super::disk::Disk;
 use super::process::{AgentProcess, ControlProcess, GateProcess, Process};
 use crate::clock::MachineClock;
+use crate::cpu_quota::CpuQuota;
 use crate::network::MachineId;
 use std::ops::{Index, IndexMut};
 use std::sync::Arc;
@@ -37,6 +38,7 @@
 
 /// A machine.
 pub(crate) struct Machine {
+    pub(crate) id: MachineId,
     /// What runs there.
     pub(crate) role: Role,
     pub(crate) name: Arc<str>,
@@ -49,6 +51,7 @@
     /// Counts the starts of its process.
     pub(crate) boot: u64,
     pub(crate) frozen_until: Option<Millis>,
+    pub(crate) cpu_quota: Option<CpuQuota>,
     /// It never comes back.
     pub(crate) removed: bool,
     pub(crate) disk: Disk,
@@ -67,9 +70,11 @@
         self.boot == boot && self.process.is_some()
     }
 
-    /// When it wakes, if it is frozen.
+    /// When it wakes, if it is frozen or has spent its processor quota.
     pub(crate) fn wakes_at(&self, now: Millis) -> Option<Millis> {
-        self.frozen_until.filter(|until| *until > now)
+        let thaws_at = self.frozen_until.filter(|until| *until > now);
+        let quota = self.cpu_quota;
+        thaws_at.or_else(|| quota.and_then(|quota| quota.resumes_at(self.id, now)))
     }
 
     /// The clocks as its process reads them.
--- a/crates/emulator/src/fleet/settings.rs
+++ b/crates/emulator/src/fleet/settings.rs
@@ -1,6 +1,7 @@
 //! What a fleet consists of.
 
 use crate::clock::WorkerClock;
+use crate::cpu_quota::CpuQuota;
 use crate::limits::DeploymentLimits;
 use crate::random::{Random, Stream};
 use crate::workers::worker::{Worker, WorkerKind};
@@ -58,6 +59,8 @@
     pub lease_ms: Millis,
     /// How long a disk takes to sync.
     pub disk_sync_ms: Millis,
+    /// The processors of all machines stand still when this quota is spent, which it always is; none for ordinary ones.
+    pub cpu_quota: Option<CpuQuota>,
     /// The mechanisms that take part in the scheduler's decisions.
     pub policy: Policy,
 }
@@ -78,6 +81,7 @@
             job_count: 24,
             lease_ms: 700,
             disk_sync_ms: 8,
+            cpu_quota: None,
             policy: Policy::default(),
         }
     }
--- a/crates/emulator/src/fleet/simulation.rs
+++ b/crates/emulator/src/fleet/simulation.rs
@@ -106,6 +106,16 @@
         &self.state.environment.submitted_jobs
     }
 
+    /// The newest epoch that any control machine knows.
+    pub fn newest_epoch(&self) -> u64 {
+        let env = &self.state.environment;
+        let epochs = env.machines.ids().filter_map(|machine| {
+            let control = env.machines[machine].process.as_ref()?.control()?;
+            Some(control.view(env.clocks(machine)).epoch)
+        });
+        epochs.max().unwrap_or(0)
+    }
+
     /// What was observed so far.
     pub fn checker(&self) -> &Checker {
         &self.state.environment.checker
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -39,6 +39,7 @@
 mod cast;
 pub mod checker;
 mod clock;
+pub mod cpu_quota;
 mod event_queue;
 pub mod experiment;
 pub mod faults;
