--- a/crates/jobs/src/unit.rs
+++ b/crates/jobs/src/unit.rs
@@ -160,7 +160,8 @@
         if is_long_running && ran_ms >= HEALTHY_RUN_MS {
             self.failed_attempts = 0;
         }
-        self.latency.add_elapsed(now_ms, result.stage_before_rerun());
+        self.latency
+            .add_elapsed(now_ms, result.stage_before_rerun());
         if result != RunResult::Failed {
             return AfterRun::RunAgain;
         }
