Dispatcher: standard names in the files that this work touched

PooledConnection for Lent, PendingAnswer for Held, free_one for make_room, SHED_RESPONSE for NO_ROOM, activity for at, bookkeepers for keepers. Only names: what goes over the wire and what is logged stays.

--- a/src/core/booking.rs
+++ b/src/core/booking.rs
@@ -110,7 +110,7 @@
 }
 
 /// A final answer that some bookkeeper does not have yet.
-pub(super) struct Held {
+pub(super) struct PendingAnswer {
     front: Rc<dyn Front>,
     ticket: u64,
     answer: Answer,
@@ -169,8 +169,8 @@
 impl Core {
     /// Has final answers booked from now on, by this one too; its number.
     pub fn attach_bookkeeper(&mut self, keeper: Rc<dyn Bookkeeper>) -> usize {
-        self.keepers.push(keeper);
-        self.keepers.len() - 1
+        self.bookkeepers.push(keeper);
+        self.bookkeepers.len() - 1
     }
 
     /// A bookkeeper has all its entries up to this number: answers that wait for nothing else go out.
@@ -180,9 +180,9 @@
 
     /// Nothing becomes durable at a bookkeeper for now: what waits for it alone goes out.
     pub fn hold_no_longer(&mut self, keeper: usize) {
-        for held in self.held.values() {
+        for held in self.pending_answers.values() {
             for booked in held.booked.iter().filter(|b| b.waits && b.keeper == keeper) {
-                self.keepers[keeper].overdue(booked.number);
+                self.bookkeepers[keeper].overdue(booked.number);
                 self.counters.answers_before_booked += 1;
             }
         }
@@ -192,7 +192,7 @@
     /// The answers that need not wait any more for such entries.
     fn let_go(&mut self, keeper: usize, there: impl Fn(&Booked) -> bool) {
         let mut free = Vec::new();
-        for (no, held) in &mut self.held {
+        for (no, held) in &mut self.pending_answers {
             let mut entries = held
                 .booked
                 .iter_mut()
@@ -212,18 +212,18 @@
 
     /// The time of an answer is up: it goes out, whoever has not booked it yet.
     pub(super) fn overdue(&mut self, no: u64) {
-        let Some(held) = self.held.get(&no) else {
+        let Some(held) = self.pending_answers.get(&no) else {
             return;
         };
         for booked in held.booked.iter().filter(|b| b.waits) {
             self.counters.answers_before_booked += 1;
-            self.keepers[booked.keeper].overdue(booked.number);
+            self.bookkeepers[booked.keeper].overdue(booked.number);
         }
         self.release(no);
     }
 
     fn release(&mut self, no: u64) {
-        if let Some(held) = self.held.remove(&no) {
+        if let Some(held) = self.pending_answers.remove(&no) {
             self.hand_out(&held.front, held.ticket, &held.answer, &held.booked);
         }
     }
@@ -240,11 +240,11 @@
         if booked.iter().all(|b| !b.waits) {
             return self.hand_out(&front, ticket, answer, &booked);
         }
-        self.held_no += 1;
-        let no = self.held_no;
-        self.held.insert(
+        self.last_pending += 1;
+        let no = self.last_pending;
+        self.pending_answers.insert(
             no,
-            Held {
+            PendingAnswer {
                 front,
                 ticket,
                 answer: answer.clone(),
@@ -283,8 +283,8 @@
             attempts: if waiter.joined { 0 } else { used.attempts },
             idempotency_key: used.key.as_deref(),
         };
-        let (mut entries, mut latest) = (Vec::with_capacity(self.keepers.len()), now);
-        for (keeper, k) in self.keepers.iter().enumerate() {
+        let (mut entries, mut latest) = (Vec::with_capacity(self.bookkeepers.len()), now);
+        for (keeper, k) in self.bookkeepers.iter().enumerate() {
             match k.book(now, used.by, &account) {
                 Booking::Hold { number, until } => {
                     entries.push(Booked {
@@ -310,7 +310,7 @@
         self.counters.answer(answer);
         let receipt = booked
             .iter()
-            .map(|b| (self.keepers[b.keeper].clone(), b.number))
+            .map(|b| (self.bookkeepers[b.keeper].clone(), b.number))
             .collect();
         front.answer(ticket, answer, Receipt(receipt));
     }
--- a/src/core/intake.rs
+++ b/src/core/intake.rs
@@ -34,7 +34,7 @@
         if now >= self.last_call {
             return Err(NotTaken::Stopping);
         }
-        if self.keepers.iter().any(|k| !k.takes_work()) {
+        if self.bookkeepers.iter().any(|k| !k.takes_work()) {
             self.counters.refused_unbilled += 1;
             return Err(NotTaken::Unbilled);
         }
@@ -165,7 +165,7 @@
     /// Kept back of a client's time.
     fn kept_back(&self, left_us: Micros) -> Micros {
         MARGIN_US
-            + if self.keepers.is_empty() {
+            + if self.bookkeepers.is_empty() {
                 0
             } else {
                 BOOKING_US.min(left_us / 8)
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -71,7 +71,7 @@
 pub use quotas::{Quotas, Right, Taken};
 pub use witness::Witness;
 
-use booking::{Held, Used, Waiter};
+use booking::{PendingAnswer, Used, Waiter};
 use repeats::Kept;
 use tenants::{NoTenant, Tenants};
 
@@ -166,10 +166,10 @@
     /// Operations that wait for the first pool config, in the order in which they came.
     early: Vec<JobId>,
     owed: usize,
-    keepers: Vec<Rc<dyn Bookkeeper>>,
+    bookkeepers: Vec<Rc<dyn Bookkeeper>>,
     /// Answers that wait for an entry, in the order in which they were booked.
-    held: BTreeMap<u64, Held>,
-    held_no: u64,
+    pending_answers: BTreeMap<u64, PendingAnswer>,
+    last_pending: u64,
     quotas: Option<Rc<dyn Quotas>>,
     witness: Option<Rc<dyn Witness>>,
     tenants: Option<Tenants>,
@@ -224,9 +224,9 @@
             inputs: Vec::new(),
             early: Vec::new(),
             owed: 0,
-            keepers: Vec::new(),
-            held: BTreeMap::new(),
-            held_no: 0,
+            bookkeepers: Vec::new(),
+            pending_answers: BTreeMap::new(),
+            last_pending: 0,
             quotas: None,
             witness: None,
             tenants: None,
@@ -294,7 +294,7 @@
 
     /// Operations that still owe a final answer.
     pub fn owed(&self) -> usize {
-        self.owed + self.held.len()
+        self.owed + self.pending_answers.len()
     }
 
     /// News of a route step. What comes after its end is ignored.
--- a/src/drmaa/worker.rs
+++ b/src/drmaa/worker.rs
@@ -4,7 +4,7 @@
 use crate::core::{Driver, Ending, Member, Operation, StepId, StepNews};
 use crate::interface::{Micros, WorkerId};
 use crate::net::http::BODY;
-use crate::net::pool::{Lent, Pool, Use};
+use crate::net::pool::{Pool, PooledConnection, Use};
 use crate::runtime::Hub;
 use async_channel::{bounded, Receiver, Sender};
 use async_io::Timer;
@@ -43,7 +43,7 @@
         step: StepId,
         addr: SocketAddr,
         operation: &Operation,
-        lent: &mut Option<Lent>,
+        pooled: &mut Option<PooledConnection>,
         job: &mut Option<String>,
     ) -> Ending {
         let mut taken = match self.pool.take(addr, Use::Work).await {
@@ -67,7 +67,7 @@
         if taken.conn.write(&call).await.is_err() {
             return Ending::BrokeUnsent;
         }
-        let conn = &mut lent.insert(taken).conn;
+        let conn = &mut pooled.insert(taken).conn;
         let mut early = None;
         loop {
             let said = match conn
@@ -121,9 +121,13 @@
     }
 
     /// Terminates a job on its own connection; one that the worker has not named yet is waited for.
-    async fn terminate(&self, lent: &mut Lent, mut job: Option<String>) -> Option<()> {
+    async fn terminate(
+        &self,
+        pooled: &mut PooledConnection,
+        mut job: Option<String>,
+    ) -> Option<()> {
         while job.is_none() {
-            let said: Said = serde_json::from_slice(&lent.conn.line(LINE).await.ok()?).ok()?;
+            let said: Said = serde_json::from_slice(&pooled.conn.line(LINE).await.ok()?).ok()?;
             if said.seq == Some(1) {
                 job = Some(said.job_id?);
             }
@@ -133,9 +137,9 @@
             seq: 3,
             what: What::Terminate { job_id: job? },
         };
-        lent.conn.write(&line(&call)).await.ok()?;
+        pooled.conn.write(&line(&call)).await.ok()?;
         loop {
-            let said: Said = serde_json::from_slice(&lent.conn.line(LINE).await.ok()?).ok()?;
+            let said: Said = serde_json::from_slice(&pooled.conn.line(LINE).await.ok()?).ok()?;
             if said.seq == Some(3) {
                 return Some(());
             }
@@ -149,29 +153,34 @@
         operation: Arc<Operation>,
         given_up: Receiver<()>,
     ) {
-        let (mut lent, mut job) = (None, None);
-        let run = async { Some(self.run(step, addr, &operation, &mut lent, &mut job).await) };
+        let (mut pooled, mut job) = (None, None);
+        let run = async {
+            Some(
+                self.run(step, addr, &operation, &mut pooled, &mut job)
+                    .await,
+            )
+        };
         let cancelled = async {
             let _ = given_up.recv().await;
             None
         };
         let ended = future::or(run, cancelled).await;
         self.out.borrow_mut().remove(&step);
-        match (ended, lent) {
-            (Some(ending), lent) => {
+        match (ended, pooled) {
+            (Some(ending), pooled) => {
                 let whole = matches!(
                     ending,
                     Ending::Served(_) | Ending::WorkerFailed | Ending::TurnedAway
                 );
-                if let Some(lent) = lent.filter(|_| whole) {
-                    self.pool.give_back(addr, lent);
+                if let Some(pooled) = pooled.filter(|_| whole) {
+                    self.pool.give_back(addr, pooled);
                 }
                 self.hub
                     .with(|core, _| core.step(step, StepNews::Ended(ending, None)));
             }
-            (None, Some(mut lent)) => {
+            (None, Some(mut pooled)) => {
                 let terminate = async {
-                    self.terminate(&mut lent, job).await;
+                    self.terminate(&mut pooled, job).await;
                 };
                 let late = async {
                     Timer::after(CANCEL).await;
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -13,10 +13,10 @@
 use std::time::{Duration, Instant};
 
 /// Longest time for a connection to stay silent after it is there: a usual client opens one to ask at once.
-const SILENCE: Duration = Duration::from_secs(1);
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest time between requests for a connection that has asked, but for no operation that was taken: guards
 /// against hundreds that ask whether the program is up, and stay.
-const ASKED: Duration = Duration::from_millis(2_500);
+const NO_WORK_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// What a connection is at, in the order in which they give way to new ones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Activity {
@@ -35,7 +35,7 @@
 }
 
 struct Entry {
-    at: Activity,
+    activity: Activity,
     since: Instant,
     worker: bool,
     /// It stands in the reserve: see [`ClientConnection::reserved`].
@@ -55,8 +55,8 @@
     closing: Cell<(bool, bool)>,
     /// Bytes of bodies that are coming in or in hand, and their bound.
     bodies: Rc<Cell<usize>>,
-    most_bodies: usize,
-    most_idle: usize,
+    max_body_bytes: usize,
+    max_idle: usize,
     /// Connections beside those in the reserve, at most.
     max_unreserved: usize,
     /// Connections in the reserve, at most.
@@ -76,8 +76,8 @@
             next: Cell::default(),
             closing: Cell::default(),
             bodies: Rc::default(),
-            most_bodies: limits.body_bytes(),
-            most_idle: limits.idle_front_sockets(),
+            max_body_bytes: limits.body_bytes(),
+            max_idle: limits.idle_front_sockets(),
             max_unreserved: limits.front_sockets(),
             max_reserved: limits.front_reserve(),
             hand_over: bounded(1),
@@ -119,7 +119,7 @@
     /// workers open connections for them.
     pub(crate) fn close_idle(&self, workers: bool) {
         self.closing.set((true, workers));
-        self.entries.borrow_mut().retain(|_, e| match e.at {
+        self.entries.borrow_mut().retain(|_, e| match e.activity {
             Activity::Idle | Activity::Asked => e.worker && !workers,
             Activity::Silent => !workers,
             _ => true,
@@ -129,14 +129,14 @@
     /// Closes the one that can best be done without, if there is any: of the first kind in the order of [`Activity`] the
     /// oldest. Guards against floods of connections that never say anything, or never end it, in the place of
     /// those that usual clients keep.
-    pub(crate) fn make_room(&self) -> bool {
+    pub(crate) fn free_one(&self) -> bool {
         self.close_least_needed(|_, _| true)
     }
 
     /// Makes room for a connection that was just accepted; whether it is to be asked again, once the one that gives way has
     /// closed. The new one does not give way to itself, nor do those in the reserve while that has room: their requests
     /// may be on their way, and a worker's call-back among them is what frees the others.
-    pub(super) fn make_room_for(&self, accepted: &ClientConnection) -> bool {
+    pub(super) fn free_one_for(&self, accepted: &ClientConnection) -> bool {
         let is_other = |number| number != accepted.number;
         if self.open() > self.max_unreserved + self.max_reserved {
             return self.close_least_needed(|number, _| is_other(number));
@@ -164,7 +164,7 @@
 
     fn close_least_needed(&self, is_candidate: impl Fn(u64, &Entry) -> bool) -> bool {
         let mut entries = self.entries.borrow_mut();
-        let gives_way = |e: &Entry| match e.at {
+        let gives_way = |e: &Entry| match e.activity {
             Activity::Busy => false,
             Activity::Reading => !e.worker, // the oldest: a usual client's comes in at once
             _ => true,
@@ -172,7 +172,7 @@
         let least_needed = entries
             .iter()
             .filter(|(number, e)| gives_way(e) && is_candidate(**number, e))
-            .min_by_key(|(_, e)| (e.at, e.since))
+            .min_by_key(|(_, e)| (e.activity, e.since))
             .map(|(number, _)| *number);
         least_needed.is_some_and(|number| entries.remove(&number).is_some())
     }
@@ -183,19 +183,19 @@
         let mut entries = self.entries.borrow_mut();
         let idle = entries
             .iter()
-            .filter(|(_, e)| e.at == Activity::Idle && !e.worker);
+            .filter(|(_, e)| e.activity == Activity::Idle && !e.worker);
         let mut idle: Vec<(Instant, u64)> = idle.map(|(number, e)| (e.since, *number)).collect();
         idle.sort_unstable();
-        for (_, number) in &idle[..idle.len().saturating_sub(self.most_idle)] {
+        for (_, number) in &idle[..idle.len().saturating_sub(self.max_idle)] {
             entries.remove(number);
         }
     }
 
     /// Sets memory aside for a body; none if there is no more.
     pub(super) fn reserve_body(&self, length: usize) -> Option<BodyReservation> {
-        let held = self.bodies.get() + length;
-        (held <= self.most_bodies).then(|| {
-            self.bodies.set(held);
+        let reserved = self.bodies.get() + length;
+        (reserved <= self.max_body_bytes).then(|| {
+            self.bodies.set(reserved);
             BodyReservation(self.bodies.clone(), length)
         })
     }
@@ -227,7 +227,7 @@
         let (keep, closed) = bounded::<()>(1);
         let number = all.next.replace(all.next.get() + 1);
         let entry = Entry {
-            at: Activity::Silent,
+            activity: Activity::Silent,
             since: Instant::now(),
             worker: false,
             reserved: false,
@@ -252,9 +252,9 @@
         }
     }
 
-    pub(super) fn set_activity(&self, at: Activity) {
+    pub(super) fn set_activity(&self, activity: Activity) {
         if let Some(entry) = self.all.entries.borrow_mut().get_mut(&self.number) {
-            (entry.at, entry.since, entry.worker) = (at, Instant::now(), self.worker);
+            (entry.activity, entry.since, entry.worker) = (activity, Instant::now(), self.worker);
         }
     }
 
@@ -287,9 +287,9 @@
         }
         // A usual client keeps its connection for as long as it likes; one that never asked for work is not one.
         let time = match (first, self.proven) {
-            (true, _) => SILENCE,
+            (true, _) => FIRST_REQUEST_TIMEOUT,
             (false, true) => Duration::MAX,
-            (false, false) => ASKED,
+            (false, false) => NO_WORK_TIMEOUT,
         };
         let input = async { conn.wait_input().await.is_ok() };
         let closed = async {
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -25,8 +25,8 @@
 /// Connections that may wait to be accepted. Guards against floods of hundreds at once: what finds no place, usual
 /// clients and call-backs among them, would be tried again by its system a second later.
 const BACKLOG: i32 = 1_024;
-/// Sent to a connection for which there is no room.
-const NO_ROOM: &[u8] =
+/// Load shedding: sent to a connection for which there is no room.
+const SHED_RESPONSE: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
 /// Listens and serves from now on.
@@ -61,7 +61,7 @@
                 }
                 Ok((stream, _)) => {
                     let mut socket = ClientConnection::new(&all);
-                    while all.make_room_for(&socket) {
+                    while all.free_one_for(&socket) {
                         future::yield_now().await; // lets the one given up close
                     }
                     hub.with(|core, _| core.counters.front_sockets += 1);
@@ -69,7 +69,7 @@
                         // Guards against connections that queue up outside, where they would hear nothing.
                         hub.with(|core, _| core.counters.front_sockets_refused += 1);
                         let conn = Conn::new(stream);
-                        let _ = conn.stream().get_ref().write(NO_ROOM);
+                        let _ = conn.stream().get_ref().write(SHED_RESPONSE);
                         hub.spawn(async move { conn.close(Closing::at_once()).await });
                         future::yield_now().await; // lets it close
                         continue;
@@ -81,7 +81,7 @@
                 // Out of descriptors: guards against a busy loop, and makes room for those that wait.
                 Err(e) => {
                     if no_descriptors(&e) {
-                        all.make_room();
+                        all.free_one();
                     }
                     warn!(hub.log, "a front socket could not be accepted"; "error" => %e);
                     Timer::after(Duration::from_millis(20)).await;
@@ -112,7 +112,7 @@
 struct Received {
     head: Head,
     body: Vec<u8>,
-    _held: Option<BodyReservation>,
+    _reservation: Option<BodyReservation>,
 }
 
 /// Reads a request. An error that its head alone shows is told before its body is read.
@@ -122,13 +122,13 @@
     socket: &ClientConnection,
 ) -> Result<Result<Received, Reply>, Bad> {
     let head = conn.request().await?;
-    let mut held = None;
+    let mut reservation = None;
     if is_operation(&head) {
         if let Err(reply) = request::check(&hub.classes.borrow(), &head.method, &head.target) {
             return Ok(Err(reply));
         }
-        held = socket.all.reserve_body(http::body_length(&head)?);
-        if held.is_none() || socket.reserved {
+        reservation = socket.all.reserve_body(http::body_length(&head)?);
+        if reservation.is_none() || socket.reserved {
             return Ok(Err(busy("no room for another operation")));
         }
     }
@@ -141,7 +141,7 @@
     Ok(Ok(Received {
         head,
         body,
-        _held: held,
+        _reservation: reservation,
     }))
 }
 
@@ -170,7 +170,11 @@
         socket.set_activity(Activity::Busy);
         let mut receipt = Receipt::default();
         let (reply, close) = match read {
-            Ok(Ok(Received { head, body, _held })) => {
+            Ok(Ok(Received {
+                head,
+                body,
+                _reservation,
+            })) => {
                 match respond(&hub, &mut conn, &mut socket, &head, body).await {
                     // More that has come before the answer would have to wait: it is not taken up.
                     Some((reply, booked)) => {
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -20,7 +20,7 @@
 const REST: Duration = Duration::from_millis(20);
 
 /// Time for a client's connection that gives way to close.
-const ROOM: Duration = Duration::from_millis(2);
+const FREED_CONNECTION_CLOSE_TIME: Duration = Duration::from_millis(2);
 
 /// What a connection is wanted for.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -40,7 +40,7 @@
 }
 
 /// A connection in use; dropping it closes it.
-pub(crate) struct Lent {
+pub(crate) struct PooledConnection {
     pub(crate) conn: Conn,
     _counted: Counted,
 }
@@ -106,13 +106,17 @@
     }
 
     /// A connection that stands idle, or a new one.
-    pub(crate) async fn take(&self, addr: SocketAddr, what: Use) -> Result<Lent, Ending> {
+    pub(crate) async fn take(
+        &self,
+        addr: SocketAddr,
+        what: Use,
+    ) -> Result<PooledConnection, Ending> {
         let counted = |open: &Rc<Cell<usize>>| {
             open.set(open.get() + 1);
             Counted(open.clone())
         };
         if let Some(conn) = self.rested(addr) {
-            return Ok(Lent {
+            return Ok(PooledConnection {
                 conn,
                 _counted: counted(&self.open),
             });
@@ -137,7 +141,7 @@
             Ok(Some(stream)) => {
                 self.hub
                     .with(|core, _| core.counters.worker_connections += 1);
-                Ok(Lent {
+                Ok(PooledConnection {
                     conn: Conn::new(stream),
                     _counted: counted,
                 })
@@ -149,8 +153,8 @@
     }
 
     /// Ends a connection on which an answer is still owed by the worker: that gives the job up.
-    pub(crate) fn end(&self, lent: Lent) {
-        let Lent { conn, _counted } = lent;
+    pub(crate) fn end(&self, pooled: PooledConnection) {
+        let PooledConnection { conn, _counted } = pooled;
         self.hub.spawn(async move {
             conn.close(Closing::resting()).await;
             drop(_counted);
@@ -158,12 +162,12 @@
     }
 
     /// Takes a connection back after a whole exchange.
-    pub(crate) fn give_back(&self, addr: SocketAddr, lent: Lent) {
+    pub(crate) fn give_back(&self, addr: SocketAddr, pooled: PooledConnection) {
         self.idle
             .borrow_mut()
             .entry(addr)
             .or_default()
-            .push((Instant::now(), lent.conn));
+            .push((Instant::now(), pooled.conn));
     }
 
     fn drop_oldest(&self) -> bool {
@@ -187,8 +191,8 @@
 /// it is tried once more; no more than one, as memory or ports may be short too, which no client frees.
 pub(crate) async fn dial(hub: &Hub, addr: SocketAddr) -> io::Result<Async<TcpStream>> {
     match Async::<TcpStream>::connect(addr).await {
-        Err(e) if no_descriptors(&e) && hub.make_room() => {
-            Timer::after(ROOM).await;
+        Err(e) if no_descriptors(&e) && hub.free_client_connection() => {
+            Timer::after(FREED_CONNECTION_CLOSE_TIME).await;
             Async::<TcpStream>::connect(addr).await
         }
         dialed => dialed,
--- a/src/net/route.rs
+++ b/src/net/route.rs
@@ -1,7 +1,7 @@
 //! Route steps over HTTP: one exchange that hands a job to a worker, and the cancel.
 
 use super::http::{Bad, Head};
-use super::pool::{Lent, Pool, Use};
+use super::pool::{Pool, PooledConnection, Use};
 use super::{load_from_header, load_from_json};
 use crate::core::{Driver, Ending, Member, Operation, StepId, StepNews};
 use crate::interface::{LoadReport, Micros, WorkerId};
@@ -99,13 +99,13 @@
         self.me.upgrade().expect("called through an Rc")
     }
 
-    /// Hands the job over. `Ok` when the worker has taken it. `lent` holds the connection once all is written.
+    /// Hands the job over. `Ok` when the worker has taken it. `pooled` holds the connection once all is written.
     async fn hand_over(
         &self,
         step: StepId,
         addr: SocketAddr,
         operation: &Operation,
-        lent: &mut Option<Lent>,
+        pooled: &mut Option<PooledConnection>,
     ) -> Result<(), (Ending, Option<LoadReport>)> {
         self.cancel_over(addr, operation).await;
         let mut taken = self
@@ -132,7 +132,7 @@
         self.hub.with(|core, _| core.counters.tried(&class));
         drop(request); // the wait may be long
         let (head, _) = self
-            .exchange(lent.insert(taken))
+            .exchange(pooled.insert(taken))
             .await
             .map_err(|_| (Ending::BrokeSent, None))?;
         let report = head
@@ -145,28 +145,33 @@
             }
             _ => Err((Ending::WorkerFailed, report)),
         };
-        self.keep(addr, lent, &head);
+        self.keep(addr, pooled, &head);
         taken
     }
 
     /// Gives up a job that is handed over and whose 202 has not come. Closing the connection is a cancel only
     /// as long as the worker has not answered: guards against closing while the 202 is on its way, which would
     /// leave the job to run for nothing.
-    async fn take_back(&self, addr: SocketAddr, id: &str, mut lent: Lent) -> Option<()> {
-        let taken = async { self.exchange(&mut lent).await.ok() };
+    async fn take_back(
+        &self,
+        addr: SocketAddr,
+        id: &str,
+        mut pooled: PooledConnection,
+    ) -> Option<()> {
+        let taken = async { self.exchange(&mut pooled).await.ok() };
         let head = future::or(taken, async {
             Timer::after(ON_ITS_WAY).await;
             None
         });
         let Some((head, _)) = head.await else {
             // The 202 may have been on its way for longer: the closing alone would leave the job to run.
-            self.pool.end(lent);
+            self.pool.end(pooled);
             self.cancel_taken(addr, id).await;
             return None;
         };
         // Any whole answer leaves the connection fit for use: guards against a new one for each job that a
         // crowded worker turns away just after its cancel.
-        self.keep(addr, &mut Some(lent), &head);
+        self.keep(addr, &mut Some(pooled), &head);
         if head.status == 202 {
             self.cancel_taken(addr, id).await;
         }
@@ -184,21 +189,21 @@
     }
 
     /// Reads one answer whole.
-    async fn exchange(&self, lent: &mut Lent) -> Result<(Head, Vec<u8>), Bad> {
-        let head = lent.conn.answer().await?;
-        let body = lent.conn.body(&head).await?;
+    async fn exchange(&self, pooled: &mut PooledConnection) -> Result<(Head, Vec<u8>), Bad> {
+        let head = pooled.conn.answer().await?;
+        let body = pooled.conn.body(&head).await?;
         Ok((head, body))
     }
 
     /// Gives a connection back if it can carry another request after this answer.
-    fn keep(&self, addr: SocketAddr, lent: &mut Option<Lent>, head: &Head) {
+    fn keep(&self, addr: SocketAddr, pooled: &mut Option<PooledConnection>, head: &Head) {
         let framed = head.status == 204
             || head
                 .get("content-length")
                 .or(head.get("transfer-encoding"))
                 .is_some();
-        if let Some(lent) = lent.take().filter(|_| framed && !head.close) {
-            self.pool.give_back(addr, lent);
+        if let Some(pooled) = pooled.take().filter(|_| framed && !head.close) {
+            self.pool.give_back(addr, pooled);
         }
     }
 
@@ -209,9 +214,9 @@
     /// A small request of our own: a cancel or a probe.
     async fn ask(&self, addr: SocketAddr, request: String, what: Use) -> Option<(Head, Vec<u8>)> {
         let asked = async {
-            let mut lent = loop {
+            let mut pooled = loop {
                 match self.pool.take(addr, what).await {
-                    Ok(lent) => break lent,
+                    Ok(pooled) => break pooled,
                     // A cancel is owed: it waits for a descriptor. A probe is not.
                     Err(Ending::NeverSent) if what == Use::Cancel => {
                         Timer::after(AGAIN).await;
@@ -219,9 +224,9 @@
                     Err(_) => return None,
                 }
             };
-            lent.conn.write(request.as_bytes()).await.ok()?;
-            let said = self.exchange(&mut lent).await.ok()?;
-            self.keep(addr, &mut Some(lent), &said.0);
+            pooled.conn.write(request.as_bytes()).await.ok()?;
+            let said = self.exchange(&mut pooled).await.ok()?;
+            self.keep(addr, &mut Some(pooled), &said.0);
             Some(said)
         };
         future::or(asked, async {
@@ -265,8 +270,8 @@
                     core.step(step, StepNews::Ended(Ending::ConnectRefused, None))
                 });
             };
-            let mut lent = None;
-            let handed = async { Some(me.hand_over(step, addr, &operation, &mut lent).await) };
+            let mut pooled = None;
+            let handed = async { Some(me.hand_over(step, addr, &operation, &mut pooled).await) };
             let mut pending_cancel = None;
             let cancelled = async {
                 pending_cancel = given_up.recv().await.ok();
@@ -279,14 +284,14 @@
             };
             let handed = future::or(handed, future::or(cancelled, never)).await;
             let given_up = me.handing.borrow_mut().remove(&step).is_none();
-            match (handed, lent) {
+            match (handed, pooled) {
                 // The 202 came in the moment in which the step was given up: it was left to this task to see to it.
                 (Some(Ok(())), _) if given_up => me.cancel_taken(addr, &operation.id).await,
                 (Some(Ok(())), _) => {}
                 (Some(Err((ending, report))), _) => me
                     .hub
                     .with(|core, _| core.step(step, StepNews::Ended(ending, report))),
-                (None, Some(lent)) => drop(me.take_back(addr, &operation.id, lent).await),
+                (None, Some(pooled)) => drop(me.take_back(addr, &operation.id, pooled).await),
                 (None, None) => {} // not written whole: the worker never began it
             }
             drop(pending_cancel); // over only now: an attempt that waits for it may begin
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -89,11 +89,8 @@
 
     /// Has a client's connection that can best be done without closed; false if there is none. Guards against idle
     /// clients that hold all descriptors while discovery, a worker or a cancel needs one.
-    pub(crate) fn make_room(&self) -> bool {
-        self.sockets
-            .borrow()
-            .as_ref()
-            .is_some_and(|s| s.make_room())
+    pub(crate) fn free_client_connection(&self) -> bool {
+        self.sockets.borrow().as_ref().is_some_and(|s| s.free_one())
     }
 
     /// When this process began, in microseconds of Unix time.
