--- a/crates/runtime/tests/encoded_forms.rs
+++ b/crates/runtime/tests/encoded_forms.rs
@@ -135,6 +135,8 @@
         ("max_fds = 4100", "max_fds = -1"),
         ("machines = 1", "machines = 0.5"),
         ("grace_s = 6", "grace_s = [6]"),
+        ("grace_s = 6", "grace_s = -1"),
+        ("grace_s = 6", "grace_s = nan"),
         ("hold_max_ms = 6000", "hold_max_ms = 0"),
         ("early_ms = 250", "early_ms = -0.1"),
         ("ip = \"10.1.0.38\"", "ip = ["),
