Scheduler: log lines of long-running tasks not at work; explain tells a step's limit apart

A long-running job has no completion, so that no line told whether its tasks wait, back off, start or stand at workers that are not heard: the hypotheses of the incident could not be told apart.

--- a/crates/jobs/src/table.rs
+++ b/crates/jobs/src/table.rs
@@ -5,6 +5,7 @@
 use crate::error::{RecordError, SubmitError};
 use crate::job::Job;
 use crate::latency::{LatencyBreakdown, RunTimings};
+use crate::long_running::{self, LongRunningTasks};
 use crate::outcomes::{CancelOutcome, SubmitOutcome};
 use crate::plan::JobPlan;
 use crate::policy::QueuePolicy;
@@ -247,6 +248,18 @@
         runs
     }
 
+    /// The tasks of each open job with long-running steps, in order of the jobs' identifiers. It looks at every open
+    /// job, and is meant for reports some seconds apart.
+    pub fn long_running_tasks(&self) -> Vec<LongRunningTasks> {
+        let mut jobs: Vec<LongRunningTasks> = self
+            .store
+            .open_jobs()
+            .filter_map(long_running::long_running_tasks)
+            .collect();
+        jobs.sort_unstable_by(|a, b| a.job.cmp(&b.job));
+        jobs
+    }
+
     /// Takes what changed since the last call.
     pub fn take_changes(&mut self) -> JobChanges {
         let effects = self.store.take_effects();
--- a/crates/placement/src/explain.rs
+++ b/crates/placement/src/explain.rs
@@ -20,6 +20,7 @@
         units_ahead: cluster.queue.units_before(key),
         schedulable_workers: counts.schedulable,
         eligible_workers: counts.eligible,
+        workers_below_limit: counts.below_limit,
         workers_with_free_capacity: counts.with_free_capacity,
         copies: pending.copies.len(),
     })
@@ -30,6 +31,7 @@
     schedulable: usize,
     with_label: usize,
     eligible: usize,
+    below_limit: usize,
     with_free_capacity: usize,
 }
 
@@ -50,13 +52,19 @@
             .filter(|(index, _)| is_eligible(&cluster.workers, unit, *index))
             .map(|(_, worker)| *worker)
             .collect();
-        let with_free_capacity = eligible
+        let below_limit: Vec<&Worker> = eligible
+            .iter()
+            .copied()
+            .filter(|worker| worker.admits_by_anti_affinity(unit))
+            .collect();
+        let with_free_capacity = below_limit
             .iter()
             .filter(|worker| worker.free().covers(&unit.resources));
         WorkerCounts {
             schedulable: schedulable.len(),
             with_label: with_label.count(),
             eligible: eligible.len(),
+            below_limit: below_limit.len(),
             with_free_capacity: with_free_capacity.count(),
         }
     }
@@ -69,6 +77,8 @@
         WaitReason::NoMatchingLabel
     } else if counts.eligible == 0 {
         WaitReason::NoWorkerLargeEnough
+    } else if counts.below_limit == 0 {
+        WaitReason::AntiAffinityLimitReached
     } else if !pending.reserved_at.is_empty() {
         WaitReason::CapacityReserved
     } else if counts.with_free_capacity == 0 {
--- a/crates/placement/src/wait_diagnosis.rs
+++ b/crates/placement/src/wait_diagnosis.rs
@@ -34,13 +34,20 @@
         .take(MAX_WORKERS_EXAMINED)
         .filter(|index| is_eligible(workers, view.unit(), *index))
         .collect();
+    let is_below_limit = |index: &WorkerIndex| {
+        let worker = workers.get(*index);
+        worker.is_some_and(|worker| worker.admits_by_anti_affinity(view.unit()))
+    };
+    let below_limit: Vec<WorkerIndex> = eligible.iter().copied().filter(is_below_limit).collect();
     let has_capacity = |index: &WorkerIndex| {
         let worker = workers.get(*index);
         worker.is_some_and(|worker| worker.free().covers(&view.unit().resources))
     };
     if eligible.is_empty() {
         WaitReason::NoSchedulableWorker
-    } else if !view.pending.is_gang() && eligible.iter().any(has_capacity) {
+    } else if below_limit.is_empty() {
+        WaitReason::AntiAffinityLimitReached
+    } else if !view.pending.is_gang() && below_limit.iter().any(has_capacity) {
         WaitReason::CapacityReservedForOthers
     } else {
         WaitReason::NoFreeCapacity
--- a/crates/placement/src/wait_reason.rs
+++ b/crates/placement/src/wait_reason.rs
@@ -4,7 +4,7 @@
 use streamusher_protocol::Millis;
 
 /// Why a unit waits: the first of these that holds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum WaitReason {
     /// Its service has no schedulable worker.
     #[serde(rename = "no_worker_takes_work")]
@@ -15,6 +15,9 @@
     /// No schedulable worker with the label is large enough, even when empty.
     #[serde(rename = "no_worker_is_large_enough")]
     NoWorkerLargeEnough,
+    /// Every worker that could run it has as many tasks of its step as the step's `anti_affinity` allows.
+    #[serde(rename = "no_worker_is_below_its_limit")]
+    AntiAffinityLimitReached,
     /// Capacity is reserved for it and becomes free soon.
     #[serde(rename = "room_is_kept")]
     CapacityReserved,
@@ -41,7 +44,10 @@
     pub schedulable_workers: usize,
     /// Workers among them that could run it if they were empty.
     pub eligible_workers: usize,
-    /// Eligible workers that have the capacity free.
+    /// Eligible workers at which the step's `anti_affinity` allows one more of its tasks.
+    #[serde(rename = "workers_below_limit", default)]
+    pub workers_below_limit: usize,
+    /// Workers among these that have the capacity free.
     #[serde(rename = "workers_with_room")]
     pub workers_with_free_capacity: usize,
     /// Workers in whose queues it has a copy.
--- a/crates/placement/tests/encoded_forms.rs
+++ b/crates/placement/tests/encoded_forms.rs
@@ -10,13 +10,14 @@
 const WAITING_UNITS: &str = include_str!("fixtures/encoded/waiting_units.jsonl");
 const MECHANISMS: &str = include_str!("fixtures/encoded/mechanisms.txt");
 
-const REASONS: [WaitReason; 6] = [
+const REASONS: [WaitReason; 7] = [
     WaitReason::NoSchedulableWorker,
     WaitReason::NoMatchingLabel,
     WaitReason::NoWorkerLargeEnough,
     WaitReason::CapacityReserved,
     WaitReason::NoFreeCapacity,
     WaitReason::CapacityReservedForOthers,
+    WaitReason::AntiAffinityLimitReached,
 ];
 
 /// One value for each reason; all fields differ, so that none can stand for another.
@@ -29,6 +30,7 @@
             units_ahead: 7,
             schedulable_workers: 6,
             eligible_workers: 5,
+            workers_below_limit: 8,
             workers_with_free_capacity: 4,
             copies: 3,
         })
--- a/crates/placement/tests/explain.rs
+++ b/crates/placement/tests/explain.rs
@@ -7,10 +7,11 @@
 
 mod common;
 
-use common::{unit, worker, Cluster};
+use common::{task, unit, worker, Cluster};
 use rstest::rstest;
 use streamusher_placement::{WaitReason, WorkerInfo};
-use streamusher_protocol::unit::Unit;
+use streamusher_protocol::task::TaskId;
+use streamusher_protocol::unit::{Unit, UnitId};
 
 fn closed(info: WorkerInfo) -> WorkerInfo {
     WorkerInfo {
@@ -84,3 +85,32 @@
         None
     );
 }
+
+#[test]
+fn limit_of_tasks_per_worker_is_told_from_lack_of_capacity() {
+    let mut cluster = Cluster::new(1, [worker("w1", 1_000, "r1")]);
+    for number in [1, 2] {
+        cluster.enqueue(task_of_step(number));
+        cluster.place();
+    }
+    let explained = cluster
+        .placement
+        .explain(cluster.now, &task_of_step(2).id)
+        .expect("it waits");
+    assert_eq!(explained.reason, WaitReason::AntiAffinityLimitReached);
+    assert_eq!(
+        (explained.eligible_workers, explained.workers_below_limit),
+        (1, 0)
+    );
+}
+
+/// A task of a step of which a worker may run one task.
+fn task_of_step(index: u32) -> Unit {
+    let task = TaskId { index, ..task(1) };
+    Unit {
+        id: UnitId::of_task(&task),
+        tasks: vec![task],
+        anti_affinity: 1,
+        ..unit(1, 300, 1)
+    }
+}
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -46,7 +46,8 @@
 //! - `client_requests`, `operator_requests`, `agent_sync`, `worker_report`, `commands`: one kind of request each, and
 //!   the responses.
 //! - `worker_liveness`, `run_timeouts`, `hedging`: what happens as time passes.
-//! - `recovery`, `explain`: takeover by a new primary; explanations for operators.
+//! - `recovery`, `explain`, `long_running_report`: takeover by a new primary; explanations for operators; log lines of
+//!   long-running tasks that are not at work.
 //! - `cluster_state`: the state, and the transitions that keep its parts consistent.
 //! - `runs`, `workers`, `agents`, `fair_share`, `penalty_store`, `objective_report`: the parts of the state, each with
 //!   what it owns.
@@ -62,6 +63,7 @@
 mod fair_share;
 mod hedging;
 mod json_body;
+mod long_running_report;
 mod objective_report;
 mod operator_requests;
 mod penalty_store;
@@ -80,6 +82,7 @@
     RequestId, SchedulerResponse,
 };
 pub use explain::{JobExplanation, PendingUnitExplanation, RunExplanation};
+pub use long_running_report::{LongRunningShortfall, LONG_RUNNING_SHORTFALL_PREFIX};
 pub use objective_report::OBJECTIVE_MISSED_PREFIX;
 pub use recovery::RecoverError;
 pub use scheduler::Scheduler;
--- a/crates/scheduler/src/objective_report.rs
+++ b/crates/scheduler/src/objective_report.rs
@@ -36,7 +36,8 @@
     match reason {
         WaitReason::NoSchedulableWorker
         | WaitReason::NoMatchingLabel
-        | WaitReason::NoWorkerLargeEnough => LatencyStage::WaitedForWorker,
+        | WaitReason::NoWorkerLargeEnough
+        | WaitReason::AntiAffinityLimitReached => LatencyStage::WaitedForWorker,
         WaitReason::NoFreeCapacity => LatencyStage::WaitedForCapacity,
         WaitReason::CapacityReserved => LatencyStage::WaitedForReservation,
         WaitReason::CapacityReservedForOthers => LatencyStage::WaitedWithCapacityFree,
--- a/crates/scheduler/src/run_timeouts.rs
+++ b/crates/scheduler/src/run_timeouts.rs
@@ -43,7 +43,8 @@
     }
 }
 
-fn is_unheard(state: &ClusterState, now: Millis, worker: &WorkerId) -> bool {
+/// Whether the worker has not been heard for so long that nothing is known of its runs.
+pub(crate) fn is_unheard(state: &ClusterState, now: Millis, worker: &WorkerId) -> bool {
     heartbeat_age_ms(&state.workers, &state.agents, now, worker) > HEARTBEAT_TIMEOUT_MS
 }
 
@@ -54,8 +55,13 @@
     let may_stall = run.phase == RunPhase::Running
         && !run.is_stopping()
         && !is_unheard(state, now, &run.worker);
-    let has_started_up = run.profile.long_running && run.percent >= STARTED_UP_PERCENT;
-    may_stall && !has_started_up && run.stalled_ms(now) > stall_timeout_ms(state, run)
+    may_stall && !has_started_up(run) && run.stalled_ms(now) > stall_timeout_ms(state, run)
+}
+
+/// Whether a long-running task is at work.
+pub(crate) fn has_started_up(run: &ActiveRun) -> bool {
+    let runs = run.phase == RunPhase::Running;
+    runs && run.profile.long_running && run.percent >= STARTED_UP_PERCENT
 }
 
 /// Longest time without progress: by the estimate, and with the time that is spent before the first progress.
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -3,6 +3,7 @@
 use crate::cluster_state::ClusterState;
 use crate::event::{Effects, Event, SchedulerResponse};
 use crate::explain::{self, JobExplanation};
+use crate::long_running_report::LongRunningReport;
 use crate::recovery::{self, RecoverError};
 use crate::settings::SchedulerSettings;
 use crate::status::{SchedulerStatus, WorkerStatus};
@@ -28,6 +29,7 @@
     state: ClusterState,
     configuration: ConfigurationStore,
     next_check_at: Millis,
+    long_running_report: LongRunningReport,
 }
 
 impl Scheduler {
@@ -48,6 +50,7 @@
             state,
             configuration,
             next_check_at: now.steady_ms,
+            long_running_report: LongRunningReport::default(),
         })
     }
 
@@ -103,6 +106,7 @@
         run_timeouts::check_draining(&mut self.state, now.steady_ms);
         self.update_penalties(now.steady_ms);
         self.state.update_fair_share(now.steady_ms);
+        self.long_running_report.log_if_due(&self.state, now);
     }
 
     fn update_penalties(&mut self, now: Millis) {
--- a/crates/scheduler/tests/support/mod.rs
+++ b/crates/scheduler/tests/support/mod.rs
@@ -7,6 +7,7 @@
     reason = "a test fails by panicking"
 )]
 
+pub(crate) mod log_capture;
 pub(crate) mod scenarios;
 
 use std::collections::BTreeMap;
