--- a/crates/jobs/src/changes.rs
+++ b/crates/jobs/src/changes.rs
@@ -65,6 +65,9 @@
     pub spec: Arc<str>,
     /// Checkpoint that it was started with; empty for the beginning.
     pub checkpoint: Arc<str>,
+    /// When it was assigned, in milliseconds since 1970; where a former version did not record it, when the job table was
+    /// recovered.
+    pub assigned_unix_ms: Millis,
     /// Estimated run time of a task, in milliseconds.
     pub estimated_ms: Millis,
     /// It writes checkpoints.
--- a/crates/jobs/src/encoding.rs
+++ b/crates/jobs/src/encoding.rs
@@ -68,6 +68,11 @@
         last_failed_run: unit.last_failed_run,
         checkpoint: unit.checkpoint.clone(),
         started_from: has_newer_checkpoint.then(|| unit.started_from.clone()),
+        assigned_unix_ms: if unit.assigned_tasks > 0 {
+            unit.assigned_unix_ms
+        } else {
+            0
+        },
         avoided_workers: unit.avoided_workers.clone(),
         ..record
     }
--- a/crates/jobs/src/record.rs
+++ b/crates/jobs/src/record.rs
@@ -80,6 +80,10 @@
     /// Checkpoint that the newest run was started with, where that is not the newest one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) started_from: Option<Arc<str>>,
+    /// When the newest run was assigned, in milliseconds since 1970, until it is over; 0 where a former version did not
+    /// record it.
+    #[serde(rename = "since_ms", default, skip_serializing_if = "is_zero")]
+    pub(crate) assigned_unix_ms: Millis,
     /// Workers to avoid, the newest last.
     #[serde(rename = "avoid", default, skip_serializing_if = "Vec::is_empty")]
     pub(crate) avoided_workers: Vec<WorkerId>,
@@ -135,10 +139,7 @@
         .into()
 }
 
-#[expect(
-    clippy::trivially_copy_pass_by_ref,
-    reason = "serde passes a reference"
-)]
-fn is_zero(value: &u32) -> bool {
-    *value == 0
+/// Whether a number is left out of a record.
+pub(crate) fn is_zero<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
 }
--- a/crates/jobs/src/recovery.rs
+++ b/crates/jobs/src/recovery.rs
@@ -10,6 +10,7 @@
 use crate::policy::QueuePolicy;
 use crate::position::UnitPosition;
 use crate::record::{self, JobRecord, OpenJobRecord, RecordKey, TaskRecord};
+use crate::run_assignment::RunAssignment;
 use crate::settings::JobSettings;
 use crate::store::JobStore;
 use crate::unit::{UnitPhase, UnitState};
@@ -118,12 +119,15 @@
     let earlier_runs = u32::from(record.earlier.is_some());
     task.worker.clone_from(&record.worker);
     task.stopping = record.stopping;
-    task.earlier.clone_from(&record.earlier);
+    task.earlier = record.earlier.clone().map(|earlier| RunAssignment {
+        assigned_unix_ms: known_or_now(earlier.assigned_unix_ms, now),
+        ..earlier
+    });
     unit.run = record.run;
     unit.assigned_tasks += assigned_runs;
-    restart_clocks(unit, now.steady_ms);
+    unit.latency.restart(now.steady_ms);
     if holds_unit_state {
-        restore_unit(unit, record);
+        restore_unit(unit, now, record);
     }
     job.iterations
         .count_assigned(id.iteration, assigned_runs + earlier_runs);
@@ -131,13 +135,15 @@
     true
 }
 
-/// The steady clock of the former primary is gone: the unit's times begin anew.
-fn restart_clocks(unit: &mut UnitState, now_ms: Millis) {
-    unit.assigned_at_ms = now_ms;
-    unit.latency.restart(now_ms);
+/// When a run was assigned; now, where a former version did not record it.
+fn known_or_now(recorded_unix_ms: Millis, now: Now) -> Millis {
+    match recorded_unix_ms {
+        0 => now.unix_ms,
+        known => known,
+    }
 }
 
-fn restore_unit(unit: &mut UnitState, record: TaskRecord) {
+fn restore_unit(unit: &mut UnitState, now: Now, record: TaskRecord) {
     if record.done {
         unit.phase = UnitPhase::Done;
     }
@@ -147,6 +153,7 @@
         .started_from
         .unwrap_or_else(|| record.checkpoint.clone());
     unit.checkpoint = record.checkpoint;
+    unit.assigned_unix_ms = known_or_now(record.assigned_unix_ms, now);
     unit.avoided_workers = record.avoided_workers;
 }
 
--- a/crates/jobs/src/run_events.rs
+++ b/crates/jobs/src/run_events.rs
@@ -37,7 +37,7 @@
         let Some(workers) = workers_in_task_order(id, tasks.clone(), assignments) else {
             return Vec::new();
         };
-        step.start_unit(now.steady_ms, position.unit, run, &workers);
+        step.start_unit(now, position.unit, run, &workers);
         effects.ready_units.remove(id);
         self.iterations
             .count_assigned(position.iteration, tasks.end - tasks.start);
@@ -122,7 +122,7 @@
         let Some(unit) = self.iterations.unit_mut(unit_position) else {
             return;
         };
-        match unit.on_run_over(now.steady_ms, position.slot, result, worker, restart) {
+        match unit.on_run_over(now, position.slot, result, worker, restart) {
             AfterRun::AlreadyDone => {}
             AfterRun::Done => self.on_unit_done(now, unit_position, effects),
             AfterRun::AttemptsExhausted => {
--- a/crates/jobs/src/step.rs
+++ b/crates/jobs/src/step.rs
@@ -8,7 +8,7 @@
 use streamusher_protocol::job::StepRequest;
 use streamusher_protocol::task::{JobId, RunId};
 use streamusher_protocol::unit::WorkerId;
-use streamusher_protocol::Millis;
+use streamusher_protocol::Now;
 
 /// A run of a task of the step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -159,6 +159,7 @@
                 worker: task.worker.clone()?,
                 stopping: task.stopping,
                 started_from: unit.started_from.clone(),
+                assigned_unix_ms: unit.assigned_unix_ms,
             })
         });
         let earlier = task.and_then(|task| task.earlier.clone());
@@ -200,7 +201,7 @@
     }
 
     /// Assigns a unit's tasks to workers, in the order of its tasks.
-    pub(crate) fn start_unit(&mut self, now_ms: Millis, unit: u32, run: u32, workers: &[WorkerId]) {
+    pub(crate) fn start_unit(&mut self, now: Now, unit: u32, run: u32, workers: &[WorkerId]) {
         let tasks = self.tasks_of(unit);
         for (task, worker) in self.tasks[as_indexes(&tasks)].iter_mut().zip(workers) {
             task.worker = Some(worker.clone());
@@ -208,7 +209,7 @@
             task.reported_checkpoint = None;
         }
         if let Some(unit) = self.unit_mut(unit) {
-            unit.assign(now_ms, run, tasks.end - tasks.start);
+            unit.assign(now, run, tasks.end - tasks.start);
         }
     }
 
@@ -300,6 +301,7 @@
             worker,
             stopping: false,
             started_from: unit.started_from.clone(),
+            assigned_unix_ms: unit.assigned_unix_ms,
         });
         true
     }
--- a/crates/jobs/src/unit.rs
+++ b/crates/jobs/src/unit.rs
@@ -7,7 +7,7 @@
 use crate::run_result::RunResult;
 use std::sync::Arc;
 use streamusher_protocol::unit::WorkerId;
-use streamusher_protocol::Millis;
+use streamusher_protocol::{Millis, Now};
 
 /// Workers that a unit avoids at most; more would leave too little choice in a small group.
 const MAX_AVOIDED_WORKERS: usize = 4;
@@ -77,8 +77,8 @@
     pub(crate) last_failed_run: u32,
     /// Tasks of which the newest run is assigned.
     pub(crate) assigned_tasks: u32,
-    /// When the newest run was assigned, by the steady clock.
-    pub(crate) assigned_at_ms: Millis,
+    /// When the newest run was assigned, in milliseconds since 1970: a steady clock ends with its primary.
+    pub(crate) assigned_unix_ms: Millis,
     /// Where its time went.
     pub(crate) latency: LatencyAccount,
     /// The newest known checkpoint; empty for none.
@@ -130,10 +130,10 @@
     }
 
     /// Begins the next run of the unit's tasks, from its newest checkpoint.
-    pub(crate) fn assign(&mut self, now_ms: Millis, run: u32, tasks: u32) {
+    pub(crate) fn assign(&mut self, now: Now, run: u32, tasks: u32) {
         self.run = run;
         self.phase = UnitPhase::Assigned;
-        self.assigned_at_ms = now_ms;
+        self.assigned_unix_ms = now.unix_ms;
         self.latency.set_run_timings(None);
         self.assigned_tasks = tasks;
         self.started_from = self.checkpoint.clone();
@@ -142,7 +142,7 @@
     /// Takes the end of a run into account.
     pub(crate) fn on_run_over(
         &mut self,
-        now_ms: Millis,
+        now: Now,
         slot: RunSlot,
         result: RunResult,
         worker: Option<&WorkerId>,
@@ -153,15 +153,15 @@
         }
         let is_long_running = restart == RestartPolicy::Unlimited;
         if result == RunResult::Succeeded && !is_long_running {
-            self.latency.add_successful_run(now_ms);
+            self.latency.add_successful_run(now.steady_ms);
             return AfterRun::Done;
         }
-        let ran_ms = now_ms.saturating_sub(self.assigned_at_ms);
+        let ran_ms = now.unix_ms.saturating_sub(self.assigned_unix_ms);
         if is_long_running && ran_ms >= HEALTHY_RUN_MS {
             self.failed_attempts = 0;
         }
         self.latency
-            .add_elapsed(now_ms, result.stage_before_rerun());
+            .add_elapsed(now.steady_ms, result.stage_before_rerun());
         if result != RunResult::Failed {
             return AfterRun::RunAgain;
         }
--- a/crates/jobs/src/views.rs
+++ b/crates/jobs/src/views.rs
@@ -103,6 +103,7 @@
         service: job.policy.service.clone(),
         spec: job.plan.request.spec.clone(),
         checkpoint: run.started_from,
+        assigned_unix_ms: run.assigned_unix_ms,
         estimated_ms: request.estimated_ms,
         checkpoints: request.checkpoints,
         long_running: request.long_running,
--- a/crates/jobs/tests/encoded_forms.rs
+++ b/crates/jobs/tests/encoded_forms.rs
@@ -22,6 +22,9 @@
 use streamusher_protocol::task::RunEnd;
 
 const RECORDS: &str = include_str!("fixtures/encoded/records.txt");
+/// Written by the versions before runs had the time of their assignment.
+const RECORDS_WITHOUT_START_TIMES: &str =
+    include_str!("fixtures/encoded/records_without_start_times.txt");
 const COMPLETIONS: &str = include_str!("fixtures/encoded/completions.jsonl");
 const STAGES: &str = include_str!("fixtures/encoded/latency_stages.jsonl");
 /// Records of the replicated state by key.
@@ -237,10 +240,10 @@
 }
 
 /// The records of each state in the fixture.
-fn recorded_states() -> BTreeMap<&'static str, Records> {
+fn recorded_states(records: &'static str) -> BTreeMap<&'static str, Records> {
     let mut recorded = BTreeMap::<&str, Records>::new();
     let mut name = "";
-    for line in RECORDS.lines() {
+    for line in records.lines() {
         if let Some(heading) = line.strip_prefix(STATE_HEADING) {
             name = heading;
             continue;
@@ -266,9 +269,12 @@
     assert_eq!(encoded, RECORDS);
 }
 
-#[test]
-fn recorded_records_are_decoded_to_the_same_state() {
-    let recorded = recorded_states();
+/// Where a former version did not record when a run was assigned, it counts from the takeover, which is at the same time here.
+#[rstest]
+#[case::present(RECORDS)]
+#[case::without_start_times(RECORDS_WITHOUT_START_TIMES)]
+fn recorded_records_are_decoded_to_the_same_state(#[case] records: &'static str) {
+    let recorded = recorded_states(records);
     for (name, harness) in states() {
         let decoded = Harness::recovered_from(harness.now, recorded[name].clone());
         assert!(decoded.last_changes.writes.is_empty(), "{name}");
--- a/crates/jobs/tests/long_running.rs
+++ b/crates/jobs/tests/long_running.rs
@@ -74,3 +74,26 @@
     harness.advance(5_000);
     assert!(harness.ready_ids().is_empty());
 }
+
+/// The row of failures ends with a run that lasted for 10 s, also where a takeover came in between.
+#[rstest]
+#[case::healthy(9_500, true)]
+#[case::short(1_000, false)]
+fn time_before_a_takeover_counts_for_a_healthy_run(
+    #[case] before_ms: u64,
+    #[case] is_ready_at_once: bool,
+) {
+    let mut harness = Harness::new();
+    harness.submit(1, request(vec![long_running_step(1)]));
+    let id = unit_id(1, 0, 0, Some(0));
+    harness.start_and_finish(&id, RunEnd::Failed);
+    harness.start_and_finish(&id, RunEnd::Failed);
+    harness.advance(100);
+    let started = harness.start(&id);
+    harness.advance(before_ms);
+
+    harness = Harness::recovered_from(harness.now, harness.state);
+    harness.advance(600);
+    harness.finish(&started[0].run, RunEnd::Failed);
+    assert_eq!(harness.ready_ids().contains(&id), is_ready_at_once);
+}
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -85,6 +85,8 @@
     }
 
     /// Allocates capacity for a run that a former primary has started; for its own decisions `place` does this itself.
+    /// The run has held its capacity for `held_before_ms` milliseconds, 0 where that is not known: what preempting it
+    /// loses follows from that.
     ///
     /// A worker that is not known yet is added as one that takes no work until [`Placement::update_worker`] reports it.
     pub fn restore_run(
@@ -93,12 +95,20 @@
         task: &TaskId,
         worker: &WorkerId,
         allocation: Allocation,
+        held_before_ms: Millis,
     ) {
         if self.cluster.workers.index_of(worker).is_none() {
             let info = worker_lifecycle::unreported_worker(worker, &allocation.service);
             self.update_worker(now, info);
         }
-        worker_lifecycle::restore_run(&mut self.cluster, now, task, worker, allocation);
+        worker_lifecycle::restore_run(
+            &mut self.cluster,
+            now,
+            task,
+            worker,
+            allocation,
+            held_before_ms,
+        );
     }
 
     /// Releases the allocation of a run, and learns from how it ended.
--- a/crates/placement/src/worker_lifecycle.rs
+++ b/crates/placement/src/worker_lifecycle.rs
@@ -95,6 +95,7 @@
     task: &TaskId,
     worker: &WorkerId,
     allocation: Allocation,
+    held_before_ms: Millis,
 ) {
     let Some(index) = cluster.workers.index_of(worker) else {
         return;
@@ -110,7 +111,8 @@
             .headroom
             .observe_slack(&allocation.queue, allocation.priority, allocation.slack_ms);
     let demand = allocation.clone();
-    if !worker.allocate(task, Run::new(now, allocation, slack_class)) {
+    let run = Run::restored(now, held_before_ms, allocation, slack_class);
+    if !worker.allocate(task, run) {
         return;
     }
     cluster.change_demand(now, &demand, slack_class, DemandChange::Added);
--- a/crates/placement/tests/claims.rs
+++ b/crates/placement/tests/claims.rs
@@ -210,6 +210,7 @@
         &task(1),
         &"w1".into(),
         Allocation::from(&before),
+        0,
     );
     cluster.update_worker(worker("w1", 1_000, "r1"));
     cluster.enqueue(unit(2, 400, 2));
@@ -225,6 +226,7 @@
         &task(1),
         &"w1".into(),
         Allocation::from(&before),
+        0,
     );
     let used: Vec<u64> = cluster
         .placement
--- a/crates/placement/tests/reorder.rs
+++ b/crates/placement/tests/reorder.rs
@@ -20,6 +20,7 @@
         &task(999),
         &"w".into(),
         Allocation::from(&unit(999, 1_000, 1)),
+        0,
     );
     for unit in units {
         placement.enqueue(0, unit.clone());
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -66,7 +66,7 @@
             .restore_penalty(now.steady_ms, worker.clone(), penalty);
     }
     restore_workers(&mut state, now.steady_ms, records);
-    restore_runs(&mut state, now.steady_ms);
+    restore_runs(&mut state, now);
     // All that is pending is enqueued here: recovery runs beside the event loop, the first event does not.
     state.apply_job_changes(now);
     Ok((state, configuration))
@@ -106,14 +106,15 @@
     }
 }
 
-fn restore_runs(state: &mut ClusterState, now: Millis) {
-    let lease_expires_at = former_leases_expire_at(state, now);
+fn restore_runs(state: &mut ClusterState, now: Now) {
+    let steady_ms = now.steady_ms;
+    let lease_expires_at = former_leases_expire_at(state, steady_ms);
     for assigned in state.jobs.assigned_runs() {
         let worker = assigned.worker.clone();
         state.workers.get_or_insert(&worker, lease_expires_at);
         restore_allocation(state, now, &worker, &assigned);
         if let Some(fair_share) = &mut state.fair_share {
-            fair_share.on_run_started(now, &state.jobs, &assigned.run, &assigned.resources);
+            fair_share.on_run_started(steady_ms, &state.jobs, &assigned.run, &assigned.resources);
         }
         let profile = RunProfile {
             estimated_ms: assigned.estimated_ms,
@@ -121,7 +122,13 @@
             in_gang: assigned.gang,
             may_hedge: assigned.hedged,
         };
-        let mut run = ActiveRun::starting(now, worker, assigned.spec, assigned.checkpoint, profile);
+        let mut run = ActiveRun::starting(
+            steady_ms,
+            worker,
+            assigned.spec,
+            assigned.checkpoint,
+            profile,
+        );
         run.stop_revision = assigned.stopping.then_some(FIRST_REVISION);
         state.runs.insert(assigned.run, run);
     }
@@ -129,7 +136,7 @@
 
 fn restore_allocation(
     state: &mut ClusterState,
-    now: Millis,
+    now: Now,
     worker: &WorkerId,
     assigned: &AssignedRun,
 ) {
@@ -146,7 +153,10 @@
         estimated_ms: assigned.estimated_ms,
     };
     let task = &assigned.run.task;
-    state.placement.restore_run(now, task, worker, allocation);
+    let held_before_ms = now.unix_ms.saturating_sub(assigned.assigned_unix_ms);
+    state
+        .placement
+        .restore_run(now.steady_ms, task, worker, allocation, held_before_ms);
     if assigned.stopping {
         state.placement.mark_stopping(task, worker);
     }
--- a/crates/scheduler/tests/long_running_report.rs
+++ b/crates/scheduler/tests/long_running_report.rs
@@ -65,8 +65,11 @@
 fn tasks_that_start_back_off_and_are_unheard_are_told_apart() {
     log_capture::install();
     let (mut cluster, mut agent) = with_two_of_three_at_work();
-    agent.report.running[0].percent = 50.0;
-    run_for(&mut cluster, &mut agent, 12);
+    agent.report.running[0].percent = 0.0;
+    for _ in 0..12 {
+        agent.report.running[0].percent += 5.0;
+        run_for(&mut cluster, &mut agent, 1);
+    }
     let job = reported().expect("a report").remove(0);
     assert_eq!((job.at_work, job.starting, job.pending), (1, 1, 1));
 
