--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -216,6 +216,11 @@
         remote_slowdown * self.worker_slowness(now, worker)
     }
 
+    /// How often pending units were looked at again so far: what a backlog costs the primary.
+    pub fn retry_count(&self) -> u64 {
+        self.cluster.queue.retry_count()
+    }
+
     /// The number of pending units.
     pub fn pending_count(&self) -> usize {
         self.cluster.queue.len()
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -14,6 +14,7 @@
     keys: HashMap<UnitId, QueueKey>,
     timers: BTreeSet<(Millis, QueueKey)>,
     last_serial: u64,
+    retry_count: u64,
 }
 
 impl PendingQueue {
@@ -69,6 +70,16 @@
         self.units.len()
     }
 
+    /// Retries of units so far.
+    pub(crate) fn retry_count(&self) -> u64 {
+        self.retry_count
+    }
+
+    /// Counts retries of units.
+    pub(crate) fn count_retries(&mut self, retries: usize) {
+        self.retry_count += retries as u64;
+    }
+
     /// How many units come before one.
     pub(crate) fn units_before(&self, key: QueueKey) -> usize {
         self.units.range(..key).count()
--- a/crates/placement/src/scheduling.rs
+++ b/crates/placement/src/scheduling.rs
@@ -53,7 +53,9 @@
 /// Takes the units that are new or due for a retry, and the first gangs of the services in which capacity became free.
 fn take_due_units(cluster: &mut Cluster, now: Millis) -> DueUnits {
     let mut keys = take_new_units(cluster);
-    keys.extend(cluster.queue.take_due(now, MAX_RETRIES));
+    let retries = cluster.queue.take_due(now, MAX_RETRIES);
+    cluster.queue.count_retries(retries.len());
+    keys.extend(retries);
     let is_gang = |key: &QueueKey| cluster.queue.get(*key).is_some_and(PendingUnit::is_gang);
     let (mut gangs, singles): (BTreeSet<QueueKey>, BTreeSet<QueueKey>) =
         keys.into_iter().partition(is_gang);
