--- a/crates/placement/src/cluster.rs
+++ b/crates/placement/src/cluster.rs
@@ -113,8 +113,8 @@
         if worker.add_copy(key, &pending.unit.resources) {
             pending.copies.push(index);
             self.update_load(index);
+            self.changed_workers.insert(index);
         }
-        self.changed_workers.insert(index);
     }
 
     /// Takes a unit's copies out of all queues.
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -99,6 +99,7 @@
 mod reservation;
 mod resource_vector;
 mod retry;
+mod retry_pacer;
 mod run;
 mod run_estimate;
 mod run_time;
--- a/crates/placement/src/pending_unit.rs
+++ b/crates/placement/src/pending_unit.rs
@@ -28,6 +28,8 @@
     retry_delay_ms: Millis,
     /// When it is looked at again, if that is known.
     pub(crate) retry_at: Option<Millis>,
+    /// That time is reserved with its service's pacer.
+    pub(crate) is_retry_reserved: bool,
 }
 
 impl PendingUnit {
@@ -42,6 +44,7 @@
             wait_history: WaitHistory::new(now),
             retry_delay_ms: INITIAL_RETRY_DELAY_MS,
             retry_at: None,
+            is_retry_reserved: false,
         }
     }
 
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -97,6 +97,16 @@
         self.timers.insert((retry_at, key));
     }
 
+    /// Postpones the unit's retry that is due to a time that is reserved for it; the delay before the one after stays.
+    pub(crate) fn postpone_retry(&mut self, key: QueueKey, retry_at: Millis) {
+        let Some(pending) = self.units.get_mut(&key) else {
+            return;
+        };
+        pending.retry_at = Some(retry_at);
+        pending.is_retry_reserved = true;
+        self.timers.insert((retry_at, key));
+    }
+
     /// Whether any unit is due for a retry.
     pub(crate) fn has_due(&self, now: Millis) -> bool {
         self.timers
--- a/crates/placement/src/scheduling.rs
+++ b/crates/placement/src/scheduling.rs
@@ -12,8 +12,8 @@
 use std::collections::BTreeSet;
 use streamusher_protocol::Millis;
 
-/// Units that are looked at again in one cycle; the others follow in the next.
-const MAX_RETRIES: usize = 64;
+/// Units that are due for a retry and are taken up in one cycle; the others follow in the next.
+const MAX_DUE_UNITS: usize = 64;
 /// New units that are looked at in one cycle, most urgent first. A new primary finds all that is pending at once, and must not
 /// be held up by it.
 const MAX_NEW_UNITS: usize = 1_000;
@@ -53,9 +53,7 @@
 /// Takes the units that are new or due for a retry, and the first gangs of the services in which capacity became free.
 fn take_due_units(cluster: &mut Cluster, now: Millis) -> DueUnits {
     let mut keys = take_new_units(cluster);
-    let retries = cluster.queue.take_due(now, MAX_RETRIES);
-    cluster.queue.count_retries(retries.len());
-    keys.extend(retries);
+    keys.extend(take_retries(cluster, now));
     let is_gang = |key: &QueueKey| cluster.queue.get(*key).is_some_and(PendingUnit::is_gang);
     let (mut gangs, singles): (BTreeSet<QueueKey>, BTreeSet<QueueKey>) =
         keys.into_iter().partition(is_gang);
@@ -67,6 +65,32 @@
     DueUnits { gangs, singles }
 }
 
+/// The units that are due for a retry and whose time it is by their service's pacer; the others are postponed.
+fn take_retries(cluster: &mut Cluster, now: Millis) -> Vec<QueueKey> {
+    let mut keys = Vec::new();
+    for key in cluster.queue.take_due(now, MAX_DUE_UNITS) {
+        let retry_at = reserve_retry(cluster, now, key);
+        if retry_at <= now {
+            keys.push(key);
+        } else {
+            cluster.queue.postpone_retry(key, retry_at);
+        }
+    }
+    cluster.queue.count_retries(keys.len());
+    keys
+}
+
+fn reserve_retry(cluster: &mut Cluster, now: Millis, key: QueueKey) -> Millis {
+    let Some(pending) = cluster.queue.get_mut(key) else {
+        return now;
+    };
+    if std::mem::take(&mut pending.is_retry_reserved) {
+        return now;
+    }
+    let service = cluster.services.get_mut(&pending.unit.service);
+    service.map_or(now, |service| service.reserve_retry(now))
+}
+
 fn take_new_units(cluster: &mut Cluster) -> BTreeSet<QueueKey> {
     let first_left = cluster.new_units.iter().nth(MAX_NEW_UNITS).copied();
     let left = first_left.map_or_else(BTreeSet::new, |key| cluster.new_units.split_off(&key));
--- a/crates/placement/src/service.rs
+++ b/crates/placement/src/service.rs
@@ -6,6 +6,7 @@
 use crate::index::{QueueKey, WorkerIndex};
 use crate::penalty::{max_concurrent_runs, Penalty};
 use crate::resource_vector::ResourceVector;
+use crate::retry_pacer::RetryPacer;
 use crate::run_time::{MeanRunTime, RelativeSpeed};
 use crate::step_run_times::StepRunTimes;
 use crate::worker::Worker;
@@ -68,6 +69,7 @@
     mean_run_time: MeanRunTime,
     step_run_times: StepRunTimes,
     largest_request: LargestRequest,
+    retry_pacer: RetryPacer,
 }
 
 impl Service {
@@ -122,6 +124,15 @@
         shares.largest() < LIGHT_USE_SHARE
     }
 
+    /// When a pending unit that is due is looked at again. At once where much of the capacity is free: its wait has a bound.
+    pub(crate) fn reserve_retry(&mut self, now: Millis) -> Millis {
+        if self.is_lightly_used() {
+            now
+        } else {
+            self.retry_pacer.reserve(now)
+        }
+    }
+
     /// Works out the headroom anew where it is due.
     pub(crate) fn refresh_headroom(&mut self, now: Millis) {
         let is_fresh = |at: Millis| now < at.saturating_add(HEADROOM_REFRESH_INTERVAL_MS);
