--- a/crates/controlplane/examples/soak/disruptions.rs
+++ b/crates/controlplane/examples/soak/disruptions.rs
@@ -58,11 +58,11 @@
         let role = roles[self.random.random_range(0..roles.len())];
         let names = machines.names(role);
         let now = clock::steady();
-        let up: Vec<&String> = names
+        let candidates: Vec<&String> = names
             .iter()
             .filter(|name| self.may_be_signalled(now, name))
             .collect();
-        let Some(name) = up.choose(&mut self.random).copied() else {
+        let Some(name) = candidates.choose(&mut self.random).copied() else {
             return Ok(());
         };
         let signal = match self.random.random_range(0..3) {
--- a/crates/placement/src/placement.rs
+++ b/crates/placement/src/placement.rs
@@ -85,7 +85,7 @@
     }
 
     /// Allocates capacity for a run that a former primary has started; for its own decisions `place` does this itself.
-    /// The run has held its capacity for `held_before_ms` milliseconds, 0 where that is not known: what preempting it
+    /// The run has held its capacity for `elapsed_before_ms` milliseconds, 0 where that is not known: what preempting it
     /// loses follows from that.
     ///
     /// A worker that is not known yet is added as one that takes no work until [`Placement::update_worker`] reports it.
@@ -95,7 +95,7 @@
         task: &TaskId,
         worker: &WorkerId,
         allocation: Allocation,
-        held_before_ms: Millis,
+        elapsed_before_ms: Millis,
     ) {
         if self.cluster.workers.index_of(worker).is_none() {
             let info = worker_lifecycle::unreported_worker(worker, &allocation.service);
@@ -107,7 +107,7 @@
             task,
             worker,
             allocation,
-            held_before_ms,
+            elapsed_before_ms,
         );
     }
 
--- a/crates/placement/src/run.rs
+++ b/crates/placement/src/run.rs
@@ -39,7 +39,7 @@
     /// When its capacity was allocated, by this primary.
     allocated_at: Millis,
     /// How long it had held its capacity before, under former primaries, in milliseconds.
-    held_before_ms: Millis,
+    elapsed_before_ms: Millis,
     /// How much longer it takes here than near its data.
     pub(crate) remote_slowdown: f64,
     /// A stop was ordered; the allocation is held until the end of the run is known.
@@ -55,7 +55,7 @@
             allocation,
             slack_class,
             allocated_at: now,
-            held_before_ms: 0,
+            elapsed_before_ms: 0,
             remote_slowdown: 1.0,
             stopping: false,
             first_report: None,
@@ -67,20 +67,20 @@
     /// A run that a former primary has started, and that has held its capacity for so long.
     pub(crate) fn restored(
         now: Millis,
-        held_before_ms: Millis,
+        elapsed_before_ms: Millis,
         allocation: Allocation,
         slack_class: SlackClass,
     ) -> Run {
         Run {
-            held_before_ms,
+            elapsed_before_ms,
             ..Run::new(now, allocation, slack_class)
         }
     }
 
     /// For how long it has held its capacity, under all primaries, in milliseconds.
-    fn held_ms(&self, now: Millis) -> Millis {
+    fn elapsed_ms(&self, now: Millis) -> Millis {
         now.saturating_sub(self.allocated_at)
-            .saturating_add(self.held_before_ms)
+            .saturating_add(self.elapsed_before_ms)
     }
 
     /// Notes a report. Returns the run's total time near its data once, as soon as two reports tell it.
@@ -149,7 +149,7 @@
     }
 
     fn remaining_ms_by_estimate(&self, now: Millis, estimated_ms: f64) -> f64 {
-        let elapsed_ms = self.held_ms(now) as f64;
+        let elapsed_ms = self.elapsed_ms(now) as f64;
         (estimated_ms - elapsed_ms)
             .max(estimated_ms * MIN_REMAINING_SHARE)
             .max(MIN_REMAINING_MS)
@@ -158,7 +158,7 @@
     /// What stopping it now would lose, in units of a small job's value.
     pub(crate) fn preemption_cost(&self, now: Millis, settings: &PlacementSettings) -> f64 {
         // Also under former primaries: else a takeover would make all runs the cheapest victims at the same moment.
-        let elapsed_ms = self.held_ms(now);
+        let elapsed_ms = self.elapsed_ms(now);
         // A stop writes a checkpoint: then only continuing from it costs.
         let lost_ms = if self.allocation.checkpoints {
             elapsed_ms.min(settings.checkpoint_restore_ms)
--- a/crates/placement/src/worker_lifecycle.rs
+++ b/crates/placement/src/worker_lifecycle.rs
@@ -95,7 +95,7 @@
     task: &TaskId,
     worker: &WorkerId,
     allocation: Allocation,
-    held_before_ms: Millis,
+    elapsed_before_ms: Millis,
 ) {
     let Some(index) = cluster.workers.index_of(worker) else {
         return;
@@ -111,7 +111,7 @@
             .headroom
             .observe_slack(&allocation.queue, allocation.priority, allocation.slack_ms);
     let demand = allocation.clone();
-    let run = Run::restored(now, held_before_ms, allocation, slack_class);
+    let run = Run::restored(now, elapsed_before_ms, allocation, slack_class);
     if !worker.allocate(task, run) {
         return;
     }
--- a/crates/scheduler/src/recovery.rs
+++ b/crates/scheduler/src/recovery.rs
@@ -153,10 +153,10 @@
         estimated_ms: assigned.estimated_ms,
     };
     let task = &assigned.run.task;
-    let held_before_ms = now.unix_ms.saturating_sub(assigned.assigned_unix_ms);
+    let elapsed_before_ms = now.unix_ms.saturating_sub(assigned.assigned_unix_ms);
     state
         .placement
-        .restore_run(now.steady_ms, task, worker, allocation, held_before_ms);
+        .restore_run(now.steady_ms, task, worker, allocation, elapsed_before_ms);
     if assigned.stopping {
         state.placement.mark_stopping(task, worker);
     }
