--- a/crates/placement/tests/retry_pacing.rs
+++ b/crates/placement/tests/retry_pacing.rs
@@ -1,14 +1,15 @@
 //! A primary took over with some hundred units pending, and the backlog grew: each pending unit was looked at again every
 //! 0.8 s, whatever their number, and a look at one that finds no capacity costs more than a start. With 1,400 units pending
-//! the retries took 0.5 Gcycles a second of a processor that has 0.8. Agents' calls then waited behind them:
+//! placement took 0.5 Gcycles a second of a processor that has 0.8. In a run of the same requests on a busier machine
+//! workers that were well counted as unresponsive:
 //!
 //! ```text
 //! 14.02 pending 1409 Mcycles placement 1077
 //! 26.63 worker is unresponsive or terminated: unschedulable until it is heard again (34 more since)
 //! ```
 //!
-//! Workers that were taken for unresponsive got nothing, so that the backlog grew further, until long-running tasks had no
-//! place at all: 77 of 117 samples of them failed. With a bounded rate of retries none did, on the same requests.
+//! Such workers get nothing, so that the backlog grows further, until long-running tasks have no place at all. With other
+//! requests 77 of 117 samples of them failed; with a bounded rate of retries none did, on those same requests.
 #![allow(
     clippy::expect_used,
     clippy::unwrap_used,
--- a/crates/scheduler/tests/preemption_after_takeover.rs
+++ b/crates/scheduler/tests/preemption_after_takeover.rs
@@ -1,6 +1,6 @@
 //! A primary failed while urgent tasks were queueing. For 25 s it had preempted nothing, with 0.93 of the service in use.
-//! Within 2 s its successor preempted 279 runs, 100 of them long-running tasks of eight jobs; these then waited for up to
-//! 13 s behind what was more urgent, and the wide jobs got back last:
+//! Within 2 s its successor preempted 279 runs, 100 of them long-running tasks of eight jobs. In another run of the same
+//! requests such tasks then waited for up to 13 s behind what was more urgent:
 //!
 //! ```text
 //! 10.99 primary 1: preempted {}
