Ledger: a result that cannot be booked in time is withheld, not handed out unbilled

What callers saw: nothing; the operators' bill was short. A client got 200, the process ended before the entry was durable, and no bill held it. Cause: an answer that waited for its entry went out when hold_ms or the client's time was over (overdue), when the store failed (hold_no_longer), or when too many entries waited (Unbooked), whatever on_failure said.

Change: with on_failure = "refuse" such a result is withheld (Answer::Withheld): 502 with the reason, and its entry, if it becomes durable after all, is marked as not written. What waits does not go out either when the store fails, and at a stop it is answered by the last call. Busy replies and failures, which are not billed, go out as before; so does everything with "serve_unbilled" and in the fleet's tally. docs/design/ledger.md says why billing goes before the result. The scheduler's responses were read for the same: they wait for commit and lease without a time-out. Names: keeper, held and Held became bookkeeper, pending and PendingAnswer in the core's file.

Checks that changed, as they asked for the fault: a_disk_that_stands_still asked for a 200 from a store that was locked, and a_full_disk for one result less in the bill than clients had. They now ask for 502 and for equality; the case of a 200 stands in a test with "serve_unbilled". The gate's test of "refuse" asked that a result does not wait for a store that fails; it waits now, as that is its only way to the client, and the former numbers are held for "serve_unbilled". Counters are exact again: the client, not the hold, is short in a_disk_that_stands_still, so that a slow sync afterwards changes nothing.

--- a/crates/ledger/src/gate.rs
+++ b/crates/ledger/src/gate.rs
@@ -1,17 +1,18 @@
-//! Holds answers back until their entries are durable, and says what to do when the disk does not keep up.
+//! Keeps answers back until their entries are durable, and says what to do when the disk does not keep up.
 //!
 //! A state machine without I/O, told the time. Invariants: numbers are given out upwards and without gaps; an entry
-//! is let go once, as durable or as unbooked; new work is refused only while the ledger is not trusted.
+//! is let go once, as durable or as unbooked; new work is refused only while the ledger is not trusted; with
+//! [`OnFailure::Refuse`] no result is released whose entry is not durable.
 
 use crate::entry::Micros;
 
-/// What becomes of new work while nothing can be booked.
+/// What becomes of work while nothing can be booked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum OnFailure {
-    /// It gets a busy reply.
+    /// New work gets a busy reply, and a result that cannot be booked in time is withheld.
     Refuse,
-    /// It is served, and not billed.
+    /// New work is served, and results are released without waiting; what a crash then loses is not billed.
     ServeUnbilled,
 }
 
@@ -25,7 +26,7 @@
     durable: u64,
     waiting: usize,
     trusted: bool,
-    /// Answers that went out although their entries were not known to be durable.
+    /// Answers whose time was up before their entries were known to be durable.
     pub late: u64,
     /// Answers that were not booked at all.
     pub unbooked: u64,
@@ -38,10 +39,10 @@
     Hold {
         /// The entry's number.
         seq: u64,
-        /// When the answer goes out, durable or not.
+        /// When the client is answered, whether the entry is durable or not.
         until: Micros,
     },
-    /// Give it now, unbooked.
+    /// It cannot be booked: too many entries wait already.
     Unbooked,
 }
 
@@ -66,13 +67,19 @@
         self.trusted || self.on_failure == OnFailure::ServeUnbilled
     }
 
+    /// Whether a result may be released whose entry is not known to be durable.
+    pub fn releases_unbooked(&self) -> bool {
+        self.on_failure == OnFailure::ServeUnbilled
+    }
+
     /// Whether entries are written as they come.
     pub fn is_trusted(&self) -> bool {
         self.trusted
     }
 
     /// An answer that must be out `by` then. While the disk fails entries still go to the writer, which books them
-    /// when it can, but answers no longer wait for it.
+    /// when it can. Answers no longer wait for it where they may be released all the same; where they may not, waiting
+    /// is their only way to the client.
     pub fn book(&mut self, now: Micros, by: Micros) -> Verdict {
         // Counted first: what is not booked leaves a gap in the numbers, which a reconciliation shows.
         self.last += 1;
@@ -81,7 +88,8 @@
             return Verdict::Unbooked;
         }
         self.waiting += 1;
-        let until = if self.trusted {
+        let waits = self.trusted || !self.releases_unbooked();
+        let until = if waits {
             now.saturating_add(self.hold_us).min(by.max(now))
         } else {
             now
@@ -102,7 +110,7 @@
         self.trusted = true;
     }
 
-    /// The time of an answer is up: it goes out now. True if its entry was not known to be durable.
+    /// The time of an answer is up. True if its entry is not known to be durable.
     pub fn overdue(&mut self, seq: u64) -> bool {
         let late = seq > self.durable;
         if late {
--- a/crates/ledger/tests/pure.rs
+++ b/crates/ledger/tests/pure.rs
@@ -216,6 +216,25 @@
 #[test]
 fn a_disk_that_comes_back_is_trusted_again() {
     let mut gate = Gate::new(OnFailure::Refuse, 2_000, 3);
+    gate.failed();
+    assert!(!gate.takes_work() && !gate.releases_unbooked());
+    assert_eq!(
+        gate.book(10, 9_000),
+        Verdict::Hold {
+            seq: 1,
+            until: 2_010
+        },
+        "a result that may not be released waits for the disk"
+    );
+    assert!(gate.overdue(1));
+    gate.durable(1, 1);
+    assert!(gate.takes_work() && !gate.overdue(1));
+    assert_eq!(gate.late, 1);
+}
+
+#[test]
+fn what_may_be_released_does_not_wait_for_a_disk_that_fails() {
+    let mut gate = Gate::new(OnFailure::ServeUnbilled, 2_000, 3);
     assert_eq!(
         gate.book(0, 9_000),
         Verdict::Hold {
@@ -224,7 +243,7 @@
         }
     );
     gate.failed();
-    assert!(!gate.takes_work());
+    assert!(gate.takes_work() && gate.releases_unbooked() && !gate.is_trusted());
     assert_eq!(
         gate.book(10, 9_000),
         Verdict::Hold { seq: 2, until: 10 },
@@ -234,7 +253,7 @@
     assert_eq!(gate.book(20, 9_000), Verdict::Hold { seq: 3, until: 20 });
     assert_eq!(gate.book(30, 9_000), Verdict::Unbooked, "no more are kept");
     gate.durable(3, 3);
-    assert!(gate.takes_work() && !gate.overdue(3));
+    assert!(gate.is_trusted() && !gate.overdue(3));
     assert_eq!(
         gate.book(40, 9_000),
         Verdict::Hold {
--- a/src/billing.rs
+++ b/src/billing.rs
@@ -3,7 +3,7 @@
 //! All that is decided stands in `streamusher_ledger::gate`; the disk is touched on the writer's thread alone.
 
 use crate::config::operators::LedgerConfig;
-use crate::core::{Account, Booking, Bookkeeper, Ended};
+use crate::core::{Account, Booking, Bookkeeper, Ended, Overdue};
 use crate::interface::Micros;
 use crate::runtime::Hub;
 use slog::{info, warn, Logger};
@@ -115,7 +115,9 @@
             Told::Failed(why) => {
                 self.gate.borrow_mut().failed();
                 warn!(self.log, "the ledger cannot be written"; "why" => why);
-                hub.with(|core, _| core.hold_no_longer(self.number.get()));
+                if self.gate.borrow().releases_unbooked() {
+                    hub.with(|core, _| core.hold_no_longer(self.number.get()));
+                }
             }
             Told::Closed(closed) => {
                 for c in closed {
@@ -139,6 +141,11 @@
 }
 
 impl Billing {
+    /// Whether an answer may go out that is not booked. Only results are billed.
+    fn may_release(&self, ended: Ended) -> bool {
+        ended != Ended::Served || self.gate.borrow().releases_unbooked()
+    }
+
     fn class(&self, number: usize) -> Arc<str> {
         let mut classes = self.classes.borrow_mut();
         if let Some(hub) = self.hub.upgrade().filter(|_| classes.len() <= number) {
@@ -159,9 +166,11 @@
     }
 
     fn book(&self, now: Micros, by: Micros, a: &Account) -> Booking {
-        let (seq, until) = match self.gate.borrow_mut().book(now, by) {
+        let verdict = self.gate.borrow_mut().book(now, by);
+        let (seq, until) = match verdict {
             Verdict::Hold { seq, until } => (seq, until),
-            Verdict::Unbooked => return Booking::Unbooked,
+            Verdict::Unbooked if self.may_release(a.ended) => return Booking::Unbooked,
+            Verdict::Unbooked => return Booking::Refused,
         };
         self.note(Note::Entry(Entry {
             seq,
@@ -185,10 +194,16 @@
         Booking::Hold { number: seq, until }
     }
 
-    fn overdue(&self, number: u64) {
-        if self.gate.borrow_mut().overdue(number) {
+    fn overdue(&self, number: u64, ended: Ended) -> Overdue {
+        let is_late = self.gate.borrow_mut().overdue(number);
+        if is_late && !self.may_release(ended) {
+            warn!(self.log, "a result was withheld: it could not be booked in time"; "number" => number);
+            return Overdue::Withhold;
+        }
+        if is_late {
             warn!(self.log, "an answer went out before it was known to be booked"; "number" => number);
         }
+        Overdue::Release
     }
 
     fn written(&self, number: u64, whole: bool) {
--- a/src/config/operators.rs
+++ b/src/config/operators.rs
@@ -179,7 +179,7 @@
     Doubts::Hold
 }
 
-/// Beyond any sync of a disk that works, so that no answer leaves before its entry is on it.
+/// Beyond most syncs of a disk that works, so that few results are withheld.
 fn hold_ms() -> u64 {
     3_000
 }
--- a/src/core/booking.rs
+++ b/src/core/booking.rs
@@ -1,6 +1,7 @@
-//! Final answers where they are booked first: each is held until all bookkeepers have it, or its time is up.
+//! Final answers where they are booked first: each is kept back until all bookkeepers have it, or its time is up.
 //!
-//! Invariant: an answer is handed out once; with bookkeepers that keep up, never before it is booked.
+//! Invariants: each waiting client is answered once, and in time. A result goes out before a bookkeeper has it only if
+//! that bookkeeper allows it; else the client is told [`Answer::Withheld`] and the result is booked as not written.
 
 use super::{Answer, Core, Due, Entered, Front, Micros};
 use crate::interface::ClassId;
@@ -62,6 +63,17 @@
     },
     /// It is not booked, and goes out now.
     Unbooked,
+    /// It is not booked, and must not go out.
+    Refused,
+}
+
+/// What becomes of an answer whose time is up before it is known to be booked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Overdue {
+    /// It goes out.
+    Release,
+    /// It does not go out: its client is told [`Answer::Withheld`].
+    Withhold,
 }
 
 /// Books final answers. None of its calls may block or call the core.
@@ -70,8 +82,8 @@
     fn takes_work(&self) -> bool;
     /// Books an answer that must be out `by` then.
     fn book(&self, now: Micros, by: Micros, account: &Account) -> Booking;
-    /// A held answer goes out although it is not known to be booked.
-    fn overdue(&self, number: u64);
+    /// The time of an answer is up, and it is not known to be booked. One that is withheld is also told as not written.
+    fn overdue(&self, number: u64, ended: Ended) -> Overdue;
     /// The answer of this number was written to its client to the last byte, or could not be.
     fn written(&self, number: u64, whole: bool);
 }
@@ -87,7 +99,7 @@
     pub fn written(mut self) {
         self.0
             .drain(..)
-            .for_each(|(keeper, number)| keeper.written(number, true));
+            .for_each(|(bookkeeper, number)| bookkeeper.written(number, true));
     }
 }
 
@@ -95,7 +107,7 @@
     fn drop(&mut self) {
         self.0
             .drain(..)
-            .for_each(|(keeper, number)| keeper.written(number, false));
+            .for_each(|(bookkeeper, number)| bookkeeper.written(number, false));
     }
 }
 
@@ -114,18 +126,27 @@
     front: Rc<dyn Front>,
     ticket: u64,
     answer: Answer,
-    booked: Vec<Booked>,
+    entries: Vec<BookedEntry>,
 }
 
 /// An entry of one bookkeeper.
 #[derive(Clone, Copy)]
-struct Booked {
-    keeper: usize,
+struct BookedEntry {
+    bookkeeper: usize,
     number: u64,
     /// The answer waits for it.
     waits: bool,
 }
 
+/// What all bookkeepers said of one answer.
+struct Bookings {
+    entries: Vec<BookedEntry>,
+    /// The last moment for those that it waits for.
+    until: Micros,
+    /// One of them does not let it go out.
+    refused: bool,
+}
+
 /// What an operation used, and what its account needs besides.
 pub(super) struct Used {
     class: ClassId,
@@ -166,94 +187,128 @@
     }
 }
 
+impl Answer {
+    /// How its operation ended, for bookkeepers.
+    fn ended(&self) -> Ended {
+        match self {
+            Answer::Served(_) => Ended::Served,
+            Answer::Busy { .. } => Ended::Busy,
+            Answer::Failed { .. } | Answer::Withheld => Ended::Failed,
+        }
+    }
+}
+
 impl Core {
     /// Has final answers booked from now on, by this one too; its number.
-    pub fn attach_bookkeeper(&mut self, keeper: Rc<dyn Bookkeeper>) -> usize {
-        self.bookkeepers.push(keeper);
+    pub fn attach_bookkeeper(&mut self, bookkeeper: Rc<dyn Bookkeeper>) -> usize {
+        self.bookkeepers.push(bookkeeper);
         self.bookkeepers.len() - 1
     }
 
     /// A bookkeeper has all its entries up to this number: answers that wait for nothing else go out.
-    pub fn durable(&mut self, keeper: usize, upto: u64) {
-        self.let_go(keeper, |booked| booked.number <= upto);
-    }
-
-    /// Nothing becomes durable at a bookkeeper for now: what waits for it alone goes out.
-    pub fn hold_no_longer(&mut self, keeper: usize) {
-        for held in self.pending_answers.values() {
-            for booked in held.booked.iter().filter(|b| b.waits && b.keeper == keeper) {
-                self.bookkeepers[keeper].overdue(booked.number);
-                self.counters.answers_before_booked += 1;
-            }
-        }
-        self.let_go(keeper, |_| true);
-    }
-
-    /// The answers that need not wait any more for such entries.
-    fn let_go(&mut self, keeper: usize, there: impl Fn(&Booked) -> bool) {
-        let mut free = Vec::new();
-        for (no, held) in &mut self.pending_answers {
-            let mut entries = held
-                .booked
+    pub fn durable(&mut self, bookkeeper: usize, upto: u64) {
+        let mut ready = Vec::new();
+        for (id, pending) in &mut self.pending_answers {
+            let mut entries = pending
+                .entries
                 .iter_mut()
-                .filter(|b| b.waits && b.keeper == keeper);
+                .filter(|entry| entry.waits && entry.bookkeeper == bookkeeper);
             // Numbers rise with the answers: behind one that is not there yet none is.
             match entries.next() {
-                Some(entry) if there(entry) => entry.waits = false,
+                Some(entry) if entry.number <= upto => entry.waits = false,
                 Some(_) => break,
                 None => continue,
             }
-            if held.booked.iter().all(|b| !b.waits) {
-                free.push(*no);
+            if pending.entries.iter().all(|entry| !entry.waits) {
+                ready.push(*id);
             }
         }
-        free.into_iter().for_each(|no| self.release(no));
+        ready.into_iter().for_each(|id| self.release(id));
+    }
+
+    /// Nothing becomes durable at a bookkeeper for now: the time of all answers that wait for it is up.
+    pub fn hold_no_longer(&mut self, bookkeeper: usize) {
+        let pending: Vec<u64> = self.pending_answers.keys().copied().collect();
+        for id in pending {
+            self.expire(id, |entry| entry.bookkeeper == bookkeeper);
+        }
+    }
+
+    /// The time of an answer is up, whoever has not booked it yet.
+    pub(super) fn overdue(&mut self, id: u64) {
+        self.expire(id, |_| true);
     }
 
-    /// The time of an answer is up: it goes out, whoever has not booked it yet.
-    pub(super) fn overdue(&mut self, no: u64) {
-        let Some(held) = self.pending_answers.get(&no) else {
+    /// An answer waits no longer for such entries: it goes out, or is withheld.
+    fn expire(&mut self, id: u64, is_over: impl Fn(&BookedEntry) -> bool) {
+        let Some(pending) = self.pending_answers.get_mut(&id) else {
             return;
         };
-        for booked in held.booked.iter().filter(|b| b.waits) {
-            self.counters.answers_before_booked += 1;
-            self.bookkeepers[booked.keeper].overdue(booked.number);
+        let ended = pending.answer.ended();
+        let mut is_withheld = false;
+        for entry in &mut pending.entries {
+            if !entry.waits || !is_over(entry) {
+                continue;
+            }
+            entry.waits = false;
+            match self.bookkeepers[entry.bookkeeper].overdue(entry.number, ended) {
+                Overdue::Release => self.counters.answers_before_booked += 1,
+                Overdue::Withhold => is_withheld = true,
+            }
+        }
+        if is_withheld {
+            self.withhold(id);
+        } else if pending.entries.iter().all(|entry| !entry.waits) {
+            self.release(id);
+        }
+    }
+
+    fn release(&mut self, id: u64) {
+        if let Some(pending) = self.pending_answers.remove(&id) {
+            let receipt = self.receipt(&pending.entries);
+            self.hand_out(&pending.front, pending.ticket, &pending.answer, receipt);
         }
-        self.release(no);
     }
 
-    fn release(&mut self, no: u64) {
-        if let Some(held) = self.pending_answers.remove(&no) {
-            self.hand_out(&held.front, held.ticket, &held.answer, &held.booked);
+    fn withhold(&mut self, id: u64) {
+        if let Some(pending) = self.pending_answers.remove(&id) {
+            self.hand_out_withheld(&pending.front, pending.ticket, &pending.entries);
         }
     }
 
     /// One final answer for one who waits: booked first, where there are bookkeepers.
     pub(super) fn give(&mut self, now: Micros, used: &Used, waiter: Waiter, answer: &Answer) {
-        let ended = match answer {
-            Answer::Served(_) => Ended::Served,
-            Answer::Busy { .. } => Ended::Busy,
-            Answer::Failed { .. } => Ended::Failed,
-        };
-        let (booked, until) = self.book(now, used, &waiter, ended);
+        let bookings = self.book(now, used, &waiter, answer.ended());
         let Waiter { front, ticket, .. } = waiter;
-        if booked.iter().all(|b| !b.waits) {
-            return self.hand_out(&front, ticket, answer, &booked);
+        if bookings.refused {
+            return self.hand_out_withheld(&front, ticket, &bookings.entries);
+        }
+        if bookings.entries.iter().all(|entry| !entry.waits) {
+            let receipt = self.receipt(&bookings.entries);
+            return self.hand_out(&front, ticket, answer, receipt);
         }
         self.last_pending += 1;
-        let no = self.last_pending;
+        let id = self.last_pending;
         self.pending_answers.insert(
-            no,
+            id,
             PendingAnswer {
                 front,
                 ticket,
                 answer: answer.clone(),
-                booked,
+                entries: bookings.entries,
             },
         );
-        match until > now {
-            true => self.at(until, Due::Held(no)),
-            false => self.overdue(no),
+        match bookings.until > now {
+            true => self.at(bookings.until, Due::PendingAnswer(id)),
+            false => self.overdue(id),
+        }
+    }
+
+    /// Answers that are kept back for their entries are answered by then too.
+    pub(super) fn answer_pending_by(&mut self, when: Micros) {
+        let pending: Vec<u64> = self.pending_answers.keys().copied().collect();
+        for id in pending {
+            self.at(when, Due::PendingAnswer(id));
         }
     }
 
@@ -262,14 +317,7 @@
         self.book(now, used, waiter, Ended::Gone);
     }
 
-    /// The entries, and until when the answer waits for those that it waits for.
-    fn book(
-        &mut self,
-        now: Micros,
-        used: &Used,
-        waiter: &Waiter,
-        ended: Ended,
-    ) -> (Vec<Booked>, Micros) {
+    fn book(&mut self, now: Micros, used: &Used, waiter: &Waiter, ended: Ended) -> Bookings {
         let own = |n: Micros| if waiter.joined { 0 } else { n };
         let account = Account {
             operation: &waiter.id,
@@ -283,36 +331,61 @@
             attempts: if waiter.joined { 0 } else { used.attempts },
             idempotency_key: used.key.as_deref(),
         };
-        let (mut entries, mut latest) = (Vec::with_capacity(self.bookkeepers.len()), now);
-        for (keeper, k) in self.bookkeepers.iter().enumerate() {
-            match k.book(now, used.by, &account) {
-                Booking::Hold { number, until } => {
-                    entries.push(Booked {
-                        keeper,
-                        number,
-                        waits: true,
-                    });
-                    latest = latest.max(until);
-                }
-                Booking::Open { number } => entries.push(Booked {
-                    keeper,
-                    number,
-                    waits: false,
-                }),
-                Booking::Unbooked => self.counters.answers_unbooked += 1,
+        let mut bookings = Bookings {
+            entries: Vec::with_capacity(self.bookkeepers.len()),
+            until: now,
+            refused: false,
+        };
+        for (number, bookkeeper) in self.bookkeepers.iter().enumerate() {
+            let booking = bookkeeper.book(now, used.by, &account);
+            if matches!(booking, Booking::Unbooked | Booking::Refused) {
+                self.counters.answers_unbooked += 1;
             }
+            bookings.add(number, booking);
         }
-        (entries, latest)
+        bookings
+    }
+
+    /// What a front says of an answer's delivery goes to all that have booked it.
+    fn receipt(&self, entries: &[BookedEntry]) -> Receipt {
+        let booked = entries
+            .iter()
+            .map(|entry| (self.bookkeepers[entry.bookkeeper].clone(), entry.number));
+        Receipt(booked.collect())
+    }
+
+    /// The client is told that it does not get the result, and the bookkeepers that it was not written.
+    fn hand_out_withheld(&mut self, front: &Rc<dyn Front>, ticket: u64, entries: &[BookedEntry]) {
+        drop(self.receipt(entries));
+        self.hand_out(front, ticket, &Answer::Withheld, Receipt::default());
     }
 
     /// The one place where final answers go out.
-    fn hand_out(&mut self, front: &Rc<dyn Front>, ticket: u64, answer: &Answer, booked: &[Booked]) {
+    fn hand_out(&mut self, front: &Rc<dyn Front>, ticket: u64, answer: &Answer, receipt: Receipt) {
         self.counters.answer(answer);
-        let receipt = booked
-            .iter()
-            .map(|b| (self.bookkeepers[b.keeper].clone(), b.number))
-            .collect();
-        front.answer(ticket, answer, Receipt(receipt));
+        front.answer(ticket, answer, receipt);
+    }
+}
+
+impl Bookings {
+    fn add(&mut self, bookkeeper: usize, booking: Booking) {
+        let (number, waits) = match booking {
+            Booking::Hold { number, until } => {
+                self.until = self.until.max(until);
+                (number, true)
+            }
+            Booking::Open { number } => (number, false),
+            Booking::Unbooked => return,
+            Booking::Refused => {
+                self.refused = true;
+                return;
+            }
+        };
+        self.entries.push(BookedEntry {
+            bookkeeper,
+            number,
+            waits,
+        });
     }
 }
 
--- a/src/core/intake.rs
+++ b/src/core/intake.rs
@@ -188,6 +188,7 @@
         }
         cut.into_iter()
             .for_each(|job| self.at(when, Due::Deadline(job)));
+        self.answer_pending_by(when.saturating_add(BOOKING_US));
     }
 
     /// The client behind one ticket has gone away; others may still wait for the same operation.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -66,7 +66,7 @@
 mod turn;
 mod witness;
 
-pub use booking::{Account, Booking, Bookkeeper, Ended, Receipt};
+pub use booking::{Account, Booking, Bookkeeper, Ended, Overdue, Receipt};
 pub use operation::*;
 pub use quotas::{Quotas, Right, Taken};
 pub use witness::Witness;
@@ -105,8 +105,8 @@
 enum Due {
     Module(u64),
     Deadline(JobId),
-    /// A held answer goes out.
-    Held(u64),
+    /// An answer waits no longer for its entries.
+    PendingAnswer(u64),
     /// An operation has waited long enough for the first pool config.
     Early(JobId),
 }
--- a/src/core/operation.rs
+++ b/src/core/operation.rs
@@ -105,6 +105,8 @@
         /// The client's time had run out.
         late: bool,
     },
+    /// It was served, but its use could not be booked in time: the result is not handed out, and not billed.
+    Withheld,
 }
 
 /// Why an operation was not taken; nothing of it has run.
--- a/src/core/turn.rs
+++ b/src/core/turn.rs
@@ -45,8 +45,8 @@
                     self.admit_late(job);
                     continue;
                 }
-                Due::Held(number) => {
-                    self.overdue(number);
+                Due::PendingAnswer(id) => {
+                    self.overdue(id);
                     continue;
                 }
             });
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -50,6 +50,8 @@
     pub refused_unbilled: u64,
     /// Answers that went out before they were known to be booked.
     pub answers_before_booked: u64,
+    /// Results that were withheld, as they could not be booked in time.
+    pub answers_withheld: u64,
     /// Answers that were not booked.
     pub answers_unbooked: u64,
     /// Operations whose clients went away.
@@ -94,6 +96,7 @@
             Answer::Busy { .. } => &mut self.busy_replies,
             Answer::Failed { late: false } => &mut self.failed,
             Answer::Failed { late: true } => &mut self.failed_late,
+            Answer::Withheld => &mut self.answers_withheld,
         } += 1;
     }
 
--- a/src/drmaa/front/mod.rs
+++ b/src/drmaa/front/mod.rs
@@ -100,6 +100,12 @@
                 });
                 JobState::Failed
             }
+            Answer::Withheld => {
+                job.info.error = Some(Error::Internal);
+                job.info.annotation =
+                    Some("it has run, but its use could not be booked in time; not billed".into());
+                JobState::Failed
+            }
         };
         job.enter(state);
     }
--- a/src/fleet/books.rs
+++ b/src/fleet/books.rs
@@ -1,7 +1,7 @@
 //! The event loop's side: final answers are counted, and tenants' rights are spent.
 
 use crate::config::operators::FleetConfig;
-use crate::core::{Account, Booking, Bookkeeper, Ended, Quotas, Taken};
+use crate::core::{Account, Booking, Bookkeeper, Ended, Overdue, Quotas, Taken};
 use crate::interface::Micros;
 use rtrb::Producer;
 use std::cell::{Cell, RefCell};
@@ -168,10 +168,12 @@
         }
     }
 
-    fn overdue(&self, number: u64) {
+    /// Counts are a tally and no bill: an answer that is not copied in time is counted as unsure, and goes out.
+    fn overdue(&self, number: u64, _ended: Ended) -> Overdue {
         let key = self.out.borrow().get(&number).map(|o| o.0.clone());
         key.into_iter()
             .for_each(|key| self.count(key, &UsageValues::single(UsageMetric::Unsure, 1)));
+        Overdue::Release
     }
 
     fn written(&self, number: u64, whole: bool) {
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -194,5 +194,9 @@
             .with("Retry-After", format!("{:.3}", hold_off_us as f64 / 1e6)),
         Answer::Failed { late: false } => Reply::plain(502, "failed"),
         Answer::Failed { late: true } => Reply::plain(504, "out of time"),
+        Answer::Withheld => Reply::plain(
+            502,
+            "failed: it has run, but its use could not be booked in time; it is not billed",
+        ),
     }
 }
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -15,8 +15,10 @@
 /// For how long answers wait for the disk, where a test is not about that: longer than a busy machine's disk takes for a
 /// sync, and shorter than clients wait.
 const PATIENT_HOLD_MS: u64 = 3_000;
-/// The same, where the disk is made to stand still.
+/// The same, where the disk is full.
 const SHORT_HOLD_MS: u64 = 250;
+/// How long the client waits for whom the disk stands still.
+const HURRIED_CLIENT_MS: u64 = 600;
 
 fn operators(dir: &Path, more: &str) -> String {
     operators_with_hold(dir, PATIENT_HOLD_MS, more)
@@ -236,76 +238,109 @@
     );
 }
 
-#[test]
-fn a_disk_that_stands_still_holds_no_answer_beyond_its_time_and_nothing_is_counted_wrongly() {
-    let (worker, files) = (Worker::start("s-1", SERVES), Files::new());
-    let dir = files.0.join("ledger");
-    let program = start(&[&worker], &operators_with_hold(&dir, SHORT_HOLD_MS, ""));
+/// Locks the store until an operation, whose client waits for a short time only, and one after it are answered; both
+/// answers, and the program that writes again.
+fn ask_while_the_store_is_locked(dir: &Path, on_failure: &str) -> (Message, Message, Program) {
+    let worker = Worker::start("s-1", SERVES);
+    let more = format!("on_failure = '{on_failure}'\n");
+    let program = start(&[&worker], &(operators(dir, "") + &more));
     program.logged("the ledger is open");
-    let lock = rusqlite::Connection::open(dir.join("ledger.db")).unwrap();
-    lock.execute_batch("BEGIN IMMEDIATE").unwrap();
+    let lock = ledger_store::lock(dir);
     let begun = Instant::now();
-    assert_eq!(
-        ask(program.addr, &asked("depth-log", "a1", "hydrology")).status(),
-        200
-    );
+    let first = operation("depth-log", "a1", HURRIED_CLIENT_MS)
+        .replace("Host: x\r\n", "Host: x\r\nX-Tenant: hydrology\r\n");
+    let first = ask(program.addr, &first);
+    let waited = begun.elapsed();
     assert!(
-        begun.elapsed() >= Duration::from_millis(SHORT_HOLD_MS),
-        "it was held for the disk"
-    );
-    program.logged("before it was known to be booked");
-    let refused = ask(program.addr, &asked("depth-log", "a2", "hydrology"));
-    assert_eq!(
-        (refused.status(), refused.get("retry-after")),
-        (503, Some("1"))
+        waited >= Duration::from_millis(HURRIED_CLIENT_MS / 2),
+        "it was held for the disk: {waited:?}"
     );
-    lock.execute_batch("COMMIT").unwrap();
+    let second = ask(program.addr, &asked("depth-log", "a2", "hydrology"));
+    drop(lock);
     program.logged("the ledger is written again");
-    assert_eq!(
-        ask(program.addr, &asked("depth-log", "a3", "hydrology")).status(),
-        200
-    );
+    let third = ask(program.addr, &asked("depth-log", "a3", "hydrology"));
+    assert_eq!(third.status(), 200);
+    (first, second, program)
+}
+
+fn counted(program: &Program, names: [&str; 3]) -> [u64; 3] {
     let counters = program.counters();
+    names.map(|name| counters[name].as_u64().unwrap())
+}
+
+const COUNTERS: [&str; 3] = [
+    "answers_withheld",
+    "answers_before_booked",
+    "refused_unbilled",
+];
+
+/// Guards against a result that is handed out before its entry is durable, and against one that is waited for longer
+/// than its client waits.
+#[test]
+fn a_disk_that_stands_still_holds_no_answer_beyond_its_time_and_nothing_is_counted_wrongly() {
+    let files = Files::new();
+    let dir = files.0.join("ledger");
+    let (first, second, program) = ask_while_the_store_is_locked(&dir, "refuse");
+    assert_eq!(first.status(), 502);
+    assert!(first.body.contains("could not be booked in time"));
     assert_eq!(
-        (
-            &counters["answers_before_booked"],
-            &counters["refused_unbilled"]
-        ),
-        (&1.into(), &1.into())
+        (second.status(), second.get("retry-after")),
+        (503, Some("1"))
     );
+    assert_eq!(counted(&program, COUNTERS), [1, 0, 1]);
+    stop(program);
+    let one = [("hydrology".to_string(), "depth-log".to_string(), 1)];
+    assert_eq!(sums(&dir, "served"), one);
+    assert_eq!(sums(&dir, "gone"), one, "what was withheld is not billed");
+    assert_eq!(ledger(&dir, &["doubts", "--json"]).1, "[]\n");
+}
+
+#[test]
+fn a_disk_that_stands_still_keeps_no_result_back_where_unbilled_work_is_served() {
+    let files = Files::new();
+    let dir = files.0.join("ledger");
+    let (first, second, program) = ask_while_the_store_is_locked(&dir, "serve_unbilled");
+    assert_eq!((first.status(), second.status()), (200, 200));
+    assert_eq!(counted(&program, COUNTERS), [0, 2, 0]);
     stop(program);
     assert_eq!(
         sums(&dir, "served"),
-        [("hydrology".to_string(), "depth-log".to_string(), 2)]
+        [("hydrology".to_string(), "depth-log".to_string(), 3)]
     );
 }
 
+/// Guards against a result that a client has and no bill holds, as its entry found the disk full.
 #[test]
 fn a_full_disk_ends_no_operation_in_hand_and_new_work_is_refused() {
     let (worker, files) = (Worker::start("s-1", SERVES), Files::new());
     let dir = files.0.join("ledger");
     std::fs::create_dir(&dir).unwrap();
     files.add("ledger/ledger.key", &"07".repeat(32));
-    fill(&dir, 1 << 20);
-    let program = start(&[&worker], &(operators(&dir, "") + "max_mb = 1\n"));
+    ledger_store::fill(&dir, 1 << 20);
+    let program = start(
+        &[&worker],
+        &(operators_with_hold(&dir, SHORT_HOLD_MS, "") + "max_mb = 1\n"),
+    );
     program.logged("the ledger is open");
-    // What is left of the last pages takes some more; the one that finds the disk full is answered all the same.
-    let mut answers = (0..2_000).map(|n| {
-        ask(
-            program.addr,
-            &asked("depth-log", &format!("a{n}"), "hydrology"),
-        )
-        .status()
-    });
-    let served = answers.by_ref().take_while(|status| *status == 200).count() as u64;
+    let ask_for = |n| {
+        let text = asked("depth-log", &format!("a{n}"), "hydrology");
+        ask(program.addr, &text).status()
+    };
+    // What is left of the last pages takes some more.
+    let served = (0..2_000).take_while(|n| ask_for(*n) == 200).count() as u64;
     assert!((1..2_000).contains(&served), "{served}");
     assert!(program
         .logged("the ledger cannot be written")
         .contains("the disk is full"));
+    assert_eq!(ask_for(2_000), 503);
     let counters = program.counters();
     assert_eq!(
-        (&counters["served"], &counters["refused_unbilled"]),
-        (&served.into(), &1.into())
+        (
+            &counters["served"],
+            &counters["answers_withheld"],
+            &counters["refused_unbilled"]
+        ),
+        (&served.into(), &1.into(), &1.into())
     );
     stop(program);
     let booked: u64 = sums(&dir, "served")
@@ -313,55 +348,10 @@
         .filter(|l| l.0 == "hydrology")
         .map(|l| l.2)
         .sum();
-    assert_eq!(
-        booked,
-        served - 1,
-        "to the unit, but for the one that could not be written"
-    );
+    assert_eq!(booked, served, "to the unit");
     assert_eq!(ledger(&dir, &["verify"]).0, 0);
 }
 
-/// A ledger that takes at least so many bytes.
-fn fill(dir: &Path, bytes: u64) {
-    use streamusher_ledger::{entry, period::Span, store};
-    let (instance, key) = ("n1".to_string(), [7; 32]);
-    let options = store::Options {
-        dir: dir.into(),
-        instance,
-        span: Span::Hour,
-        key,
-        most_bytes: None,
-    };
-    let now = std::time::SystemTime::now()
-        .duration_since(std::time::UNIX_EPOCH)
-        .unwrap()
-        .as_micros() as u64;
-    let mut store = store::Store::open(&options, now).unwrap();
-    let entry = |seq| entry::Entry {
-        seq,
-        time_us: now,
-        operation: "x".repeat(100),
-        tenant: "filler".into(),
-        class: "depth-log".into(),
-        answer: entry::Answer::Served,
-        joined: false,
-        slots_milli: 1_000,
-        run_us: 1,
-        wasted_us: 0,
-        attempts: 1,
-        key: None,
-    };
-    for first in (1..).step_by(100) {
-        let entries: Vec<_> = (first..first + 100).map(entry).collect();
-        let numbers: Vec<u64> = (first..first + 100).collect();
-        store.commit(&entries, &numbers, &[]).unwrap();
-        store.checkpoint().unwrap();
-        if dir.join(store::FILE).metadata().unwrap().len() > bytes {
-            return;
-        }
-    }
-}
-
 #[test]
 fn a_second_dispatcher_on_one_store_waits_until_the_first_is_gone() {
     let (worker, other, files) = (
--- a/tests/ledger_holds.rs
+++ b/tests/ledger_holds.rs
@@ -224,3 +224,11 @@
     let outcome = restart_at_random(seed, rounds, SHORT_HOLD);
     outcome.assert_only_early_answers_are_missing();
 }
+
+/// Guards against a result that a client has and no bill holds: it went out when its hold was over.
+#[test]
+fn results_whose_hold_ends_first_are_billed_to_the_unit_after_random_restarts() {
+    let (seed, rounds) = seed_and_rounds();
+    let outcome = restart_at_random(seed, rounds, SHORT_HOLD);
+    assert_eq!(outcome.billed, outcome.received());
+}
--- /dev/null
+++ b/tests/support/ledger_store.rs
@@ -0,0 +1,51 @@
+//! The store of a dispatcher's ledger, made hard to write.
+
+use std::path::Path;
+use streamusher_ledger::{entry, period::Span, store};
+
+/// Another process's transaction: while it lasts the dispatcher cannot write.
+pub fn lock(dir: &Path) -> rusqlite::Connection {
+    let lock = rusqlite::Connection::open(dir.join(store::FILE)).unwrap();
+    lock.execute_batch("BEGIN IMMEDIATE").unwrap();
+    lock
+}
+
+/// A ledger that takes at least so many bytes.
+pub fn fill(dir: &Path, bytes: u64) {
+    let (instance, key) = ("n1".to_string(), [7; 32]);
+    let options = store::Options {
+        dir: dir.into(),
+        instance,
+        span: Span::Hour,
+        key,
+        most_bytes: None,
+    };
+    let now = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap()
+        .as_micros() as u64;
+    let mut store = store::Store::open(&options, now).unwrap();
+    let entry = |seq| entry::Entry {
+        seq,
+        time_us: now,
+        operation: "x".repeat(100),
+        tenant: "filler".into(),
+        class: "depth-log".into(),
+        answer: entry::Answer::Served,
+        joined: false,
+        slots_milli: 1_000,
+        run_us: 1,
+        wasted_us: 0,
+        attempts: 1,
+        key: None,
+    };
+    for first in (1..).step_by(100) {
+        let entries: Vec<_> = (first..first + 100).map(entry).collect();
+        let numbers: Vec<u64> = (first..first + 100).collect();
+        store.commit(&entries, &numbers, &[]).unwrap();
+        store.checkpoint().unwrap();
+        if dir.join(store::FILE).metadata().unwrap().len() > bytes {
+            return;
+        }
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod fleet;
+pub mod ledger_store;
 pub mod restarts;
 
 use serde_json::{json, Value};
