Soak of dispatchers with ledgers: signals, restarts, replacements and locked stores that overlap

Need: the restart test knows one kind of disruption at a time, and its clients leave after each failure. In the soak clients use a connection until it is gone, and series of kills, SIGTERM with further signals, a successor beside its predecessor, changed and broken configurations, and locks of the store beyond the hold are under way at once. It holds bill against receipts to the unit, and fails where a process that is not killed leaves a request without its one answer, ends in another way than asked, or panics. What the restart tests share moved to tests/support/billing.rs; the test of results that the log names as early has a second case, with "serve_unbilled", as only there such results go out.

--- a/tests/ledger_holds.rs
+++ b/tests/ledger_holds.rs
@@ -6,13 +6,11 @@
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
-use serde_json::Value;
-use std::collections::{BTreeMap, BTreeSet};
-use std::path::Path;
-use std::process::Command;
+use rstest::rstest;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use support::billing::*;
 use support::restarts::*;
 use support::*;
 
@@ -26,8 +24,7 @@
 /// What clients got and what was booked for it, after restarts at random.
 struct Outcome {
     receipts: Vec<Receipt>,
-    /// Operations by tenant and class that are billed.
-    billed: BTreeMap<(String, String), i64>,
+    billed: Operations,
     /// Answers that did not wait for their entries.
     answered_early: usize,
     /// The log's lines about these, and about ledgers that could not be written.
@@ -35,13 +32,8 @@
 }
 
 impl Outcome {
-    /// Operations by tenant and class that clients have receipts for.
-    fn received(&self) -> BTreeMap<(String, String), i64> {
-        let mut received: BTreeMap<(String, String), i64> = BTreeMap::new();
-        for (_, tenant, class) in &self.receipts {
-            *received.entry((tenant.clone(), class.clone())).or_default() += 1;
-        }
-        received
+    fn received(&self) -> Operations {
+        received(&self.receipts)
     }
 
     /// Nothing is billed that was not received, and each receipt that is in no bill is of an answer that the log names as
@@ -69,7 +61,7 @@
     let root = Files::new();
     root.add("shared.key", &"5c".repeat(32));
     let (receipts, logged) = serve_through_restarts(seed, rounds, ledger_settings, &mut rng, &root);
-    let bill = settle_and_export(&receipts, &mut rng, &root);
+    let bill = settle_and_export(&receipts, INSTANCES, &mut rng, &root);
     let tells_of_failure = |line: &&String| line.contains(ANSWERED_EARLY) || line.contains(FAILED);
     let failures: Vec<String> = logged
         .into_iter()
@@ -84,17 +76,9 @@
         receipts.len(),
         bill["report"]["entries"],
     );
-    let mut billed: BTreeMap<(String, String), i64> = BTreeMap::new();
-    for line in bill["bill"].as_array().unwrap() {
-        let text = |key: &str| line[key].as_str().unwrap().to_string();
-        let sums = &line["sums"];
-        let operations = sums["served"].as_i64().unwrap() + sums["corrected"].as_i64().unwrap();
-        *billed.entry((text("tenant"), text("class"))).or_default() += operations;
-    }
-    billed.retain(|_, operations| *operations != 0);
     Outcome {
         receipts,
-        billed,
+        billed: billed(&bill),
         answered_early,
         failures,
     }
@@ -153,64 +137,6 @@
     (receipts, logged)
 }
 
-/// Settles each instance's doubts by the receipts, closes and exports it, each also interrupted by a kill; the bill of all.
-fn settle_and_export(receipts: &[Receipt], rng: &mut Pcg64, root: &Files) -> Value {
-    let key = root.0.join("shared.key");
-    let key = key.to_str().unwrap();
-    let rows: String = receipts
-        .iter()
-        .map(|(id, tenant, class)| format!("{id},{tenant},{class}\n"))
-        .collect();
-    let file = root.add("receipts.csv", &format!("operation,tenant,class\n{rows}"));
-    let receipts_file = file.to_str().unwrap();
-    let exports = root.0.join("exports");
-    let exports = exports.to_str().unwrap();
-    for n in 0..INSTANCES {
-        let dir = root.0.join(format!("n{n}"));
-        let settle = ["doubts", "--receipts", receipts_file, "--author", "test"];
-        let settled = json(&dir, &settle, key);
-        println!(
-            "instance {n}: doubts {} billed, {} waived",
-            settled["billed"], settled["waived"]
-        );
-        // A close and an export that are killed wherever they are, then run again.
-        let close = ["close", "--through", "2999-12-31T23"];
-        run_and_kill(&dir, &close, key, rng.random_range(0..10));
-        json(&dir, &close, key);
-        json(&dir, &["verify"], key);
-        let export = ["export", "--to", exports];
-        run_and_kill(&dir, &export, key, rng.random_range(0..20));
-        let first = json(&dir, &export, key);
-        assert_eq!(json(&dir, &export, key), first, "the same again");
-    }
-    // The corrections that settle doubts stand in an open period, or in the closed ones of this export.
-    let bill = json(&root.0, &["reconcile", exports], key);
-    let findings = bill["report"]["findings"].as_array().unwrap();
-    let kinds: BTreeSet<&str> = findings
-        .iter()
-        .map(|f| f["what"].as_str().unwrap())
-        .collect();
-    assert!(
-        kinds.is_subset(&BTreeSet::from(["repeated"])),
-        "{findings:?}"
-    );
-    bill
-}
-
-/// Starts a command of the ledger and kills it after so many milliseconds.
-fn run_and_kill(dir: &Path, words: &[&str], key: &str, after_ms: u64) {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_streamusher"));
-    command
-        .arg("ledger")
-        .args(words)
-        .args(["--key-file", key, "--dir"])
-        .arg(dir);
-    let mut child = command.stdout(std::process::Stdio::null()).spawn().unwrap();
-    std::thread::sleep(Duration::from_millis(after_ms));
-    let _ = child.kill();
-    let _ = child.wait();
-}
-
 fn seed_and_rounds() -> (u64, u64) {
     (
         number("STREAMUSHER_SEED", 11),
@@ -218,10 +144,15 @@
     )
 }
 
-#[test]
-fn only_answers_that_the_log_names_as_early_can_be_missing_after_random_restarts() {
+/// Where unbilled work is served, results may go out early and be lost; the log names each.
+#[rstest]
+#[case::refuse("")]
+#[case::serve("on_failure = 'serve_unbilled'\n")]
+fn only_answers_that_the_log_names_as_early_can_be_missing_after_random_restarts(
+    #[case] on_failure: &str,
+) {
     let (seed, rounds) = seed_and_rounds();
-    let outcome = restart_at_random(seed, rounds, SHORT_HOLD);
+    let outcome = restart_at_random(seed, rounds, &format!("{SHORT_HOLD}{on_failure}"));
     outcome.assert_only_early_answers_are_missing();
 }
 
--- a/tests/support/ledger_store.rs
+++ b/tests/support/ledger_store.rs
@@ -5,9 +5,15 @@
 
 /// Another process's transaction: while it lasts the dispatcher cannot write.
 pub fn lock(dir: &Path) -> rusqlite::Connection {
-    let lock = rusqlite::Connection::open(dir.join(store::FILE)).unwrap();
-    lock.execute_batch("BEGIN IMMEDIATE").unwrap();
-    lock
+    try_lock(dir).expect("nobody else writes just now")
+}
+
+/// The same; none where the dispatcher writes, or makes the store, at this moment.
+pub fn try_lock(dir: &Path) -> Option<rusqlite::Connection> {
+    let flags = rusqlite::OpenFlags::SQLITE_OPEN_READ_WRITE;
+    let lock = rusqlite::Connection::open_with_flags(dir.join(store::FILE), flags).ok()?;
+    lock.execute_batch("BEGIN IMMEDIATE").ok()?;
+    Some(lock)
 }
 
 /// A ledger that takes at least so many bytes.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,9 +1,11 @@
 //! Starts the real program and plays its clients, workers and discovery, each on a loopback port of its own.
 #![allow(dead_code)]
 
+pub mod billing;
 pub mod fleet;
 pub mod ledger_store;
 pub mod restarts;
+pub mod soak;
 
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
--- a/tests/support/restarts.rs
+++ b/tests/support/restarts.rs
@@ -56,6 +56,18 @@
     shed: SocketAddr,
     ledger_settings: &str,
 ) -> Program {
+    let (files, config) = configuration(instance, addr, root, shed, ledger_settings);
+    Program::with(files, &config, None, &[])
+}
+
+/// An instance's configuration, and the files beside it.
+pub fn configuration(
+    instance: usize,
+    addr: SocketAddr,
+    root: &Path,
+    shed: SocketAddr,
+    ledger_settings: &str,
+) -> (Files, Value) {
     let files = Files::new();
     files.add(
         "workers.csv",
@@ -75,7 +87,7 @@
         root.join("shared.key").display(),
     )
     .into();
-    Program::with(files, &config, None, &[])
+    (files, config)
 }
 
 /// One client: sends one operation after another, and what broke once more, by the same key, to another instance.
