Soak of the scheduler: a request that a gate has read is answered unless the gate is killed

Need: a client's request without a response was repeated and not counted, so that the soak did not see a gate that ends before it has answered. Change: clients note requests that were sent whole and whose connection ended without a response; the soak fails where the gate was not killed then and more than 200 ms had passed, in which a request may cross the close of an idle connection.

--- a/crates/controlplane/examples/cluster/client.rs
+++ b/crates/controlplane/examples/cluster/client.rs
@@ -9,15 +9,26 @@
 use std::time::Duration;
 use streamusher_protocol::config::{BASE_VERSION_HEADER, REPLACE_PATH};
 use streamusher_protocol::job::{JobState, JobStatus};
-use streamusher_runtime::http::{Client, Request, Response};
+use streamusher_protocol::Millis;
+use streamusher_runtime::clock;
+use streamusher_runtime::http::{Client, Request, RequestError, Response, UnknownReason};
 
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
 /// Pause before a request without a clear response is repeated.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
-/// Sends each request to the gates in turn, until one gives a clear response.
+/// A request that was sent whole and whose connection ended without a response. Times are of the steady clock.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct UnansweredRequest {
+    pub(crate) gate: SocketAddr,
+    pub(crate) sent_ms: Millis,
+    pub(crate) ended_ms: Millis,
+}
+
+/// Sends each request to the gates in turn, until one gives a clear response. Connections are kept while they stay open.
 pub(crate) struct JobClient {
     gates: Vec<Client>,
+    unanswered: Vec<UnansweredRequest>,
     next: usize,
     host: &'static str,
     prefix: &'static str,
@@ -28,12 +39,18 @@
         let gates = gates.iter().map(|gate| Client::new(*gate)).collect();
         JobClient {
             gates,
+            unanswered: Vec::new(),
             next: 0,
             host,
             prefix,
         }
     }
 
+    /// The requests that got no response so far.
+    pub(crate) fn into_unanswered(self) -> Vec<UnansweredRequest> {
+        self.unanswered
+    }
+
     /// Submits a job. The id makes it idempotent, so that it is repeated where there was no response.
     pub(crate) async fn submit(&mut self, id: &str, job: &Value) -> Result<()> {
         let response = self.request(Method::POST, id, &job.to_string()).await?;
@@ -70,10 +87,19 @@
                 .header(HOST, self.host)
                 .header(CONTENT_TYPE, "application/json")
                 .body(Bytes::copy_from_slice(body.as_bytes()))?;
+            let sent_ms = clock::steady();
             match gate.send(request, REQUEST_TIMEOUT).await {
                 Ok(response) if !response.status().is_server_error() => return Ok(response),
-                _ => tokio::time::sleep(RETRY_PAUSE).await,
+                Err(RequestError::Unknown(UnknownReason::Http(_) | UnknownReason::Body(_))) => {
+                    self.unanswered.push(UnansweredRequest {
+                        gate: gate.address(),
+                        sent_ms,
+                        ended_ms: clock::steady(),
+                    });
+                }
+                _ => {}
             }
+            tokio::time::sleep(RETRY_PAUSE).await;
         }
     }
 }
--- a/crates/controlplane/examples/cluster/machines.rs
+++ b/crates/controlplane/examples/cluster/machines.rs
@@ -191,6 +191,13 @@
         self.addresses(Role::Gate, FRONT_PORT)
     }
 
+    /// The name of the machine with the gate at this address.
+    pub(crate) fn gate_name(&self, address: SocketAddr) -> Option<&str> {
+        self.with_role(Role::Gate)
+            .find(|machine| machine.address == address.ip())
+            .map(|machine| machine.name.as_str())
+    }
+
     /// Addresses for workers, of an agent each.
     pub(crate) fn agents(&self) -> Vec<SocketAddr> {
         self.addresses(Role::Agent, CONTROL_PORT)
--- a/crates/controlplane/examples/cluster/main.rs
+++ b/crates/controlplane/examples/cluster/main.rs
@@ -7,6 +7,7 @@
 //! Linux only, as each machine has an address of its own in 127.0.0.0/8. `STREAMUSHER_LOG=info` shows what the processes
 //! log.
 
+#[allow(dead_code, reason = "the example `soak` uses all of it")]
 mod client;
 mod execution_log;
 #[allow(dead_code, reason = "the example `soak` uses all of it")]
--- a/crates/controlplane/examples/soak/disruptions.rs
+++ b/crates/controlplane/examples/soak/disruptions.rs
@@ -12,6 +12,8 @@
 
 /// A process that was started less than so long ago may not handle signals yet: it gets none, or may end by one.
 const STARTUP_MS: Millis = 2_000;
+/// Clients see the end of a killed process's connections within this time, also on a busy machine.
+const KILL_EFFECT_MS: Millis = 2_000;
 /// For how long a machine is down.
 const DOWN_MS: std::ops::Range<Millis> = 50..1_500;
 
@@ -29,19 +31,35 @@
     random: Pcg32,
     outages: BTreeMap<String, Outage>,
     started_at: BTreeMap<String, Millis>,
+    kills: Vec<Kill>,
     sent: u64,
 }
 
+/// A process that was killed.
+#[derive(Clone, Debug)]
+struct Kill {
+    machine: String,
+    at_ms: Millis,
+}
+
 impl Disruptions {
     pub(crate) fn new(random: Pcg32) -> Disruptions {
         Disruptions {
             random,
             outages: BTreeMap::new(),
             started_at: BTreeMap::new(),
+            kills: Vec::new(),
             sent: 0,
         }
     }
 
+    /// Whether a machine's process was killed at about this time: its connections ended then, whatever they carried.
+    pub(crate) fn was_killed(&self, machine: &str, at_ms: Millis) -> bool {
+        self.kills.iter().any(|kill| {
+            kill.machine == machine && (kill.at_ms..kill.at_ms + KILL_EFFECT_MS).contains(&at_ms)
+        })
+    }
+
     /// Signals that were sent.
     pub(crate) fn sent(&self) -> u64 {
         self.sent
@@ -75,6 +93,12 @@
         if signal != Signal::Reload && is_last {
             return Ok(());
         }
+        if signal == Signal::Kill {
+            self.kills.push(Kill {
+                machine: name.clone(),
+                at_ms: now,
+            });
+        }
         machines.send(name, signal)?;
         self.sent += 1;
         if signal != Signal::Reload {
--- a/crates/controlplane/examples/soak/job_stream.rs
+++ b/crates/controlplane/examples/soak/job_stream.rs
@@ -1,6 +1,6 @@
 //! Clients that submit one job after the other and follow each to its end.
 
-use crate::client::JobClient;
+use crate::client::{JobClient, UnansweredRequest};
 use anyhow::{bail, Result};
 use rand::Rng;
 use rand_pcg::Pcg32;
@@ -15,13 +15,20 @@
 /// One job in this many is long-running, and cancelled once it runs.
 const LONG_RUNNING_EVERY: u64 = 8;
 
-/// Submits jobs until told to end; then follows the last one to its end. Returns how many there were.
+/// What a client did.
+#[derive(Debug, Default)]
+pub(crate) struct JobStreamReport {
+    pub(crate) jobs: u64,
+    pub(crate) unanswered: Vec<UnansweredRequest>,
+}
+
+/// Submits jobs until told to end; then follows the last one to its end.
 pub(crate) async fn run(
     mut client: JobClient,
     number: u64,
     mut random: Pcg32,
     is_over: Rc<Cell<bool>>,
-) -> Result<u64> {
+) -> Result<JobStreamReport> {
     let mut jobs = 0;
     while !is_over.get() {
         jobs += 1;
@@ -32,7 +39,10 @@
             follow(&mut client, &id, &two_steps(&mut random)).await?;
         }
     }
-    Ok(jobs)
+    Ok(JobStreamReport {
+        jobs,
+        unanswered: client.into_unanswered(),
+    })
 }
 
 async fn follow(client: &mut JobClient, id: &str, job: &Value) -> Result<()> {
--- a/crates/controlplane/examples/soak/soak.rs
+++ b/crates/controlplane/examples/soak/soak.rs
@@ -1,9 +1,9 @@
 //! The soak, step by step.
 
-use crate::client::{configure, JobClient};
+use crate::client::{configure, JobClient, UnansweredRequest};
 use crate::disruptions::Disruptions;
 use crate::execution_log::SharedExecutionLog;
-use crate::job_stream;
+use crate::job_stream::{self, JobStreamReport};
 use crate::machines::{MachineCounts, Machines};
 use crate::options::SoakOptions;
 use crate::worker::SimulatedWorker;
@@ -15,6 +15,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use streamusher_protocol::Millis;
 use tokio::task::{spawn_local, JoinHandle};
 
 const HOST: &str = "jobs.example";
@@ -29,6 +30,8 @@
 const STEPS_PER_CHANGE: u32 = 30;
 /// After the last disruption, all that was accepted ends within this time, also on a busy machine.
 const MAX_SETTLING: Duration = Duration::from_secs(90);
+/// A request may cross the close of an idle connection; one whose connection ends later was read.
+const MAX_CROSSING_MS: Millis = 200;
 /// A change of the configuration is acknowledged within this time, whatever happens.
 const MAX_CHANGE: Duration = Duration::from_mins(1);
 
@@ -50,13 +53,16 @@
     let mut disruptions = Disruptions::new(Pcg32::seed_from_u64(random.random()));
     let changes = disrupt(&options, &mut random, &mut machines, &mut disruptions).await?;
     is_over.set(true);
-    let jobs = settle(clients, &mut machines, &mut disruptions).await?;
+    let report = settle(clients, &mut machines, &mut disruptions).await?;
+    check_unanswered(&report.unanswered, &machines, &disruptions)?;
     let starts = executions.borrow().check()?;
     machines.stop()?;
     println!(
-        "seed {}: {jobs} jobs, {starts} starts, {} signals, {changes} changes of the configuration",
+        "seed {}: {} jobs, {starts} starts, {} signals, {changes} changes of the configuration, {} requests unanswered at a kill",
         options.seed,
-        disruptions.sent()
+        report.jobs,
+        disruptions.sent(),
+        report.unanswered.len()
     );
     Ok(())
 }
@@ -65,7 +71,7 @@
     machines: &Machines,
     random: &mut Pcg32,
     is_over: &Rc<Cell<bool>>,
-) -> Vec<JoinHandle<Result<u64>>> {
+) -> Vec<JoinHandle<Result<JobStreamReport>>> {
     let gates = machines.gates();
     (0..CLIENTS)
         .map(|number| {
@@ -76,6 +82,22 @@
         .collect()
 }
 
+/// A gate that is not killed answers each request that it has read, also while it shuts down.
+fn check_unanswered(
+    unanswered: &[UnansweredRequest],
+    machines: &Machines,
+    disruptions: &Disruptions,
+) -> Result<()> {
+    for request in unanswered {
+        let gate = machines.gate_name(request.gate).unwrap_or_default();
+        let waited_ms = request.ended_ms - request.sent_ms;
+        if !disruptions.was_killed(gate, request.ended_ms) && waited_ms > MAX_CROSSING_MS {
+            bail!("{gate} was not killed and left a request unanswered, after {waited_ms} ms");
+        }
+    }
+    Ok(())
+}
+
 /// Sends signals and changes the configuration for the time of the soak. Returns the number of changes.
 async fn disrupt(
     options: &SoakOptions,
@@ -130,12 +152,12 @@
     }
 }
 
-/// Lets all machines come back and all jobs end. Returns the number of jobs.
+/// Lets all machines come back and all jobs end. Returns what all clients did.
 async fn settle(
-    clients: Vec<JoinHandle<Result<u64>>>,
+    clients: Vec<JoinHandle<Result<JobStreamReport>>>,
     machines: &mut Machines,
     disruptions: &mut Disruptions,
-) -> Result<u64> {
+) -> Result<JobStreamReport> {
     let ends_at = Instant::now() + MAX_SETTLING;
     while !(disruptions.are_over() && clients.iter().all(JoinHandle::is_finished)) {
         if Instant::now() >= ends_at {
@@ -148,11 +170,13 @@
         disruptions.advance(machines)?;
         tokio::time::sleep(STEP).await;
     }
-    let mut jobs = 0;
+    let mut all = JobStreamReport::default();
     for (number, client) in clients.into_iter().enumerate() {
-        jobs += client.await?.with_context(|| format!("client {number}"))?;
+        let report = client.await?.with_context(|| format!("client {number}"))?;
+        all.jobs += report.jobs;
+        all.unanswered.extend(report.unanswered);
     }
-    Ok(jobs)
+    Ok(all)
 }
 
 fn configuration(version: u64) -> Value {
