DRMAA: a result on its way to a session is billed although its job is removed meanwhile

What callers saw: nothing; the bill was short by one. A batch tool had a job's output, and the ledger counted the job as gone. The receipt of a job's answer lay in the job alone, while replies with the result waited for their session to read; a job that another session reaped, or that made room for a new one, took the receipt with it, which says "not written". Evidence: a session that does not read has the reply to waitTerminated in its queue, another session reaps the job, the first one reads the result: 1 served operation in the bill, 2 results with the clients. Change: the receipt is shared by the job and by all replies that say how it ended. It tells "written" as soon as one of them is, and "not written" only once the job and all of them are gone.

--- a/src/drmaa/front/mod.rs
+++ b/src/drmaa/front/mod.rs
@@ -1,8 +1,10 @@
 //! The DRMAA front: job sessions of batch tools. Jobs outlive the connection that ran them.
 //!
 //! - `session`: connections and their calls.
+//! - `receipt`: which replies carry a job's result, and when one of them is written.
 //! - `template`: what a job is asked for with.
 
+mod receipt;
 mod session;
 mod template;
 
@@ -16,6 +18,7 @@
 use async_channel::{bounded, Receiver, Sender};
 use async_io::Timer;
 use futures_lite::future;
+use receipt::SharedReceipt;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::{Rc, Weak};
@@ -33,10 +36,25 @@
     /// Dropped and made anew at each change of state, which wakes all who wait.
     changed: (Sender<()>, Receiver<()>),
     /// The session that ran it, for notifications.
-    session: Sender<Said>,
+    session: Sender<Outgoing>,
     bytes: usize,
-    /// To be told once a session has been told how the job ended.
-    receipt: Receipt,
+    receipt: SharedReceipt,
+}
+
+/// A message to a session.
+struct Outgoing {
+    message: Said,
+    /// To be told once the message is written, where it says how a job ended.
+    receipt: Option<SharedReceipt>,
+}
+
+impl From<Said> for Outgoing {
+    fn from(message: Said) -> Outgoing {
+        Outgoing {
+            message,
+            receipt: None,
+        }
+    }
 }
 
 impl Job {
@@ -53,7 +71,18 @@
             job_state: Some(state),
             ..Said::default()
         };
-        let _ = self.session.try_send(said); // a session that does not read misses it
+        let _ = self.session.try_send(said.into()); // a session that does not read misses it
+    }
+
+    /// What is known of it, for a reply.
+    fn describe(&self) -> Outgoing {
+        Outgoing {
+            message: Said {
+                job_info: Some(self.info.clone()),
+                ..Said::default()
+            },
+            receipt: self.is_over().then(|| self.receipt.clone()),
+        }
     }
 }
 
@@ -77,7 +106,7 @@
         let Some(job) = jobs.get_mut(&ticket).filter(|j| !j.is_over()) else {
             return;
         };
-        job.receipt = receipt;
+        job.receipt = SharedReceipt::new(receipt);
         job.info.finish_time = Some(now);
         let state = match answer {
             Answer::Served(result) => {
@@ -123,7 +152,7 @@
     }
 }
 
-type Reply = Result<Said, (Error, String)>;
+type Reply = Result<Outgoing, (Error, String)>;
 
 fn refuse<T>(error: Error, why: impl Into<String>) -> Result<T, (Error, String)> {
     Err((error, why.into()))
@@ -161,7 +190,7 @@
         }
     }
 
-    fn run_job(&self, template: serde_json::Value, session: &Sender<Said>) -> Reply {
+    fn run_job(&self, template: serde_json::Value, session: &Sender<Outgoing>) -> Reply {
         let template = template::read_template(template)?;
         let name = template.job_name.clone();
         let number = self.next.get();
@@ -192,7 +221,7 @@
             changed: bounded(1),
             session: session.clone(),
             bytes,
-            receipt: Receipt::default(),
+            receipt: SharedReceipt::default(),
         };
         self.jobs.borrow_mut().insert(number, job);
         let front = self.front();
@@ -205,10 +234,11 @@
                 if let Some(entry) = jobs.get_mut(&number) {
                     entry.operation = Some(job);
                 }
-                Ok(Said {
+                let message = Said {
                     job_id: Some(job_id),
                     ..Said::default()
-                })
+                };
+                Ok(message.into())
             }
             Err(why) => {
                 self.jobs.borrow_mut().remove(&number);
@@ -337,7 +367,7 @@
         let front = self.front();
         self.hub
             .with(|core, now| core.gone(now, operation, &front, number));
-        Ok(Said::default())
+        Ok(Said::default().into())
     }
 
     /// Waits until a job is over, or has started.
@@ -347,18 +377,13 @@
                 let there = self.look(id, |job| {
                     let started = until_started && job.info.job_state == JobState::Running;
                     if job.is_over() || started {
-                        Ok(job.info.clone())
+                        Ok(job.describe())
                     } else {
                         Err(job.changed.1.clone())
                     }
                 })?;
                 match there {
-                    Ok(info) => {
-                        return Ok(Said {
-                            job_info: Some(info),
-                            ..Said::default()
-                        })
-                    }
+                    Ok(description) => return Ok(description),
                     Err(changed) => drop(changed.recv().await),
                 }
             }
--- a/src/drmaa/front/session.rs
+++ b/src/drmaa/front/session.rs
@@ -1,8 +1,9 @@
 //! Sessions of batch tools: one connection each, with calls that are answered at once or later.
 
-use super::{refuse, JobTable, Reply};
+use super::receipt::SharedReceipt;
+use super::{refuse, JobTable, Outgoing, Reply};
 use crate::config::Drmaa;
-use crate::drmaa::{line, Call, Error, JobInfo, JobState, Said, What, LINE};
+use crate::drmaa::{line, Call, Error, Said, What, LINE};
 use crate::interface::Micros;
 use crate::net::http::Conn;
 use crate::runtime::Hub;
@@ -20,22 +21,11 @@
 /// Waits that one session may have running.
 const WAITS: usize = 256;
 impl JobTable {
-    /// A session was told this. How a job ended is known to its client once a session was told all of it.
-    fn told(&self, said: &Said) {
-        let over = |i: &&JobInfo| matches!(i.job_state, JobState::Done | JobState::Failed);
-        let Some(info) = said.job_info.as_ref().filter(over) else {
-            return;
-        };
-        if let Ok(receipt) = self.look(&info.job_id, |job| std::mem::take(&mut job.receipt)) {
-            receipt.written();
-        }
-    }
-
     /// One call; those that wait are answered from a task of their own.
     fn call(
         &self,
         call: Call,
-        session: &Sender<Said>,
+        session: &Sender<Outgoing>,
         ended: &Receiver<()>,
         waits: &Rc<Cell<usize>>,
     ) -> Option<Reply> {
@@ -44,25 +34,22 @@
             What::Terminate { job_id } => self.terminate(&job_id),
             What::GetState { job_id } => {
                 let state = self.look(&job_id, |job| job.info.job_state);
-                state.map(|s| Said {
-                    job_state: Some(s),
-                    ..Said::default()
-                })
-            }
-            What::GetInfo { job_id } => {
-                let info = self.look(&job_id, |job| job.info.clone());
-                info.map(|i| Said {
-                    job_info: Some(i),
-                    ..Said::default()
+                state.map(|state| {
+                    let message = Said {
+                        job_state: Some(state),
+                        ..Said::default()
+                    };
+                    message.into()
                 })
             }
+            What::GetInfo { job_id } => self.look(&job_id, |job| job.describe()),
             What::Reap { job_id } => match self.look(&job_id, |job| job.is_over()) {
                 Ok(true) => {
                     job_id
                         .parse()
                         .ok()
                         .and_then(|n: u64| self.jobs.borrow_mut().remove(&n));
-                    Ok(Said::default())
+                    Ok(Said::default().into())
                 }
                 Ok(false) => refuse(Error::InvalidState, "the job is not over"),
                 Err(e) => Err(e),
@@ -95,7 +82,7 @@
         id: String,
         timeout: f64,
         until_started: bool,
-        session: &Sender<Said>,
+        session: &Sender<Outgoing>,
         ended: &Receiver<()>,
         waits: &Rc<Cell<usize>>,
     ) {
@@ -120,11 +107,11 @@
     async fn session(&self, stream: Async<TcpStream>) {
         enum Turn {
             Call(Vec<u8>),
-            Say(Box<Said>),
+            Say(Box<Outgoing>),
             End(Option<&'static str>),
         }
         let mut conn = Conn::new(stream);
-        let (say, to_say) = bounded::<Said>(QUEUE);
+        let (say, to_say) = bounded::<Outgoing>(QUEUE);
         let (_open, ended) = bounded::<()>(1);
         let waits = Rc::new(Cell::new(0));
         loop {
@@ -149,9 +136,8 @@
                 Turn::Say(text) => *text,
                 Turn::End(None) => return,
                 Turn::End(Some(why)) => {
-                    let _ = conn
-                        .write(&line(&said(0, refuse(Error::InvalidArgument, why))))
-                        .await;
+                    let refusal = said(0, refuse(Error::InvalidArgument, why));
+                    let _ = conn.write(&line(&refusal.message)).await;
                     return;
                 }
                 Turn::Call(text) => match serde_json::from_slice::<Call>(&text) {
@@ -173,24 +159,25 @@
                     }
                 },
             };
-            if conn.write(&line(&text)).await.is_err() {
+            if conn.write(&line(&text.message)).await.is_err() {
                 return;
             }
-            self.told(&text);
+            text.receipt.iter().for_each(SharedReceipt::written);
         }
     }
 }
 
-fn said(seq: u64, reply: Reply) -> Said {
-    let said = reply.unwrap_or_else(|(error, why)| Said {
-        error: Some(error),
-        message: Some(why),
-        ..Said::default()
+fn said(seq: u64, reply: Reply) -> Outgoing {
+    let mut outgoing = reply.unwrap_or_else(|(error, why)| {
+        let message = Said {
+            error: Some(error),
+            message: Some(why),
+            ..Said::default()
+        };
+        message.into()
     });
-    Said {
-        seq: Some(seq),
-        ..said
-    }
+    outgoing.message.seq = Some(seq);
+    outgoing
 }
 
 /// Listens and serves from now on.
@@ -223,7 +210,8 @@
             match listener.accept().await {
                 // Over its share of descriptors the front turns sessions away, so that the rest is served.
                 Ok((stream, _)) if served.sessions.get() >= most => {
-                    let text = line(&said(0, refuse(Error::TryLater, "too many sessions")));
+                    let refusal = said(0, refuse(Error::TryLater, "too many sessions"));
+                    let text = line(&refusal.message);
                     let _ = futures_lite::AsyncWriteExt::write(&mut &stream, &text).await;
                 }
                 Ok((stream, _)) => {
