Ledger: the writer's thread in a file of its own; a settlement that fails is tried again

One change of behaviour: where the rule for doubts could not be applied at a period's close, as the store was locked then, these doubts stayed for good. Closed periods are remembered until they are settled.

--- a/crates/ledger/src/writer.rs
+++ b/crates/ledger/src/writer/thread.rs
@@ -1,125 +1,31 @@
-//! The thread that writes: it groups what has come in since the last commit, and tells what is durable.
-//!
-//! The one that answers clients never waits for it, but for its word. A store that fails is tried again until it
-//! works; what is to be written stays here meanwhile, bounded by the [`crate::gate`].
+//! The writer's thread: commits in batches, retries, and the closing of periods that are due.
 
+use super::{ClosingRules, Record, WriterEvent};
+use crate::correction::Correction;
 use crate::entry::{Entry, Micros};
-use crate::store::{Closed, Options, Settle, Store, StoreError, LOCK_TIMEOUT};
-use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
-use std::thread::JoinHandle;
+use crate::period::Period;
+use crate::store::{Options, Store, StoreError, LOCK_TIMEOUT};
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::{Duration, Instant};
 
 /// Most entries of one commit.
-const COMMIT: usize = 4_096;
+const MAX_COMMIT_ENTRIES: usize = 4_096;
 /// How long marks may wait for entries to be committed with: a mark that is lost with the process is a doubt more,
 /// never a wrong sum.
-const MARKS: Duration = Duration::from_millis(20);
+const MAX_MARK_DELAY: Duration = Duration::from_millis(20);
 /// How often a store that fails is tried again.
-const AGAIN: Duration = Duration::from_millis(200);
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// How long one attempt waits for another process's commit: short, as the end of the process waits for it too.
 const LOCK_ATTEMPT: Duration = Duration::from_millis(200);
 /// How often it is looked whether a period is to be closed.
-const CLOSE: Duration = Duration::from_secs(1);
+const CLOSE_INTERVAL: Duration = Duration::from_secs(1);
 /// How long a store that fails is tried again at the end of the process.
-const AT_END: Duration = Duration::from_secs(1);
-
-/// What the writer is told.
-#[derive(Clone, Debug)]
-pub enum Note {
-    /// An answer to be booked.
-    Entry(Entry),
-    /// The answer of this number was written to the last byte.
-    Written(u64),
-    /// The answer of this number could not be written.
-    Broke(u64),
-}
-
-/// What the writer tells. It is told on the writer's thread.
-#[derive(Debug)]
-pub enum Told {
-    /// The store is open, in this epoch.
-    Opened {
-        /// The epoch.
-        epoch: u64,
-    },
-    /// More entries are durable; none more after a failure that is over.
-    Durable {
-        /// All that were noted up to this number.
-        upto: u64,
-        /// How many.
-        entries: usize,
-    },
-    /// The store could not be opened or written; it is tried again. Told once for each reason.
-    Failed(String),
-    /// Periods were closed.
-    Closed(Vec<Closed>),
-}
-
-/// What the writer does besides.
-#[derive(Clone, Debug)]
-pub struct Duties {
-    /// A period is closed so long after its end.
-    pub lateness_us: Micros,
-    /// How doubts of a period are settled when it is closed; none leaves them to the operator.
-    pub doubts: Option<Settle>,
-}
-
-/// A running writer. Dropping it has all that was noted written, as far as the store allows, and waits for that.
-pub struct Writer {
-    notes: Option<Sender<Note>>,
-    thread: Option<JoinHandle<()>>,
-}
-
-impl Writer {
-    /// Starts the thread. `wall` reads Unix time in microseconds.
-    ///
-    /// # Errors
-    ///
-    /// The system gives no thread.
-    pub fn start(
-        options: Options,
-        duties: Duties,
-        wall: impl Fn() -> Micros + Send + 'static,
-        tell: impl Fn(Told) + Send + 'static,
-    ) -> std::io::Result<Writer> {
-        let (notes, noted) = channel();
-        let thread = std::thread::Builder::new().name("ledger".into());
-        let thread = thread.spawn(move || {
-            Work {
-                options,
-                duties,
-                wall,
-                tell,
-                store: None,
-                upto: 0,
-                why: String::new(),
-                locked_since: None,
-            }
-            .run(&noted)
-        })?;
-        Ok(Writer {
-            notes: Some(notes),
-            thread: Some(thread),
-        })
-    }
-
-    /// Notes something. Never blocks.
-    pub fn note(&self, note: Note) {
-        if let Some(notes) = &self.notes {
-            let _ = notes.send(note); // the thread outlives this end
-        }
-    }
-}
-
-impl Drop for Writer {
-    fn drop(&mut self) {
-        self.notes = None;
-        if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
-        }
-    }
-}
+const MAX_FINAL_RETRIES: Duration = Duration::from_secs(1);
+/// Author and reason of settlements by the rule for doubts.
+const SETTLED_BY: &str = "streamusher";
+const SETTLED_BY_RULE: &str = "the rule for doubts";
 
+/// Records that are not committed yet.
 #[derive(Default)]
 struct Batch {
     entries: Vec<Entry>,
@@ -128,11 +34,11 @@
 }
 
 impl Batch {
-    fn add(&mut self, note: Note) {
-        match note {
-            Note::Entry(e) => self.entries.push(e),
-            Note::Written(n) => self.written.push(n),
-            Note::Broke(n) => self.broke.push(n),
+    fn add(&mut self, record: Record) {
+        match record {
+            Record::Entry(entry) => self.entries.push(entry),
+            Record::Written(number) => self.written.push(number),
+            Record::Broke(number) => self.broke.push(number),
         }
     }
 
@@ -150,11 +56,11 @@
     Failed,
 }
 
-struct Work<W, T> {
+pub(super) struct WriterThread<W, T> {
     options: Options,
-    duties: Duties,
+    closing: ClosingRules,
     wall: W,
-    tell: T,
+    send_event: T,
     store: Option<Store>,
     /// The last number that is durable.
     upto: u64,
@@ -162,31 +68,56 @@
     why: String,
     /// Since when another process keeps it from being written.
     locked_since: Option<Instant>,
+    /// Closed periods whose doubts are not settled by the rule yet.
+    unsettled: Vec<Period>,
 }
 
-impl<W: Fn() -> Micros, T: Fn(Told)> Work<W, T> {
-    fn run(&mut self, noted: &Receiver<Note>) {
+impl<W: Fn() -> Micros, T: Fn(WriterEvent)> WriterThread<W, T> {
+    /// `wall` reads Unix time in microseconds.
+    pub(super) fn new(
+        options: Options,
+        closing: ClosingRules,
+        wall: W,
+        send_event: T,
+    ) -> WriterThread<W, T> {
+        WriterThread {
+            options,
+            closing,
+            wall,
+            send_event,
+            store: None,
+            upto: 0,
+            why: String::new(),
+            locked_since: None,
+            unsettled: Vec::new(),
+        }
+    }
+
+    /// Writes until nothing more will come.
+    pub(super) fn run(&mut self, records: &Receiver<Record>) {
         let mut batch = Batch::default();
-        let mut look = Instant::now();
+        let mut last_close = Instant::now();
         let mut ends: Option<Instant> = None;
-        self.store(); // before anything is noted, so that a store that cannot be opened is told at once
+        self.store(); // before anything comes, so that a store that cannot be opened is told at once
         loop {
-            ends = ends.or_else(|| self.gather(noted, &mut batch));
+            ends = ends.or_else(|| self.receive(records, &mut batch));
             let attempt = match (batch.is_empty(), self.store().is_some()) {
                 (true, true) => Attempt::Done,
                 (_, false) => Attempt::Failed, // opened here: guards against one that nobody would try again
                 (false, true) => self.commit(&mut batch),
             };
             if let Some(since) = ends {
-                if batch.is_empty() || attempt != Attempt::Done && since.elapsed() > AT_END {
+                if batch.is_empty()
+                    || attempt != Attempt::Done && since.elapsed() > MAX_FINAL_RETRIES
+                {
                     break;
                 }
             }
             if attempt == Attempt::Failed {
-                std::thread::sleep(AGAIN);
+                std::thread::sleep(RETRY_PAUSE);
             }
-            if look.elapsed() >= CLOSE {
-                look = Instant::now();
+            if last_close.elapsed() >= CLOSE_INTERVAL {
+                last_close = Instant::now();
                 self.close();
             }
         }
@@ -199,26 +130,26 @@
     }
 
     /// Waits for something to write and takes what is there. Some once nothing more will come.
-    fn gather(&self, noted: &Receiver<Note>, batch: &mut Batch) -> Option<Instant> {
+    fn receive(&self, records: &Receiver<Record>, batch: &mut Batch) -> Option<Instant> {
         let mut wait = if batch.is_empty() {
-            CLOSE
+            CLOSE_INTERVAL
         } else {
             Duration::ZERO
         };
         let mut by = None;
         loop {
-            match noted.recv_timeout(wait) {
-                Ok(note) => batch.add(note),
+            match records.recv_timeout(wait) {
+                Ok(record) => batch.add(record),
                 Err(RecvTimeoutError::Timeout) => return None,
                 Err(RecvTimeoutError::Disconnected) => return Some(Instant::now()),
             }
-            let by = *by.get_or_insert_with(|| Instant::now() + MARKS);
+            let by = *by.get_or_insert_with(|| Instant::now() + MAX_MARK_DELAY);
             wait = if batch.entries.is_empty() {
                 by.saturating_duration_since(Instant::now())
             } else {
                 Duration::ZERO
             };
-            if batch.entries.len() >= COMMIT {
+            if batch.entries.len() >= MAX_COMMIT_ENTRIES {
                 return None;
             }
         }
@@ -234,13 +165,13 @@
             });
             match opened {
                 Ok(store) => {
-                    (self.tell)(Told::Opened {
+                    (self.send_event)(WriterEvent::Opened {
                         epoch: store.epoch(),
                     });
                     self.store = Some(store);
                     self.why.clear();
                 }
-                Err(e) => self.failed(&e),
+                Err(error) => self.on_failed(&error),
             }
         }
         self.store.as_mut()
@@ -255,10 +186,10 @@
         since.elapsed() < LOCK_TIMEOUT
     }
 
-    fn failed(&mut self, e: &StoreError) {
-        let why = e.to_string();
+    fn on_failed(&mut self, error: &StoreError) {
+        let why = error.to_string();
         if why != self.why {
-            (self.tell)(Told::Failed(why.clone()));
+            (self.send_event)(WriterEvent::Failed(why.clone()));
             self.why = why;
         }
     }
@@ -275,7 +206,7 @@
             Err(error) if self.is_waiting_for_lock(&error) => Attempt::Locked,
             Err(error) => {
                 self.commit_marks(batch);
-                self.failed(&error);
+                self.on_failed(&error);
                 Attempt::Failed
             }
         }
@@ -286,7 +217,7 @@
         let had_failed = !std::mem::take(&mut self.why).is_empty();
         self.upto = batch.entries.last().map_or(self.upto, |entry| entry.seq);
         if had_failed || !batch.entries.is_empty() {
-            (self.tell)(Told::Durable {
+            (self.send_event)(WriterEvent::Durable {
                 upto: self.upto,
                 entries: batch.entries.len(),
             });
@@ -305,40 +236,46 @@
     }
 
     fn close(&mut self) {
-        let (now, lateness, rule) = ((self.wall)(), self.duties.lateness_us, self.duties.doubts);
+        let now = (self.wall)();
         let Some(store) = self.store.as_mut() else {
             return;
         };
-        let closed = store.close_due(now, lateness);
-        let settled = match (&closed, rule) {
-            (Ok(closed), Some(rule)) if !closed.is_empty() => {
-                let all = store.doubts().and_then(|doubts| {
-                    let due = doubts
-                        .iter()
-                        .filter(|d| closed.iter().any(|c| c.period == d.period));
-                    let due: Vec<_> = due
-                        .map(|d| d.settle(rule, now, "streamusher", "the rule for doubts"))
-                        .collect();
-                    store.correct_all(&due)
-                });
-                all.map(drop)
+        match store.close_due(now, self.closing.lateness_us) {
+            Ok(closed) if closed.is_empty() => {}
+            Ok(closed) => {
+                self.unsettled.extend(closed.iter().map(|c| c.period));
+                (self.send_event)(WriterEvent::Closed(closed));
             }
-            _ => Ok(()),
-        };
-        match closed {
-            Ok(closed) if !closed.is_empty() => (self.tell)(Told::Closed(closed)),
-            Ok(_) => {}
-            Err(e) => self.close_failed(&e),
+            Err(error) => self.on_close_failed(&error),
+        }
+        if let Err(error) = self.settle_closed(now) {
+            self.on_close_failed(&error);
         }
-        if let Err(e) = settled {
-            self.close_failed(&e);
+    }
+
+    /// Settles the doubts of the periods that were closed, where there is a rule; tried again with the next look if it fails.
+    fn settle_closed(&mut self, now: Micros) -> Result<(), StoreError> {
+        let (Some(rule), Some(store)) = (self.closing.doubts, self.store.as_mut()) else {
+            return Ok(());
+        };
+        if self.unsettled.is_empty() {
+            return Ok(());
         }
+        let doubts = store.doubts()?;
+        let settlements: Vec<Correction> = doubts
+            .iter()
+            .filter(|doubt| self.unsettled.contains(&doubt.period))
+            .map(|doubt| doubt.settle(rule, now, SETTLED_BY, SETTLED_BY_RULE))
+            .collect();
+        store.correct_all(&settlements)?;
+        self.unsettled.clear();
+        Ok(())
     }
 
     /// Periods are looked at again soon; what another process's commit keeps waiting is no failure.
-    fn close_failed(&mut self, error: &StoreError) {
+    fn on_close_failed(&mut self, error: &StoreError) {
         if !matches!(error, StoreError::InUse(_)) {
-            self.failed(error);
+            self.on_failed(error);
         }
     }
 }
--- a/crates/ledger/tests/store.rs
+++ b/crates/ledger/tests/store.rs
@@ -15,7 +15,7 @@
 use streamusher_ledger::scan::{scan, Scanned};
 use streamusher_ledger::store::{Settle, Store, StoreError, FILE, VERSION};
 use streamusher_ledger::sums::Use;
-use streamusher_ledger::writer::{Duties, Note, Told, Writer};
+use streamusher_ledger::writer::{ClosingRules, Record, Writer, WriterEvent};
 use tempfile::tempdir;
 
 fn line(store: &Store, period: Period, tenant: &str, class: &str) -> Use {
@@ -453,13 +453,13 @@
     let mut small = options(dir.path(), "n1");
     small.most_bytes = Some(64 << 10);
     let (tell, told) = channel();
-    let duties = Duties {
+    let closing = ClosingRules {
         lateness_us: HOUR,
         doubts: None,
     };
     let writer = Writer::start(
         small,
-        duties.clone(),
+        closing.clone(),
         || DECEMBER,
         move |t| drop(tell.send(t)),
     )
@@ -470,16 +470,16 @@
         told.recv_timeout(Duration::from_secs(20))
             .expect("it is told")
     };
-    assert!(matches!(next(), Told::Opened { .. }));
+    assert!(matches!(next(), WriterEvent::Opened { .. }));
     let mut durable = 0;
     let why = (1..).find_map(|n| {
-        writer.note(Note::Entry(wide(n)));
+        writer.write(Record::Entry(wide(n)));
         match next() {
-            Told::Durable { upto, .. } => {
+            WriterEvent::Durable { upto, .. } => {
                 durable = upto;
                 None
             }
-            Told::Failed(why) => Some(why),
+            WriterEvent::Failed(why) => Some(why),
             other => panic!("{other:?}"),
         }
     });
@@ -505,26 +505,36 @@
 fn writer_waits_for_another_commit_without_failing_and_ends_although_that_lasts() {
     let dir = tempdir().unwrap();
     let (tell, told) = channel();
-    let duties = Duties {
+    let closing = ClosingRules {
         lateness_us: HOUR,
         doubts: None,
     };
     let now = || DECEMBER;
-    let writer = Writer::start(options(dir.path(), "n1"), duties, now, move |t| {
+    let writer = Writer::start(options(dir.path(), "n1"), closing, now, move |t| {
         drop(tell.send(t))
     })
     .unwrap();
     let next = |wait| told.recv_timeout(wait);
     let long = Duration::from_secs(20);
-    assert!(matches!(next(long), Ok(Told::Opened { .. })));
+    assert!(matches!(next(long), Ok(WriterEvent::Opened { .. })));
     let database = rusqlite::Connection::open(dir.path().join(FILE)).unwrap();
-    let note = |n| writer.note(Note::Entry(entry(n, DECEMBER, "hydrology", Answer::Served)));
+    let note = |n| {
+        writer.write(Record::Entry(entry(
+            n,
+            DECEMBER,
+            "hydrology",
+            Answer::Served,
+        )))
+    };
 
     database.execute_batch("BEGIN IMMEDIATE").unwrap();
     note(1);
     assert!(next(Duration::from_millis(700)).is_err());
     database.execute_batch("COMMIT").unwrap();
-    assert!(matches!(next(long), Ok(Told::Durable { upto: 1, .. })));
+    assert!(matches!(
+        next(long),
+        Ok(WriterEvent::Durable { upto: 1, .. })
+    ));
 
     database.execute_batch("BEGIN IMMEDIATE").unwrap();
     note(2);
@@ -551,18 +561,18 @@
         .unwrap();
     drop(store); // as a crash leaves it
     let (tell, told) = channel();
-    let duties = Duties {
+    let closing = ClosingRules {
         lateness_us: HOUR,
         doubts: Some(rule),
     };
     let later = || DECEMBER + 3 * HOUR;
-    let writer = Writer::start(options(dir.path(), "n1"), duties, later, move |t| {
+    let writer = Writer::start(options(dir.path(), "n1"), closing, later, move |t| {
         drop(tell.send(t))
     })
     .unwrap();
     let closed =
         std::iter::from_fn(|| told.recv_timeout(Duration::from_secs(20)).ok()).find_map(|t| {
-            if let Told::Closed(closed) = t {
+            if let WriterEvent::Closed(closed) = t {
                 Some(closed)
             } else {
                 None
@@ -580,20 +590,64 @@
     );
 }
 
+/// Guards against doubts that stay for good, as the store was locked when the rule was to settle them.
+#[test]
+fn doubts_are_settled_by_the_rule_although_the_store_is_locked_at_first() {
+    let dir = tempdir().unwrap();
+    let mut store = open(dir.path());
+    store
+        .commit(&[entry(1, DECEMBER, "hydrology", Answer::Served)], &[], &[])
+        .unwrap();
+    drop(store); // as a crash leaves it
+    let closing = ClosingRules {
+        lateness_us: HOUR,
+        doubts: Some(Settle::Bill),
+    };
+    let later = || DECEMBER + 3 * HOUR;
+    let path = dir.path().join(FILE);
+    let (send, locks) = channel();
+    let writer = Writer::start(options(dir.path(), "n1"), closing, later, move |event| {
+        // Called between the close and the settlement.
+        if matches!(event, WriterEvent::Closed(_)) {
+            let lock = rusqlite::Connection::open(&path).unwrap();
+            lock.execute_batch("BEGIN IMMEDIATE").unwrap();
+            send.send(lock).unwrap();
+        }
+    })
+    .unwrap();
+    let lock = locks.recv_timeout(Duration::from_secs(20)).unwrap();
+    let unsettled = Store::command(dir.path(), KEY).unwrap();
+    // Longer than one attempt to settle lasts.
+    assert!(locks.recv_timeout(Duration::from_secs(1)).is_err());
+    assert_eq!(unsettled.doubts().unwrap().len(), 1);
+    drop(lock);
+    let by = std::time::Instant::now() + Duration::from_secs(20);
+    while !unsettled.doubts().unwrap().is_empty() {
+        assert!(std::time::Instant::now() < by, "it is tried again");
+        std::thread::yield_now();
+    }
+    drop(writer);
+}
+
 #[test]
 fn a_writer_that_ends_in_order_leaves_no_doubt() {
     let dir = tempdir().unwrap();
-    let duties = Duties {
+    let closing = ClosingRules {
         lateness_us: HOUR,
         doubts: None,
     };
-    let writer = Writer::start(options(dir.path(), "n1"), duties, || DECEMBER, |_| {}).unwrap();
+    let writer = Writer::start(options(dir.path(), "n1"), closing, || DECEMBER, |_| {}).unwrap();
     for n in 1..=100 {
-        writer.note(Note::Entry(entry(n, DECEMBER, "hydrology", Answer::Served)));
-        writer.note(if n == 50 {
-            Note::Broke(n)
+        writer.write(Record::Entry(entry(
+            n,
+            DECEMBER,
+            "hydrology",
+            Answer::Served,
+        )));
+        writer.write(if n == 50 {
+            Record::Broke(n)
         } else {
-            Note::Written(n)
+            Record::Written(n)
         });
     }
     drop(writer);
--- a/src/billing.rs
+++ b/src/billing.rs
@@ -1,4 +1,4 @@
-//! The ledger beside the core: final answers become entries, and the writer's word lets them go.
+//! The ledger beside the core: final answers become entries, and are released once the writer reports these as durable.
 //!
 //! All that is decided stands in `streamusher_ledger::gate`; the disk is touched on the writer's thread alone.
 
@@ -14,12 +14,12 @@
 use streamusher_ledger::entry::{key_hash, Answer, Entry};
 use streamusher_ledger::gate::{Gate, Verdict};
 use streamusher_ledger::store::Options;
-use streamusher_ledger::writer::{Duties, Note, Told, Writer};
+use streamusher_ledger::writer::{ClosingRules, Record, Writer, WriterEvent};
 
 /// Entries that may wait to be written: some 6 MB.
-const MOST_WAITING: usize = 16_384;
+const MAX_WAITING_ENTRIES: usize = 16_384;
 /// Under which name operations are booked where no tenants are listed.
-const NOBODY: &str = "unassigned";
+const UNASSIGNED_TENANT: &str = "unassigned";
 
 /// Books final answers in a ledger.
 pub(crate) struct Billing {
@@ -31,7 +31,7 @@
     hub: std::rc::Weak<Hub>,
     /// Which of the core's bookkeepers it is.
     number: std::cell::Cell<usize>,
-    nobody: Arc<str>,
+    unassigned: Arc<str>,
     log: Logger,
 }
 
@@ -58,18 +58,19 @@
         key,
         most_bytes: (config.max_mb > 0).then_some(config.max_mb << 20),
     };
-    let duties = Duties {
+    let closing = ClosingRules {
         lateness_us: config.lateness_s * 1_000_000,
         doubts: config.doubts.rule(),
     };
-    let (tell, told) = async_channel::unbounded();
-    let writer = Writer::start(options, duties, wall, move |t| drop(tell.try_send(t)));
+    let (sender, events) = async_channel::unbounded();
+    let send_event = move |event| drop(sender.try_send(event)); // nobody listens once the event loop has ended
+    let writer = Writer::start(options, closing, wall, send_event);
     let writer = writer.map_err(|e| format!("[ledger]: no thread for it: {e}"))?;
     let billing = Rc::new(Billing {
         gate: RefCell::new(Gate::new(
             config.on_failure,
             config.hold_ms * 1_000,
-            MOST_WAITING,
+            MAX_WAITING_ENTRIES,
         )),
         writer: RefCell::new(Some(writer)),
         key,
@@ -82,61 +83,64 @@
         ),
         hub: Rc::downgrade(hub),
         number: std::cell::Cell::new(0),
-        nobody: Arc::from(NOBODY),
+        unassigned: Arc::from(UNASSIGNED_TENANT),
         log: hub.log.clone(),
     });
     billing
         .number
         .set(hub.with(|core, _| core.attach_bookkeeper(billing.clone())));
-    let (heard, all) = (hub.clone(), billing.clone());
+    let (listening, receiver) = (hub.clone(), billing.clone());
     hub.spawn(async move {
-        while let Ok(told) = told.recv().await {
-            all.hear(&heard, told);
+        while let Ok(event) = events.recv().await {
+            receiver.on_writer_event(&listening, event);
         }
     });
     Ok(billing)
 }
 
 impl Billing {
-    fn hear(&self, hub: &Hub, told: Told) {
-        match told {
-            Told::Opened { epoch } => {
+    fn on_writer_event(&self, hub: &Hub, event: WriterEvent) {
+        match event {
+            WriterEvent::Opened { epoch } => {
                 self.gate.borrow_mut().works();
                 info!(self.log, "the ledger is open"; "epoch" => epoch);
             }
-            Told::Durable { upto, entries } => {
-                let was_trusted = self.gate.borrow().is_trusted();
-                self.gate.borrow_mut().durable(upto, entries);
-                if !was_trusted {
-                    info!(self.log, "the ledger is written again"; "upto" => upto);
-                }
-                hub.with(|core, _| core.durable(self.number.get(), upto));
-            }
-            Told::Failed(why) => {
-                self.gate.borrow_mut().failed();
-                warn!(self.log, "the ledger cannot be written"; "why" => why);
-                if self.gate.borrow().releases_unbooked() {
-                    hub.with(|core, _| core.hold_no_longer(self.number.get()));
-                }
-            }
-            Told::Closed(closed) => {
-                for c in closed {
-                    info!(self.log, "a period was closed"; "period" => %c.period);
+            WriterEvent::Durable { upto, entries } => self.on_durable(hub, upto, entries),
+            WriterEvent::Failed(why) => self.on_failed(hub, &why),
+            WriterEvent::Closed(closed) => {
+                for closed in closed {
+                    info!(self.log, "a period was closed"; "period" => %closed.period);
                 }
             }
         }
     }
 
-    /// Has all that was noted written, as far as the disk allows. Nothing is booked after it.
+    fn on_durable(&self, hub: &Hub, upto: u64, entries: usize) {
+        let was_trusted = self.gate.borrow().is_trusted();
+        self.gate.borrow_mut().durable(upto, entries);
+        if !was_trusted {
+            info!(self.log, "the ledger is written again"; "upto" => upto);
+        }
+        hub.with(|core, _| core.durable(self.number.get(), upto));
+    }
+
+    fn on_failed(&self, hub: &Hub, why: &str) {
+        self.gate.borrow_mut().failed();
+        warn!(self.log, "the ledger cannot be written"; "why" => why);
+        if self.gate.borrow().releases_unbooked() {
+            hub.with(|core, _| core.hold_no_longer(self.number.get()));
+        }
+    }
+
+    /// Has all that was booked written, as far as the disk allows. Nothing is booked after it.
     pub(crate) fn end(&self) {
         drop(self.writer.borrow_mut().take());
     }
 
-    fn note(&self, note: Note) {
-        self.writer
-            .borrow()
-            .iter()
-            .for_each(|w| w.note(note.clone()));
+    fn write(&self, record: Record) {
+        if let Some(writer) = self.writer.borrow().as_ref() {
+            writer.write(record);
+        }
     }
 }
 
@@ -165,31 +169,31 @@
         self.gate.borrow().takes_work()
     }
 
-    fn book(&self, now: Micros, by: Micros, a: &Account) -> Booking {
+    fn book(&self, now: Micros, by: Micros, account: &Account) -> Booking {
         let verdict = self.gate.borrow_mut().book(now, by);
         let (seq, until) = match verdict {
             Verdict::Hold { seq, until } => (seq, until),
-            Verdict::Unbooked if self.may_release(a.ended) => return Booking::Unbooked,
+            Verdict::Unbooked if self.may_release(account.ended) => return Booking::Unbooked,
             Verdict::Unbooked => return Booking::Refused,
         };
-        self.note(Note::Entry(Entry {
+        self.write(Record::Entry(Entry {
             seq,
             time_us: wall(),
-            operation: a.operation.to_string(),
-            tenant: a.tenant.unwrap_or(&self.nobody).clone(),
-            class: self.class(a.class.0 as usize),
-            answer: match a.ended {
+            operation: account.operation.to_string(),
+            tenant: account.tenant.unwrap_or(&self.unassigned).clone(),
+            class: self.class(account.class.0 as usize),
+            answer: match account.ended {
                 Ended::Served => Answer::Served,
                 Ended::Busy => Answer::Busy,
                 Ended::Failed => Answer::Failed,
                 Ended::Gone => Answer::Gone,
             },
-            joined: a.joined,
-            slots_milli: (a.slots * 1_000.0).round() as u32, // saturates
-            run_us: a.run_us,
-            wasted_us: a.wasted_us,
-            attempts: a.attempts,
-            key: a.idempotency_key.map(|k| key_hash(&self.key, k)),
+            joined: account.joined,
+            slots_milli: (account.slots * 1_000.0).round() as u32, // saturates
+            run_us: account.run_us,
+            wasted_us: account.wasted_us,
+            attempts: account.attempts,
+            key: account.idempotency_key.map(|k| key_hash(&self.key, k)),
         }));
         Booking::Hold { number: seq, until }
     }
@@ -207,10 +211,10 @@
     }
 
     fn written(&self, number: u64, whole: bool) {
-        self.note(if whole {
-            Note::Written(number)
+        self.write(if whole {
+            Record::Written(number)
         } else {
-            Note::Broke(number)
+            Record::Broke(number)
         });
     }
 }
--- a/src/drmaa/front/mod.rs
+++ b/src/drmaa/front/mod.rs
@@ -10,7 +10,7 @@
 
 pub(crate) use session::listen;
 
-use super::{from_hex, Error, JobInfo, JobState, JobTemplate, Said};
+use super::{from_hex, Error, JobInfo, JobState, JobTemplate, SessionMessage};
 use crate::core::{Answer, Front, NotTaken, Operation, Receipt};
 use crate::interface::{JobId, Micros};
 use crate::net::http::BODY;
@@ -43,13 +43,13 @@
 
 /// A message to a session.
 struct Outgoing {
-    message: Said,
+    message: SessionMessage,
     /// To be told once the message is written, where it says how a job ended.
     receipt: Option<SharedReceipt>,
 }
 
-impl From<Said> for Outgoing {
-    fn from(message: Said) -> Outgoing {
+impl From<SessionMessage> for Outgoing {
+    fn from(message: SessionMessage) -> Outgoing {
         Outgoing {
             message,
             receipt: None,
@@ -65,21 +65,21 @@
     fn enter(&mut self, state: JobState) {
         self.info.job_state = state;
         self.changed = bounded(1);
-        let said = Said {
+        let message = SessionMessage {
             event: Some("NEW_STATE".into()),
             job_id: Some(self.info.job_id.clone()),
             job_state: Some(state),
-            ..Said::default()
+            ..SessionMessage::default()
         };
-        let _ = self.session.try_send(said.into()); // a session that does not read misses it
+        let _ = self.session.try_send(message.into()); // a session that does not read misses it
     }
 
     /// What is known of it, for a reply.
     fn describe(&self) -> Outgoing {
         Outgoing {
-            message: Said {
+            message: SessionMessage {
                 job_info: Some(self.info.clone()),
-                ..Said::default()
+                ..SessionMessage::default()
             },
             receipt: self.is_over().then(|| self.receipt.clone()),
         }
@@ -234,9 +234,9 @@
                 if let Some(entry) = jobs.get_mut(&number) {
                     entry.operation = Some(job);
                 }
-                let message = Said {
+                let message = SessionMessage {
                     job_id: Some(job_id),
-                    ..Said::default()
+                    ..SessionMessage::default()
                 };
                 Ok(message.into())
             }
@@ -367,7 +367,7 @@
         let front = self.front();
         self.hub
             .with(|core, now| core.gone(now, operation, &front, number));
-        Ok(Said::default().into())
+        Ok(SessionMessage::default().into())
     }
 
     /// Waits until a job is over, or has started.
--- a/src/drmaa/front/session.rs
+++ b/src/drmaa/front/session.rs
@@ -3,7 +3,7 @@
 use super::receipt::SharedReceipt;
 use super::{refuse, JobTable, Outgoing, Reply};
 use crate::config::Drmaa;
-use crate::drmaa::{line, Call, Error, Said, What, LINE};
+use crate::drmaa::{line, Call, CallKind, Error, SessionMessage, LINE};
 use crate::interface::Micros;
 use crate::net::http::Conn;
 use crate::runtime::Hub;
@@ -29,46 +29,48 @@
         ended: &Receiver<()>,
         waits: &Rc<Cell<usize>>,
     ) -> Option<Reply> {
-        Some(match call.what {
-            What::RunJob { job_template } => self.run_job(job_template, session),
-            What::Terminate { job_id } => self.terminate(&job_id),
-            What::GetState { job_id } => {
+        Some(match call.kind {
+            CallKind::RunJob { job_template } => self.run_job(job_template, session),
+            CallKind::Terminate { job_id } => self.terminate(&job_id),
+            CallKind::GetState { job_id } => {
                 let state = self.look(&job_id, |job| job.info.job_state);
                 state.map(|state| {
-                    let message = Said {
+                    let message = SessionMessage {
                         job_state: Some(state),
-                        ..Said::default()
+                        ..SessionMessage::default()
                     };
                     message.into()
                 })
             }
-            What::GetInfo { job_id } => self.look(&job_id, |job| job.describe()),
-            What::Reap { job_id } => match self.look(&job_id, |job| job.is_over()) {
+            CallKind::GetInfo { job_id } => self.look(&job_id, |job| job.describe()),
+            CallKind::Reap { job_id } => match self.look(&job_id, |job| job.is_over()) {
                 Ok(true) => {
                     job_id
                         .parse()
                         .ok()
                         .and_then(|n: u64| self.jobs.borrow_mut().remove(&n));
-                    Ok(Said::default().into())
+                    Ok(SessionMessage::default().into())
                 }
                 Ok(false) => refuse(Error::InvalidState, "the job is not over"),
                 Err(e) => Err(e),
             },
-            What::WaitStarted { .. } | What::WaitTerminated { .. } if waits.get() >= WAITS => {
+            CallKind::WaitStarted { .. } | CallKind::WaitTerminated { .. }
+                if waits.get() >= WAITS =>
+            {
                 refuse(Error::OutOfResource, "too many waits")
             }
-            What::WaitStarted { job_id, timeout } => {
+            CallKind::WaitStarted { job_id, timeout } => {
                 self.answer_later(call.seq, job_id, timeout, true, session, ended, waits);
                 return None;
             }
-            What::WaitTerminated { job_id, timeout } => {
+            CallKind::WaitTerminated { job_id, timeout } => {
                 self.answer_later(call.seq, job_id, timeout, false, session, ended, waits);
                 return None;
             }
-            What::Suspend { .. }
-            | What::Resume { .. }
-            | What::Hold { .. }
-            | What::Release { .. } => refuse(
+            CallKind::Suspend { .. }
+            | CallKind::Resume { .. }
+            | CallKind::Hold { .. }
+            | CallKind::Release { .. } => refuse(
                 Error::UnsupportedOperation,
                 "jobs are neither held nor suspended here",
             ),
@@ -93,7 +95,7 @@
         self.hub.spawn(async move {
             let answered = async {
                 let reply = me.wait(&id, timeout, until_started).await;
-                let _ = session.send(said(seq, reply)).await;
+                let _ = session.send(reply_message(seq, reply)).await;
             };
             let left = async {
                 let _ = ended.recv().await;
@@ -136,7 +138,7 @@
                 Turn::Say(text) => *text,
                 Turn::End(None) => return,
                 Turn::End(Some(why)) => {
-                    let refusal = said(0, refuse(Error::InvalidArgument, why));
+                    let refusal = reply_message(0, refuse(Error::InvalidArgument, why));
                     let _ = conn.write(&line(&refusal.message)).await;
                     return;
                 }
@@ -144,7 +146,7 @@
                     Ok(call) => {
                         let seq = call.seq;
                         match self.call(call, &say, &ended, &waits) {
-                            Some(reply) => said(seq, reply),
+                            Some(reply) => reply_message(seq, reply),
                             None => continue,
                         }
                     }
@@ -152,7 +154,7 @@
                         // Guards against a silent end: a caller is told which of its calls was not understood.
                         let seq = serde_json::from_slice::<serde_json::Value>(&text).ok();
                         let seq = seq.and_then(|v| v.get("seq")?.as_u64()).unwrap_or(0);
-                        said(
+                        reply_message(
                             seq,
                             refuse(Error::InvalidArgument, format!("not a call: {e}")),
                         )
@@ -167,12 +169,12 @@
     }
 }
 
-fn said(seq: u64, reply: Reply) -> Outgoing {
+fn reply_message(seq: u64, reply: Reply) -> Outgoing {
     let mut outgoing = reply.unwrap_or_else(|(error, why)| {
-        let message = Said {
+        let message = SessionMessage {
             error: Some(error),
             message: Some(why),
-            ..Said::default()
+            ..SessionMessage::default()
         };
         message.into()
     });
@@ -210,7 +212,7 @@
             match listener.accept().await {
                 // Over its share of descriptors the front turns sessions away, so that the rest is served.
                 Ok((stream, _)) if served.sessions.get() >= most => {
-                    let refusal = said(0, refuse(Error::TryLater, "too many sessions"));
+                    let refusal = reply_message(0, refuse(Error::TryLater, "too many sessions"));
                     let text = line(&refusal.message);
                     let _ = futures_lite::AsyncWriteExt::write(&mut &stream, &text).await;
                 }
--- a/src/drmaa/front/template.rs
+++ b/src/drmaa/front/template.rs
@@ -28,7 +28,7 @@
     "resourceLimits",
 ];
 
-/// Reads a template. What this front does not bear is refused by name.
+/// Reads a template. What this front does not support is refused by name.
 pub(super) fn read_template(template: serde_json::Value) -> Result<JobTemplate, (Error, String)> {
     let known = [
         "remoteCommand",
--- a/src/drmaa/mod.rs
+++ b/src/drmaa/mod.rs
@@ -150,7 +150,7 @@
 pub(crate) struct Call {
     pub(crate) seq: u64,
     #[serde(flatten)]
-    pub(crate) what: What,
+    pub(crate) kind: CallKind,
 }
 
 /// What is called for. `timeout` is in seconds; below 0, without end.
@@ -160,7 +160,7 @@
     rename_all = "camelCase",
     rename_all_fields = "camelCase"
 )]
-pub(crate) enum What {
+pub(crate) enum CallKind {
     RunJob { job_template: serde_json::Value },
     WaitStarted { job_id: String, timeout: f64 },
     WaitTerminated { job_id: String, timeout: f64 },
@@ -177,7 +177,7 @@
 /// An answer to a call, or, without `seq`, a notification.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(default, rename_all = "camelCase")]
-pub(crate) struct Said {
+pub(crate) struct SessionMessage {
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(crate) seq: Option<u64>,
     #[serde(skip_serializing_if = "Option::is_none")]
--- a/src/drmaa/worker.rs
+++ b/src/drmaa/worker.rs
@@ -1,6 +1,8 @@
 //! Route steps to workers that speak DRMAA: `runJob`, then `waitTerminated`, and `terminate` as the cancel.
 
-use super::{line, to_hex, Call, Error, JobInfo, JobState, JobTemplate, Said, What, LINE};
+use super::{
+    line, to_hex, Call, CallKind, Error, JobInfo, JobState, JobTemplate, SessionMessage, LINE,
+};
 use crate::core::{Driver, Ending, Member, Operation, StepId, StepNews};
 use crate::interface::{Micros, WorkerId};
 use crate::net::http::BODY;
@@ -62,7 +64,7 @@
             serde_json::to_value(template(operation, deadline as f64 / 1e6)).expect("plain data");
         let call = line(&Call {
             seq: 1,
-            what: What::RunJob { job_template },
+            kind: CallKind::RunJob { job_template },
         });
         if taken.conn.write(&call).await.is_err() {
             return Ending::BrokeUnsent;
@@ -70,30 +72,30 @@
         let conn = &mut pooled.insert(taken).conn;
         let mut early = None;
         loop {
-            let said = match conn
+            let message = match conn
                 .line(LINE)
                 .await
-                .map(|l| serde_json::from_slice::<Said>(&l))
+                .map(|l| serde_json::from_slice::<SessionMessage>(&l))
             {
-                Ok(Ok(said)) => said,
+                Ok(Ok(message)) => message,
                 _ => return Ending::BrokeSent,
             };
-            match (said.seq, said.error) {
-                (None, _) if said.event.as_deref() == Some("NEW_STATE") => {
+            match (message.seq, message.error) {
+                (None, _) if message.event.as_deref() == Some("NEW_STATE") => {
                     // Guards against the last words on the job before, on a connection that is used again.
-                    match said.job_state == Some(JobState::Running) {
-                        true if job.is_some() && said.job_id == *job => self.started(step),
-                        true if job.is_none() => early = said.job_id,
+                    match message.job_state == Some(JobState::Running) {
+                        true if job.is_some() && message.job_id == *job => self.started(step),
+                        true if job.is_none() => early = message.job_id,
                         _ => {}
                     }
                 }
                 (None, _) => {}
                 (Some(1), Some(error)) => return turned_down(error),
                 (Some(1), None) => {
-                    let Some(id) = said.job_id else {
+                    let Some(id) = message.job_id else {
                         return Ending::WorkerFailed;
                     };
-                    let wait = What::WaitTerminated {
+                    let wait = CallKind::WaitTerminated {
                         job_id: id.clone(),
                         timeout: -1.0,
                     };
@@ -102,14 +104,14 @@
                     }
                     *job = Some(id);
                     if conn
-                        .write(&line(&Call { seq: 2, what: wait }))
+                        .write(&line(&Call { seq: 2, kind: wait }))
                         .await
                         .is_err()
                     {
                         return Ending::BrokeSent;
                     }
                 }
-                (Some(2), None) => return said.job_info.map_or(Ending::WorkerFailed, ended),
+                (Some(2), None) => return message.job_info.map_or(Ending::WorkerFailed, ended),
                 (Some(2), Some(_)) => return Ending::Lost,
                 (Some(_), _) => {}
             }
@@ -127,20 +129,22 @@
         mut job: Option<String>,
     ) -> Option<()> {
         while job.is_none() {
-            let said: Said = serde_json::from_slice(&pooled.conn.line(LINE).await.ok()?).ok()?;
-            if said.seq == Some(1) {
-                job = Some(said.job_id?);
+            let message: SessionMessage =
+                serde_json::from_slice(&pooled.conn.line(LINE).await.ok()?).ok()?;
+            if message.seq == Some(1) {
+                job = Some(message.job_id?);
             }
         }
         self.hub.with(|core, _| core.counters.cancels += 1);
         let call = Call {
             seq: 3,
-            what: What::Terminate { job_id: job? },
+            kind: CallKind::Terminate { job_id: job? },
         };
         pooled.conn.write(&line(&call)).await.ok()?;
         loop {
-            let said: Said = serde_json::from_slice(&pooled.conn.line(LINE).await.ok()?).ok()?;
-            if said.seq == Some(3) {
+            let message: SessionMessage =
+                serde_json::from_slice(&pooled.conn.line(LINE).await.ok()?).ok()?;
+            if message.seq == Some(3) {
                 return Some(());
             }
         }
