--- a/tests/ledger_holds.rs
+++ b/tests/ledger_holds.rs
@@ -14,7 +14,7 @@
 use support::restarts::*;
 use support::*;
 
-/// So short a hold that hardly any entry is durable before it is over, on any machine.
+/// So short a hold that it is over before many syncs are, beside load most of them.
 const SHORT_HOLD: &str = "hold_ms = 1\n";
 /// How the log names an answer that did not wait for its entry.
 const ANSWERED_EARLY: &str = "an answer went out before it was known to be booked";
