--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod json;
 mod lease;
+mod leaving;
 mod long_answer;
 mod record;
 mod relay;
@@ -144,6 +145,7 @@
     let play = Play::new(root.into(), folder.into());
     match case.as_str() {
         "lease" => lease::play(play),
+        "leaving" => leaving::play(play),
         "long-answer" => long_answer::play(play),
         _ => exit(2),
     }
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -19,6 +19,8 @@
     pub from: u64,
     pub to: Option<u64>,
     pub how: &'static str,
+    /// When an answered heartbeat first listed the end.
+    pub listed: Option<u64>,
 }
 
 struct Running {
@@ -29,6 +31,7 @@
 
 struct Finished {
     number: u64,
+    listed: bool,
     task: String,
     run: u64,
     how: &'static str,
@@ -159,6 +162,7 @@
         *over = (*over).max(run);
         state.finished.push(Finished {
             number,
+            listed: false,
             task: task.into(),
             run,
             how,
@@ -193,6 +197,7 @@
         let Some(answer) = Json::parse(&answer.body) else {
             return HEARTBEAT_MS;
         };
+        self.mark_listed();
         self.obey(sent_at, &answer);
         answer
             .get("retry_after_ms")
@@ -200,6 +205,33 @@
             .unwrap_or(HEARTBEAT_MS)
     }
 
+    /// The heartbeat that was answered listed the ends marked as listed in it.
+    fn mark_listed(&self) {
+        let now = self.record.now();
+        let state = self.state.lock().expect("worker");
+        let mut executions = self.executions.lock().expect("executions");
+        for one in state.finished.iter().filter(|one| one.listed) {
+            let execution = executions.iter_mut().find(|execution| {
+                execution.worker == self.name
+                    && execution.task == one.task
+                    && execution.run == one.run
+                    && execution.listed.is_none()
+            });
+            if let Some(execution) = execution {
+                execution.listed = Some(now);
+            }
+        }
+    }
+
+    /// Tells the agent that this worker is about to end.
+    pub fn deregister(&self) -> bool {
+        let path = format!("/streamusher/Instances.Deregister/{}", self.name);
+        let answer = call(self.agent, "POST", &path, &[], "{}", Duration::from_secs(1));
+        let status = answer.map_or(0, |answer| answer.status);
+        self.record.line(&format!("{}: deregisters, answered {status}", self.name));
+        status / 100 == 2
+    }
+
     fn heartbeat(&self) -> String {
         let now = self.record.now();
         let mut state = self.state.lock().expect("worker");
@@ -215,9 +247,10 @@
             .collect();
         let finished: Vec<String> = state
             .finished
-            .iter()
+            .iter_mut()
             .take(500)
             .map(|one| {
+                one.listed = true;
                 format!(
                     "[{},\"{}\",{},\"{}\",\"\"]",
                     one.number, one.task, one.run, one.how
@@ -304,6 +337,7 @@
             from: now,
             to: None,
             how: "running",
+            listed: None,
         });
         if self.verbose {
             self.record
