--- a/review/standin/long_answer.rs
+++ b/review/standin/long_answer.rs
@@ -42,7 +42,7 @@
 
 /// Watches a job until it is done, for 30 s at most. It has room for itself more than twice over, and the service
 /// has nothing else to do: the rule is broken once nothing of it runs for 3 s while it is not done.
-fn watch(play: &Play, id: &str, tasks: u32) -> Option<String> {
+pub fn watch(play: &Play, id: &str, tasks: u32) -> Option<String> {
     let accepted_at = play.record.now();
     let mut idle_since = accepted_at;
     let mut longest_idle_ms = 0;
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,10 +4,10 @@
 
 mod calls;
 mod fleet;
+mod former_life;
 mod http;
 mod json;
 mod lease;
-mod leaving;
 mod long_answer;
 mod record;
 mod relay;
@@ -153,7 +153,7 @@
     let play = Play::new(root.into(), folder.into());
     match case.as_str() {
         "lease" => lease::play(play),
-        "leaving" => leaving::play(play),
+        "former-life" => former_life::play(play),
         "long-answer" => long_answer::play(play),
         _ => exit(2),
     }
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -19,8 +19,6 @@
     pub from: u64,
     pub to: Option<u64>,
     pub how: &'static str,
-    /// When an answered heartbeat first listed the end.
-    pub listed: Option<u64>,
 }
 
 struct Running {
@@ -31,7 +29,6 @@
 
 struct Finished {
     number: u64,
-    listed: bool,
     task: String,
     run: u64,
     how: &'static str,
@@ -62,6 +59,7 @@
     stopping: AtomicBool,
     /// Time of the next heartbeat.
     next_at: AtomicU64,
+    answered: AtomicU64,
     /// Whether starts and ends are written to the record one by one.
     pub verbose: bool,
 }
@@ -89,6 +87,7 @@
             state: Mutex::default(),
             stopping: AtomicBool::new(false),
             next_at: AtomicU64::new(0),
+            answered: AtomicU64::new(0),
             verbose,
         })
     }
@@ -106,6 +105,30 @@
         std::thread::spawn(move || worker.send_heartbeats());
     }
 
+    /// Starts the worker, whose first heartbeat comes `late_ms` late. There is no answer to it within a second,
+    /// so the next heartbeat follows as after one that failed.
+    pub fn start_late(self: &Arc<Worker>, late_ms: u64) {
+        let body = self.heartbeat();
+        let (agent, record, name) = (self.agent, self.record.clone(), self.name.clone());
+        std::thread::spawn(move || {
+            std::thread::sleep(Duration::from_millis(late_ms));
+            let path = format!("/streamusher/Instances.Heartbeat/{name}");
+            let answer = call(agent, "POST", &path, &[], &body, Duration::from_secs(1));
+            let status = answer.map_or(0, |answer| answer.status);
+            record.line(&format!(
+                "the first heartbeat of {name} arrives, {late_ms} ms late, and is answered {status}"
+            ));
+        });
+        let next_at = self.record.now() + HEARTBEAT_MS;
+        self.next_at.store(next_at, Ordering::Relaxed);
+        self.start();
+    }
+
+    /// Number of heartbeats that were answered with 2xx in time.
+    pub fn answered(&self) -> u64 {
+        self.answered.load(Ordering::Relaxed)
+    }
+
     pub fn stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
     }
@@ -165,7 +188,6 @@
         *over = (*over).max(run);
         state.finished.push(Finished {
             number,
-            listed: false,
             task: task.into(),
             run,
             how,
@@ -207,7 +229,7 @@
         let Some(answer) = Json::parse(&answer.body) else {
             return HEARTBEAT_MS;
         };
-        self.mark_listed();
+        self.answered.fetch_add(1, Ordering::Relaxed);
         self.obey(sent_at, &answer);
         answer
             .get("retry_after_ms")
@@ -215,34 +237,6 @@
             .unwrap_or(HEARTBEAT_MS)
     }
 
-    /// The heartbeat that was answered listed the ends marked as listed in it.
-    fn mark_listed(&self) {
-        let now = self.record.now();
-        let state = self.state.lock().expect("worker");
-        let mut executions = self.executions.lock().expect("executions");
-        for one in state.finished.iter().filter(|one| one.listed) {
-            let execution = executions.iter_mut().find(|execution| {
-                execution.worker == self.name
-                    && execution.task == one.task
-                    && execution.run == one.run
-                    && execution.listed.is_none()
-            });
-            if let Some(execution) = execution {
-                execution.listed = Some(now);
-            }
-        }
-    }
-
-    /// Tells the agent that this worker is about to end.
-    pub fn deregister(&self) -> bool {
-        let path = format!("/streamusher/Instances.Deregister/{}", self.name);
-        let answer = call(self.agent, "POST", &path, &[], "{}", Duration::from_secs(1));
-        let status = answer.map_or(0, |answer| answer.status);
-        self.record
-            .line(&format!("{}: deregisters, answered {status}", self.name));
-        status / 100 == 2
-    }
-
     fn heartbeat(&self) -> String {
         let now = self.record.now();
         let mut state = self.state.lock().expect("worker");
@@ -258,10 +252,9 @@
             .collect();
         let finished: Vec<String> = state
             .finished
-            .iter_mut()
+            .iter()
             .take(500)
             .map(|one| {
-                one.listed = true;
                 format!(
                     "[{},\"{}\",{},\"{}\",\"\"]",
                     one.number, one.task, one.run, one.how
@@ -359,7 +352,6 @@
             from: now,
             to: None,
             how: "running",
-            listed: None,
         });
         if self.verbose {
             self.record
