--- a/review/standin/former_life.rs
+++ b/review/standin/former_life.rs
@@ -7,7 +7,7 @@
 use crate::{real_seeds, Play, WorkerPlan, GATES};
 use std::sync::Arc;
 
-const JOB: &str = "5c0e7a21d94b36f8";
+const JOB: &str = "5c0e7a21d94b36fa";
 const TASKS: u32 = 3;
 const CAPACITY: (u64, u64) = (16_000, 32_768);
 /// How late the first heartbeat of the worker comes.
--- a/review/standin/lease.rs
+++ b/review/standin/lease.rs
@@ -6,7 +6,7 @@
 use crate::worker::Execution;
 use crate::{real_seeds, Play, WorkerPlan, CONTROLS, GATES};
 
-const JOB: &str = "5c0e7a21d94b36f8";
+const JOB: &str = "5c0e7a21d94b36fa";
 const RESTART_AFTER_MS: u64 = 1_000;
 const CUT_AFTER_MS: u64 = 250;
 const CUT_MS: u64 = 5_500;
--- a/review/standin/long_answer.rs
+++ b/review/standin/long_answer.rs
@@ -27,7 +27,7 @@
     };
     let mut breaks = Vec::new();
     for number in 0..jobs {
-        let id = format!("5c0e7a21d94b3{number:03x}");
+        let id = format!("5c0e7a21d94b{number:02x}fa");
         let body = job(&spec, tasks, 7, 25, TASK_MS, more);
         if submit(&play.fleet, &play.record, GATES, &id, &body).is_none() {
             play.cannot_run("the job was not accepted");
