Leases: a sync is granted one only where it renewed the lease that the primary counts

Cause: the two sides counted different leases. The primary granted one with the response to every sync, to the agent; it renewed its own count for the worker, and only where the sync reported that worker. The agent took any granted lease for whatever worker it had. Invariant: no hold of a worker ends after the lease that the primary counts for this worker. It was broken by each response to a sync that renews nothing: - a sync without a worker (a restarted agent; the same after a change of the primary); - a sync that reports a worker which another one has replaced: the report is ignored; - a sync overtaken by a newer one (harmless: the newer one was counted later); and at the agent, where a lease granted for one instance was used for the one that replaced it.

Change: the primary grants lease_ms 0 unless this very sync renewed the worker's lease. The agent keeps the lease with the worker's instance, and counts a response only if its sync reported that instance and the commands are for it; so either side of an upgrade is safe with the other's former version. An idle worker without a lease waits for commands while the primary answers, as it did before on the agent's lease.

Simulation::with_lease now has a worker that reported itself, since a lease without one is the fault; two tests of agents without heartbeats have a builder of their own, with lease_ms 0. The status fixture has the same bytes; its scenario reports the worker before the lease.

--- a/crates/dataplane/src/agent/commands.rs
+++ b/crates/dataplane/src/agent/commands.rs
@@ -1,11 +1,10 @@
-//! The primary's commands in force, and the lease that was granted with them.
+//! The primary's commands in force.
 
 use std::collections::HashSet;
 use std::sync::Arc;
 use streamusher_protocol::heartbeat::{StartCommand, StopCommand};
 use streamusher_protocol::internal::AgentCommands;
 use streamusher_protocol::task::TaskId;
-use streamusher_protocol::Millis;
 
 /// Outcome of handling received commands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -13,8 +12,8 @@
     /// Rejected: their epoch is lower than that of the commands in force. Both commands and lease are
     /// ignored.
     Fenced,
-    /// An older revision of the same epoch: only the lease is used.
-    LeaseOnly,
+    /// An older revision of the same epoch: the commands are ignored, the lease is valid.
+    Outdated,
     /// The commands replace those in force.
     Applied {
         /// A previous start command is missing from the new ones: the primary waits for a report that it was
@@ -29,7 +28,6 @@
 #[derive(Debug, Default)]
 pub(super) struct CurrentCommands {
     commands: Option<AgentCommands>,
-    lease_until: Millis,
     /// Start commands are accepted only in responses to syncs with this sequence number or a higher one.
     accept_starts_from: u64,
 }
@@ -45,31 +43,22 @@
             .map_or(0, |commands| commands.revision)
     }
 
-    /// End of the lease on the agent's clock.
-    pub(super) fn lease_until(&self) -> Millis {
-        self.lease_until
-    }
-
     /// Instance id of the worker to which the commands are addressed.
     pub(super) fn instance(&self) -> Option<&Arc<str>> {
         self.commands.as_ref()?.instance.as_ref()
     }
 
-    /// Handles the response to the sync with number `sequence`. The lease counts from `sent_at`, the time
-    /// when the sync was sent.
+    /// Handles the commands in the response to the sync with number `sequence`.
     pub(super) fn on_response(
         &mut self,
-        sent_at: Millis,
         sequence: u64,
         mut commands: AgentCommands,
     ) -> CommandsUpdate {
         if commands.epoch < self.epoch() && !cfg!(feature = "mutant-fence") {
             return CommandsUpdate::Fenced;
         }
-        let lease_until = sent_at.saturating_add(commands.lease_ms);
-        self.lease_until = self.lease_until.max(lease_until);
         if commands.epoch == self.epoch() && commands.revision < self.revision() {
-            return CommandsUpdate::LeaseOnly;
+            return CommandsUpdate::Outdated;
         }
         if sequence < self.accept_starts_from {
             commands.start.clear();
--- a/crates/dataplane/src/agent/heartbeat_response.rs
+++ b/crates/dataplane/src/agent/heartbeat_response.rs
@@ -29,7 +29,7 @@
 /// time.
 const IDLE_RETRY_MS: Millis = 20;
 
-/// Delay until the next heartbeat while the agent has no lease, or while a draining worker has no runs.
+/// Delay until the next heartbeat while the worker has no lease, or while a draining worker has no runs.
 const NO_CONTACT_RETRY_MS: Millis = 300;
 
 /// Whether a response may carry start commands.
@@ -46,7 +46,7 @@
     worker: &Worker,
     now: Millis,
 ) -> bool {
-    let hold_ms = grantable_hold_ms(settings, commands, worker).unwrap_or(0);
+    let hold_ms = grantable_hold_ms(settings, worker).unwrap_or(0);
     let has_starts = may_start(worker, hold_ms, now)
         && commands
             .starts(&worker.instance)
@@ -70,7 +70,7 @@
     now: Millis,
     start_commands: StartCommands,
 ) -> HeartbeatResponse {
-    let grantable_ms = grantable_hold_ms(settings, commands, worker);
+    let grantable_ms = grantable_hold_ms(settings, worker);
     let starts_allowed = start_commands == StartCommands::Include
         && may_start(worker, grantable_ms.unwrap_or(0), now);
     let start = if starts_allowed {
@@ -89,7 +89,7 @@
         hold_ms,
         last_seen: commands.last_seen(&worker.instance),
         fence_token: commands.epoch(),
-        retry_after_ms: Some(retry_after_ms(commands, worker, now, !start.is_empty())),
+        retry_after_ms: Some(retry_after_ms(worker, now, !start.is_empty())),
         start,
         stop,
     }
@@ -106,12 +106,8 @@
 
 /// The hold that a response to the newest heartbeat may grant; `None` if the lease does not suffice for any.
 /// The worker counts the hold from when it sent that heartbeat, which is before the agent received it.
-fn grantable_hold_ms(
-    settings: &AgentSettings,
-    commands: &CurrentCommands,
-    worker: &Worker,
-) -> Option<Millis> {
-    let lease_left_ms = commands.lease_until().saturating_sub(worker.received_at);
+fn grantable_hold_ms(settings: &AgentSettings, worker: &Worker) -> Option<Millis> {
+    let lease_left_ms = worker.lease_until().saturating_sub(worker.received_at);
     let hold_ms = hold::grantable_ms(lease_left_ms).min(settings.max_granted_hold_ms());
     Some(hold_ms).filter(|hold_ms| *hold_ms > 0)
 }
@@ -140,13 +136,8 @@
         .collect()
 }
 
-fn retry_after_ms(
-    commands: &CurrentCommands,
-    worker: &Worker,
-    now: Millis,
-    has_starts: bool,
-) -> Millis {
-    if commands.lease_until() <= now {
+fn retry_after_ms(worker: &Worker, now: Millis, has_starts: bool) -> Millis {
+    if worker.lease_until() <= now {
         return NO_CONTACT_RETRY_MS;
     }
     if has_starts || !worker.heartbeat.running.is_empty() {
--- a/crates/dataplane/src/agent/state_machine.rs
+++ b/crates/dataplane/src/agent/state_machine.rs
@@ -3,7 +3,7 @@
 use super::commands::{CommandsUpdate, CurrentCommands};
 use super::former_instances::FormerInstances;
 use super::heartbeat_response::{has_commands, respond, respond_superseded, StartCommands};
-use super::sync_schedule::SyncSchedule;
+use super::sync_schedule::{InFlightSync, SyncSchedule};
 use super::worker::{Urgency, Worker};
 use super::{hold, AgentAction, AgentEvent, AgentSettings, AgentStatus};
 use std::sync::Arc;
@@ -26,6 +26,28 @@
     deadline: Millis,
 }
 
+/// A lease that the primary has granted for one instance of the worker.
+struct WorkerLease {
+    instance: Arc<str>,
+    /// End of the lease on the agent's clock.
+    until: Millis,
+}
+
+/// The lease that the response to a sync grants. The primary renews its own count of a worker's lease only when
+/// it applies a report of this worker: a sync without a worker grants none, nor does one whose report the
+/// primary ignored because its commands are for another worker. The lease counts from the time when the sync
+/// was sent, which is before the primary received it.
+fn granted_lease(answered: &InFlightSync, commands: &AgentCommands) -> Option<WorkerLease> {
+    let instance = answered.reported.as_ref()?;
+    if commands.instance.as_ref() != Some(instance) {
+        return None;
+    }
+    Some(WorkerLease {
+        instance: Arc::clone(instance),
+        until: answered.sent_at.saturating_add(commands.lease_ms),
+    })
+}
+
 /// The state machine of one agent.
 #[derive(Debug)]
 pub struct Agent {
@@ -103,7 +125,7 @@
             boot: self.settings.boot,
             epoch: self.commands.epoch(),
             revision: self.commands.revision(),
-            lease_left_ms: self.commands.lease_until().saturating_sub(now),
+            lease_left_ms: worker.map_or(0, |worker| worker.lease_until().saturating_sub(now)),
             instance: worker.map(|worker| Arc::clone(&worker.instance)),
             gone: worker.is_some_and(Worker::is_gone),
             running: worker.map_or(0, |worker| worker.heartbeat.running.len()),
@@ -188,9 +210,13 @@
         }
     }
 
-    /// Whether the newest heartbeat may wait for commands: the worker is idle, and the agent has a lease.
+    /// Whether the newest heartbeat may wait for commands: the worker is idle, and it has a lease or may soon
+    /// be granted one with the commands.
     fn may_wait(&self, now: Millis) -> bool {
-        self.worker.as_ref().is_some_and(Worker::is_idle) && self.commands.lease_until() > now
+        let Some(worker) = &self.worker else {
+            return false;
+        };
+        worker.is_idle() && (worker.lease_until() > now || self.syncs.is_in_contact())
     }
 
     fn on_deregister(
@@ -222,10 +248,14 @@
     }
 
     fn on_sync_response(&mut self, sequence: u64, commands: AgentCommands) {
-        let Some(sent_at) = self.syncs.on_response(sequence) else {
+        let Some(answered) = self.syncs.on_response(sequence) else {
             return;
         };
-        let update = self.commands.on_response(sent_at, sequence, commands);
+        let lease = granted_lease(&answered, &commands);
+        let update = self.commands.on_response(sequence, commands);
+        if update != CommandsUpdate::Fenced {
+            self.apply_lease(lease);
+        }
         let withdrew_start = CommandsUpdate::Applied {
             withdrew_start: true,
         };
@@ -237,6 +267,21 @@
         }
     }
 
+    /// Applies a lease, unless it is for a worker that another one has replaced since.
+    fn apply_lease(&mut self, lease: Option<WorkerLease>) {
+        let Some(WorkerLease { instance, until }) = lease else {
+            return;
+        };
+        let worker = if cfg!(feature = "mutant-lease-instance") {
+            self.worker.as_mut()
+        } else {
+            self.worker_of(&instance)
+        };
+        if let Some(worker) = worker {
+            worker.on_lease_granted(until);
+        }
+    }
+
     /// Time at which the worker counts as gone unless it sends another heartbeat; `None` if there is no
     /// worker or it already counts as gone.
     fn worker_gone_at(&self) -> Option<Millis> {
@@ -308,7 +353,11 @@
         if self.syncs.next_sync_at().is_none_or(|due_at| now < due_at) {
             return;
         }
-        let sequence = self.syncs.begin(now);
+        let reported = self
+            .worker
+            .as_ref()
+            .map(|worker| Arc::clone(&worker.instance));
+        let sequence = self.syncs.begin(now, reported);
         actions.push(AgentAction::SendSync(AgentSync {
             agent: Arc::clone(&self.settings.name),
             boot: self.settings.boot,
--- a/crates/dataplane/src/agent/sync_schedule.rs
+++ b/crates/dataplane/src/agent/sync_schedule.rs
@@ -3,6 +3,7 @@
 //! A sync is a long poll: the primary always holds one. A change at the worker triggers a second one, which
 //! ends the first.
 
+use std::sync::Arc;
 use streamusher_protocol::Millis;
 
 /// Shortest time between two syncs: each waits for a commit of about 13 ms in any case.
@@ -19,10 +20,14 @@
 /// Exponent at which doubling stops, far above the one at which the maximum applies.
 const MAX_BACKOFF_DOUBLINGS: u32 = 8;
 
-#[derive(Clone, Copy, Debug)]
-struct InFlightSync {
+/// A sync without a response.
+#[derive(Clone, Debug)]
+pub(super) struct InFlightSync {
     sequence: u64,
-    sent_at: Millis,
+    /// Time at which the sync was sent.
+    pub(super) sent_at: Millis,
+    /// Instance id of the worker that the sync reports.
+    pub(super) reported: Option<Arc<str>>,
 }
 
 /// The syncs in flight, and when the next one is due.
@@ -33,6 +38,8 @@
     in_flight: Vec<InFlightSync>,
     last_sent_at: Option<Millis>,
     is_sync_requested: bool,
+    /// Whether the primary has answered a sync, and none has failed since.
+    is_in_contact: bool,
     consecutive_failures: u32,
     retry_at: Millis,
 }
@@ -71,25 +78,32 @@
         Some(earliest_at.max(self.retry_at))
     }
 
-    /// Records a new sync as in flight and returns its sequence number.
-    pub(super) fn begin(&mut self, now: Millis) -> u64 {
+    /// Records a new sync as in flight and returns its sequence number. `reported` is the instance id of the
+    /// worker that it reports.
+    pub(super) fn begin(&mut self, now: Millis, reported: Option<Arc<str>>) -> u64 {
         self.newest_sequence += 1;
         self.is_sync_requested = false;
         self.last_sent_at = Some(now);
         self.in_flight.push(InFlightSync {
             sequence: self.newest_sequence,
             sent_at: now,
+            reported,
         });
         self.newest_sequence
     }
 
-    /// Records the response to a sync. Returns the time when the sync was sent; `None` if it is not in
-    /// flight.
-    pub(super) fn on_response(&mut self, sequence: u64) -> Option<Millis> {
+    /// Records the response to a sync and returns the sync; `None` if it is not in flight.
+    pub(super) fn on_response(&mut self, sequence: u64) -> Option<InFlightSync> {
         let sync = self.remove(sequence)?;
+        self.is_in_contact = true;
         self.consecutive_failures = 0;
         self.retry_at = 0;
-        Some(sync.sent_at)
+        Some(sync)
+    }
+
+    /// Whether the primary has answered a sync, and none has failed since.
+    pub(super) fn is_in_contact(&self) -> bool {
+        self.is_in_contact
     }
 
     /// Records that a sync failed. Its report is sent again after a backoff, unless a newer sync already
@@ -102,6 +116,7 @@
         let backoff_ms = INITIAL_BACKOFF_MS
             .saturating_mul(1 << doublings)
             .min(MAX_BACKOFF_MS);
+        self.is_in_contact = false;
         self.consecutive_failures = self.consecutive_failures.saturating_add(1);
         self.retry_at = now.saturating_add(backoff_ms);
         self.is_sync_requested = true;
--- a/crates/dataplane/src/agent/worker.rs
+++ b/crates/dataplane/src/agent/worker.rs
@@ -33,14 +33,19 @@
 
 /// One instance of the worker.
 ///
-/// Invariant: `hold_until` is not before the end of any hold that a response to this instance has granted,
-/// counted by the slowest clock, as long as the worker may be using that hold.
+/// Invariants:
+/// - `lease_until` is not after the end of the lease that the primary counts for this instance: it is extended
+///   only by responses to syncs that reported this instance.
+/// - `hold_until` is not before the end of any hold that a response to this instance has granted, counted by
+///   the slowest clock, as long as the worker may be using that hold.
 #[derive(Debug)]
 pub(super) struct Worker {
     pub(super) instance: Arc<str>,
     /// The newest heartbeat; the agent received it at `received_at`.
     pub(super) heartbeat: Heartbeat,
     pub(super) received_at: Millis,
+    /// End of the instance's lease on the agent's clock; 0 before the first.
+    lease_until: Millis,
     /// Time after which no run can be executing on the worker.
     hold_until: Millis,
     /// Runs whose start commands were sent since the newest heartbeat was received.
@@ -68,6 +73,7 @@
             instance,
             heartbeat,
             received_at: now,
+            lease_until: 0,
             hold_until,
             offered: Vec::new(),
             sent_stops: BTreeSet::new(),
@@ -195,6 +201,16 @@
         }
     }
 
+    /// End of the instance's lease on the agent's clock.
+    pub(super) fn lease_until(&self) -> Millis {
+        self.lease_until
+    }
+
+    /// Records a lease that the primary has granted for this instance.
+    pub(super) fn on_lease_granted(&mut self, lease_until: Millis) {
+        self.lease_until = self.lease_until.max(lease_until);
+    }
+
     /// Records the hold that a response to the newest heartbeat grants.
     pub(super) fn on_hold_granted(&mut self, hold_ms: Millis) {
         let ends_at = self
--- a/crates/dataplane/tests/agent/hold.rs
+++ b/crates/dataplane/tests/agent/hold.rs
@@ -1,7 +1,8 @@
 //! Holds: how much of its lease an agent grants to its worker.
 
 use super::simulation::{
-    busy_heartbeat, commands, running, start, Simulation, LEASE_LEFT_MS, LEASE_MS, LONGEST_GRANT_MS,
+    busy_heartbeat, commands, heartbeat, running, start, Simulation, LEASE_LEFT_MS, LEASE_MS,
+    LONGEST_GRANT_MS,
 };
 use streamusher_protocol::heartbeat::HeartbeatResponse;
 use streamusher_protocol::internal::AgentCommands;
@@ -77,7 +78,7 @@
 #[test]
 fn lease_counts_from_the_sending_of_the_sync() {
     let mut simulation = Simulation::start();
-    simulation.tick();
+    simulation.heartbeat(heartbeat(0));
     simulation.now += LEASE_MS - 100;
     simulation.respond_to_sync(commands(1, 1, &[start(1, 1)]));
 
--- a/crates/dataplane/tests/agent/main.rs
+++ b/crates/dataplane/tests/agent/main.rs
@@ -8,6 +8,7 @@
 
 mod commands;
 mod hold;
+mod leases;
 mod long_poll;
 mod presence;
 mod simulation;
--- a/crates/dataplane/tests/agent/presence.rs
+++ b/crates/dataplane/tests/agent/presence.rs
@@ -219,7 +219,7 @@
 
 #[test]
 fn deregistration_at_a_restarted_agent_waits_for_earlier_holds() {
-    let mut simulation = Simulation::with_lease();
+    let mut simulation = Simulation::without_heartbeats();
 
     simulation.deregister("i-5");
     simulation.advance(50);
@@ -263,7 +263,7 @@
 
 #[test]
 fn worker_without_heartbeats_to_a_restarted_agent_is_gone_after_earlier_holds() {
-    let mut simulation = Simulation::with_lease();
+    let mut simulation = Simulation::without_heartbeats();
 
     simulation.advance(LONGEST_GRANT_MS * 1_000 / 980 + 50 - 2 * SYNC_INTERVAL_MS);
     let before = simulation.agent.status(simulation.now).gone;
--- a/crates/dataplane/tests/agent/simulation.rs
+++ b/crates/dataplane/tests/agent/simulation.rs
@@ -122,16 +122,29 @@
         }
     }
 
-    /// An agent whose first sync was answered by the primary of epoch 1, without commands for worker `i-1`.
-    /// The primary holds the agent's next sync, and another may be sent immediately.
+    /// An agent whose first sync reported the idle worker `i-1`, and was answered by the primary of epoch 1
+    /// without commands. The primary holds the agent's next sync, and another may be sent immediately.
     pub(crate) fn with_lease() -> Simulation {
         let mut simulation = Simulation::start();
-        simulation.tick();
+        simulation.heartbeat(heartbeat(0));
         simulation.respond_to_sync(commands(1, 1, &[]));
         simulation.advance(2 * SYNC_INTERVAL_MS);
         simulation
     }
 
+    /// An agent that has just started, and whose worker `i-1` has not called it. The first sync was answered
+    /// by the primary of epoch 1 without commands, and the primary holds the next one.
+    pub(crate) fn without_heartbeats() -> Simulation {
+        let mut simulation = Simulation::start();
+        simulation.tick();
+        simulation.respond_to_sync(AgentCommands {
+            lease_ms: 0,
+            ..commands(1, 1, &[])
+        });
+        simulation.advance(2 * SYNC_INTERVAL_MS);
+        simulation
+    }
+
     pub(crate) fn handle(&mut self, event: AgentEvent) -> Vec<AgentAction> {
         let actions = self.agent.handle(self.now, event);
         for action in &actions {
--- a/crates/dataplane/tests/encoded_forms.rs
+++ b/crates/dataplane/tests/encoded_forms.rs
@@ -318,9 +318,8 @@
         serde_json::to_string(&simulation.agent.status(simulation.now)).unwrap()
     };
     recorded.line("new agent", &encode(&simulation));
-    simulation.tick();
-    simulation.respond_to_sync(full_commands());
     simulation.heartbeat(busy_heartbeat(1, &[running(1, 1), running(2, 1)]));
+    simulation.respond_to_sync(full_commands());
     simulation.now += 10;
     recorded.line("agent with worker", &encode(&simulation));
     simulation.advance(20_000);
--- a/crates/protocol/src/internal.rs
+++ b/crates/protocol/src/internal.rs
@@ -147,8 +147,9 @@
     pub epoch: u64,
     /// Revision number, which increases with each change of the commands for this agent's worker.
     pub revision: u64,
-    /// Lease: the agent may extend runs until this many milliseconds after the time on its clock at which it
-    /// sent its report.
+    /// Lease of the reported worker: the agent may extend its runs until this many milliseconds after the time
+    /// on its clock at which it sent its report. 0 if the report did not renew the lease that the primary
+    /// counts for the worker.
     pub lease_ms: Millis,
     /// ID of the worker that the commands are for. An agent discards commands for another instance.
     pub instance: Option<Arc<str>>,
--- a/crates/scheduler/src/agent_sync.rs
+++ b/crates/scheduler/src/agent_sync.rs
@@ -1,6 +1,6 @@
 //! Handles sync requests of agents: each carries a report of the worker and is answered with commands.
 
-use crate::agents::DeferredSync;
+use crate::agents::{DeferredSync, LeaseRenewal};
 use crate::cluster_state::ClusterState;
 use crate::commands;
 use crate::event::RequestId;
@@ -15,19 +15,21 @@
 /// Applies an agent's report, and defers the request until new commands exist or its deadline expires.
 pub(crate) fn on_agent_sync(state: &mut ClusterState, now: Now, id: RequestId, sync: &AgentSync) {
     if state.agents.get_or_insert(&sync.agent).is_outdated(sync) {
-        commands::respond(state, id, &sync.agent);
+        commands::respond(state, id, &sync.agent, LeaseRenewal::NotRenewed);
         return;
     }
     if let Some(former) = state.agents.take_deferred(&sync.agent) {
-        commands::respond(state, former.request, &sync.agent);
+        commands::respond_to_deferred(state, &former, &sync.agent);
     }
     update_session(state, now.steady_ms, sync);
-    if let Some(report) = &sync.worker {
-        worker_report::on_worker_report(state, now, &sync.agent, report);
-    }
+    let renewal = match &sync.worker {
+        Some(report) => worker_report::on_worker_report(state, now, &sync.agent, report),
+        None => LeaseRenewal::NotRenewed,
+    };
     let deferred = DeferredSync {
         request: id,
         deadline: now.steady_ms + sync.wait_ms.min(MAX_DEFERRAL_MS),
+        renewal,
     };
     state.agents.defer(&sync.agent, deferred);
 }
--- a/crates/scheduler/src/agents.rs
+++ b/crates/scheduler/src/agents.rs
@@ -11,11 +11,21 @@
 use streamusher_protocol::unit::WorkerId;
 use streamusher_protocol::Millis;
 
+/// Whether a sync renewed the lease that the primary counts for the worker that it reports. Only the response
+/// to such a sync grants a lease: the agent extends runs until the granted lease ends, and the primary starts
+/// them elsewhere once the counted one has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LeaseRenewal {
+    Renewed,
+    NotRenewed,
+}
+
 /// An agent's request that is deferred until new commands exist or its deadline expires.
 #[derive(Debug)]
 pub(crate) struct DeferredSync {
     pub(crate) request: RequestId,
     pub(crate) deadline: Millis,
+    pub(crate) renewal: LeaseRenewal,
 }
 
 /// The content of an agent's commands. Each change of the content gets a new revision.
@@ -209,14 +219,19 @@
         }
     }
 
-    /// Returns an agent's current commands in their wire form.
-    pub(crate) fn commands(&self, name: &str) -> Option<AgentCommands> {
+    /// Returns an agent's current commands in their wire form, as the response to a sync.
+    pub(crate) fn commands(&self, name: &str, renewal: LeaseRenewal) -> Option<AgentCommands> {
         let session = self.get(name)?;
         let commands = &session.commands;
+        let lease_ms = match renewal {
+            LeaseRenewal::Renewed => self.lease_ms,
+            LeaseRenewal::NotRenewed if cfg!(feature = "mutant-uncounted-lease") => self.lease_ms,
+            LeaseRenewal::NotRenewed => 0,
+        };
         Some(AgentCommands {
             epoch: self.epoch,
             revision: session.revision,
-            lease_ms: self.lease_ms,
+            lease_ms,
             instance: commands.worker.clone(),
             last_seen: commands.last_finished,
             start: commands.start.clone(),
--- a/crates/scheduler/src/commands.rs
+++ b/crates/scheduler/src/commands.rs
@@ -1,6 +1,6 @@
 //! Commands to agents: recomputed after a change, sent as responses to the agents' requests.
 
-use crate::agents::CommandSet;
+use crate::agents::{CommandSet, DeferredSync, LeaseRenewal};
 use crate::cluster_state::ClusterState;
 use crate::event::{RequestId, SchedulerResponse};
 use crate::runs::{RunPhase, RunTable};
@@ -16,15 +16,29 @@
     for agent in state.agents.take_unreviewed(now) {
         refresh(state, &agent);
         if let Some(deferred) = state.agents.take_due_request(now, &agent) {
-            respond(state, deferred.request, &agent);
+            respond_to_deferred(state, &deferred, &agent);
         }
     }
 }
 
+/// Answers a deferred request with the agent's current commands.
+pub(crate) fn respond_to_deferred(
+    state: &mut ClusterState,
+    deferred: &DeferredSync,
+    agent: &Arc<str>,
+) {
+    respond(state, deferred.request, agent, deferred.renewal);
+}
+
 /// Answers an agent's request with its current commands.
-pub(crate) fn respond(state: &mut ClusterState, request: RequestId, agent: &Arc<str>) {
+pub(crate) fn respond(
+    state: &mut ClusterState,
+    request: RequestId,
+    agent: &Arc<str>,
+    renewal: LeaseRenewal,
+) {
     refresh(state, agent);
-    if let Some(commands) = state.agents.commands(agent) {
+    if let Some(commands) = state.agents.commands(agent, renewal) {
         state.respond(request, SchedulerResponse::Agent(commands));
     }
 }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -143,12 +143,18 @@
                 .state
                 .workers
                 .iter()
-                .map(|(id, worker)| self.worker_status(now, id, worker))
+                .map(|(id, worker)| self.status_of(now, id, worker))
                 .collect(),
         }
     }
 
-    fn worker_status(&self, now: Millis, id: &WorkerId, worker: &Worker) -> WorkerStatus {
+    /// Returns the status of one worker; `None` if it is unknown.
+    pub fn worker_status(&self, now: Millis, id: &WorkerId) -> Option<WorkerStatus> {
+        let worker = self.state.workers.get(id)?;
+        Some(self.status_of(now, id, worker))
+    }
+
+    fn status_of(&self, now: Millis, id: &WorkerId, worker: &Worker) -> WorkerStatus {
         WorkerStatus {
             agent: worker.agent.clone(),
             terminated: worker.terminated,
--- a/crates/scheduler/src/worker_report.rs
+++ b/crates/scheduler/src/worker_report.rs
@@ -1,6 +1,6 @@
 //! Applies worker reports, and determines which runs they prove to be over.
 
-use crate::agents::AgentSession;
+use crate::agents::{AgentSession, LeaseRenewal};
 use crate::cluster_state::ClusterState;
 use crate::runs::RunPhase;
 use crate::workers::{Responsiveness, Worker};
@@ -20,16 +20,16 @@
 /// defer its requests for at most 0.65 s and expect the next request within a fraction of a second.
 const WORKER_UNRESPONSIVE_TIMEOUT_MS: Millis = 1_300;
 
-/// Applies an agent's report of its worker.
+/// Applies an agent's report of its worker, unless another worker has replaced it.
 pub(crate) fn on_worker_report(
     state: &mut ClusterState,
     now: Now,
     agent: &Arc<str>,
     report: &WorkerReport,
-) {
+) -> LeaseRenewal {
     let worker = report.instance.clone();
     if state.workers.is_superseded(&worker) {
-        return;
+        return LeaseRenewal::NotRenewed;
     }
     supersede_former_workers(state, now, agent, &worker);
     let update = ReportUpdate {
@@ -40,6 +40,7 @@
         report,
     };
     update.apply();
+    LeaseRenewal::Renewed
 }
 
 /// A machine has one worker at a time, so a report of another worker proves that the former one is lost.
@@ -112,7 +113,9 @@
             .workers
             .get_or_insert(&self.worker, lease_expires_at);
         log_changes(self.agent, worker, self.report);
-        worker.lease_expires_at = lease_expires_at;
+        if !cfg!(feature = "mutant-lease-renewal") {
+            worker.lease_expires_at = lease_expires_at;
+        }
         match self.report.sequence.cmp(&worker.heartbeat_sequence) {
             std::cmp::Ordering::Greater => Freshness::New,
             std::cmp::Ordering::Equal => Freshness::Repeated,
