--- a/crates/emulator/src/checker/mod.rs
+++ b/crates/emulator/src/checker/mod.rs
@@ -6,6 +6,7 @@
 //! - `start_rules`, `end_rules`: rules on starts and ends of runs.
 //! - `job_rules`: rules on the responses that clients receive about their jobs.
 //! - `idle_rule`: jobs without running tasks although there is capacity.
+//! - `lease_rule`: leases of workers that outlast those that the primary counts.
 //! - `fencing_rule`: processes that continue to use a refused fencing token.
 //! - `configuration_rules`: rules on the configuration by which operators and clients are answered.
 
@@ -15,6 +16,7 @@
 mod fencing_rule;
 mod idle_rule;
 mod job_rules;
+mod lease_rule;
 mod records;
 mod start_rules;
 mod state;
--- a/crates/emulator/src/checker/violation.rs
+++ b/crates/emulator/src/checker/violation.rs
@@ -34,6 +34,9 @@
     Acks,
     /// A process continues to use a refused fencing token.
     Duty,
+    /// A worker may run tasks for longer than the primary counts its lease. Not a rule of the operators, but
+    /// without it the primary starts tasks elsewhere while they are still running.
+    Lease,
 }
 
 impl fmt::Display for Rule {
--- a/crates/emulator/src/faults/draw.rs
+++ b/crates/emulator/src/faults/draw.rs
@@ -73,6 +73,10 @@
         }
     }
 
+    pub(super) fn draw_worker(&mut self) -> usize {
+        self.random.below(self.scope.workers)
+    }
+
     pub(super) fn draw_target(&mut self) -> ControlTarget {
         if self.random.chance(0.5) {
             return ControlTarget::Primary;
@@ -212,7 +216,7 @@
     }
 
     fn draw_other_fault(&mut self) -> Fault {
-        let worker = self.random.below(self.scope.workers);
+        let worker = self.draw_worker();
         let gate = self.random.below(self.scope.gates);
         let for_ms = self.draw_length_ms();
         let down_ms = self.random.between(100, 2_000);
--- a/crates/emulator/src/faults/mod.rs
+++ b/crates/emulator/src/faults/mod.rs
@@ -2,9 +2,10 @@
 //!
 //! - `kinds`: the kinds of faults.
 //! - `schedule`: faults and the times at which they are injected.
-//! - `draw`, `draw_control`: schedules drawn from a seed.
+//! - `draw`, `draw_control`, `draw_agents`: schedules drawn from a seed.
 
 mod draw;
+mod draw_agents;
 mod draw_control;
 mod kinds;
 mod schedule;
@@ -16,4 +17,5 @@
 pub use schedule::{Fault, FaultSchedule, PlannedFault, ScheduleScope};
 
 pub use draw::draw_schedule;
+pub use draw_agents::draw_schedule_with_agent_faults;
 pub use draw_control::draw_schedule_with_control_faults;
--- a/crates/emulator/src/fleet/worker_effects.rs
+++ b/crates/emulator/src/fleet/worker_effects.rs
@@ -106,6 +106,9 @@
             env.checker
                 .on_ends_acknowledged(now, jobs, worker, incarnation(worker), up_to);
         }
+        WorkerEffect::LeaseExtended { worker, until } => {
+            check_lease(env, &workers.worker(worker).instance(), until);
+        }
         WorkerEffect::LeaseExpired { worker } => {
             env.trace(|| format!("worker {worker}: lease expired"));
             env.checker.on_lease_expired(worker, incarnation(worker));
@@ -130,6 +133,23 @@
     }
 }
 
+/// Compares the lease that a worker was granted with the lease that the primary counts for it. The primary
+/// does not know a worker that it has not been told of yet, or that it has given up.
+fn check_lease(env: &mut Environment, instance: &Arc<str>, until: Millis) {
+    let now = env.now;
+    let Some(primary) = env.machines.primary(now) else {
+        return;
+    };
+    let steady_ms = env.clocks(primary).steady_ms;
+    let control = env.machines.control_mut(primary);
+    let counted_ms = control.and_then(|control| control.worker_lease_ms(steady_ms, instance));
+    if let Some(counted_ms) = counted_ms {
+        let counted_until = now + counted_ms;
+        env.checker
+            .on_lease_extended(now, instance, until, counted_until);
+    }
+}
+
 fn on_run_started(
     env: &mut Environment,
     worker: &Worker,
--- a/crates/emulator/src/limits.rs
+++ b/crates/emulator/src/limits.rs
@@ -42,6 +42,8 @@
     pub restore_ms: Millis,
     /// Interval between heartbeats of an idle worker.
     pub heartbeat_ms: Millis,
+    /// Time until a worker sends the next heartbeat after no agent accepted the connection.
+    pub refused_retry_ms: Millis,
 }
 
 impl Default for DeploymentLimits {
@@ -65,6 +67,7 @@
             save_ms: 2_000,
             restore_ms: 600,
             heartbeat_ms: 1_500,
+            refused_retry_ms: 200,
         }
     }
 }
--- a/crates/emulator/src/random.rs
+++ b/crates/emulator/src/random.rs
@@ -26,6 +26,8 @@
     Faults = 7,
     /// Additional faults of the control plane.
     ControlFaults = 8,
+    /// Additional faults of agents.
+    AgentFaults = 9,
 }
 
 /// A reproducible random number generator.
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -2,7 +2,8 @@
 
 use crate::checker::{JobCounts, Violation};
 use crate::faults::{
-    draw_schedule, draw_schedule_with_control_faults, FaultSchedule, ScheduleScope,
+    draw_schedule, draw_schedule_with_agent_faults, draw_schedule_with_control_faults,
+    FaultSchedule, ScheduleScope,
 };
 use crate::fleet::settings::FleetSettings;
 use crate::fleet::traffic_digest::TrafficDigest;
@@ -24,6 +25,9 @@
     /// Also severe faults of the control plane, which may overlap beyond the tolerance but lose no further
     /// disks.
     Control,
+    /// Also series of faults of agents. A worker whose heartbeat was refused waits for a whole heartbeat
+    /// interval, so that its agent restarts and calls the primary before the worker does.
+    Agents,
 }
 
 /// Result of a simulation.
@@ -62,6 +66,9 @@
     if kind == ScenarioKind::Control {
         settings.traffic_ends_at += ADDED_TRAFFIC_MS;
     }
+    if kind == ScenarioKind::Agents {
+        settings.limits.refused_retry_ms = settings.limits.heartbeat_ms;
+    }
     let scope = ScheduleScope {
         control_machines: settings.control_machines,
         gates: settings.gates,
@@ -73,6 +80,7 @@
     let schedule = match kind {
         ScenarioKind::Ordinary => draw_schedule(seed, scope),
         ScenarioKind::Control => draw_schedule_with_control_faults(seed, scope),
+        ScenarioKind::Agents => draw_schedule_with_agent_faults(seed, scope),
     };
     (settings, schedule)
 }
--- a/crates/emulator/src/workers/effect.rs
+++ b/crates/emulator/src/workers/effect.rs
@@ -64,6 +64,8 @@
     },
     /// The agent has acknowledged the reported ends up to this number.
     EndsAcknowledged { worker: WorkerIndex, up_to: u64 },
+    /// The lease was extended: the worker may run tasks until this time.
+    LeaseExtended { worker: WorkerIndex, until: Millis },
     /// The lease has expired.
     LeaseExpired { worker: WorkerIndex },
     /// The worker has crashed. Its runs are over without a reported end. The lease would have lasted until
--- a/crates/emulator/src/workers/heartbeat.rs
+++ b/crates/emulator/src/workers/heartbeat.rs
@@ -6,8 +6,6 @@
 pub(crate) const RESPONSE_TIMEOUT_MS: Millis = 1_000;
 /// Delay of the next heartbeat after the end of a run or a lost response.
 pub(crate) const PROMPT_HEARTBEAT_MS: Millis = 50;
-/// Retry interval while no agent accepts connections.
-pub(crate) const REFUSED_RETRY_MS: Millis = 200;
 
 /// A heartbeat whose response is awaited.
 #[derive(Clone, Copy, Debug)]
--- a/crates/emulator/src/workers/mod.rs
+++ b/crates/emulator/src/workers/mod.rs
@@ -19,7 +19,7 @@
 use crate::random::{Random, Stream};
 use effect::{WorkerEffect, WorkerIndex, WorkerTimer};
 use executor::{Executor, RunStart};
-use heartbeat::{PROMPT_HEARTBEAT_MS, REFUSED_RETRY_MS, RESPONSE_TIMEOUT_MS};
+use heartbeat::{PROMPT_HEARTBEAT_MS, RESPONSE_TIMEOUT_MS};
 use streamusher_protocol::heartbeat::{HeartbeatResponse, StartCommand, StopCommand, WorkerState};
 use streamusher_protocol::task::{RunEnd, RunId};
 use streamusher_protocol::Millis;
@@ -189,7 +189,8 @@
         sequence: u64,
     ) {
         if self.is_current(worker, incarnation) {
-            self.on_response_lost(worker, sequence, now + REFUSED_RETRY_MS);
+            let retry_ms = self.executor.limits.refused_retry_ms;
+            self.on_response_lost(worker, sequence, now + retry_ms);
         }
     }
 
@@ -295,6 +296,8 @@
         if state.lease.extend(now, until) {
             self.executor
                 .set_timer(until, worker, WorkerTimer::LeaseExpiry);
+            let extended = WorkerEffect::LeaseExtended { worker, until };
+            self.executor.effects.push(extended);
         }
     }
 
--- a/crates/emulator/tests/faults.rs
+++ b/crates/emulator/tests/faults.rs
@@ -318,6 +318,33 @@
     }
 }
 
+/// An agent whose worker had not called it since its restart counted a lease that the primary did not count
+/// for the worker: its runs were started elsewhere while they were still running.
+#[test]
+fn no_task_runs_twice_after_isolation_of_a_restarted_agent() {
+    for worker in 0..6 {
+        let mut settings = with_jobs(190 + worker as u64, 50);
+        settings.limits.refused_retry_ms = settings.limits.heartbeat_ms;
+        let schedule = no_faults()
+            .with(
+                6_000,
+                DataPlaneFault::KillAgent {
+                    worker,
+                    down_ms: 1_000,
+                },
+            )
+            .with(
+                7_250,
+                DataPlaneFault::IsolateAgent {
+                    worker,
+                    one_way: false,
+                    for_ms: 5_500,
+                },
+            );
+        simulate(settings, schedule);
+    }
+}
+
 #[test]
 fn new_primary_waits_for_lease_of_isolated_worker() {
     for worker in 0..6 {
--- a/crates/emulator/tests/search.rs
+++ b/crates/emulator/tests/search.rs
@@ -63,6 +63,11 @@
     simulate_and_check(ScenarioKind::Control);
 }
 
+#[test]
+fn agent_scenarios_break_no_rule() {
+    simulate_and_check(ScenarioKind::Agents);
+}
+
 fn simulate_and_check(kind: ScenarioKind) {
     if let Some(seed) = number("EMULATOR_SEED") {
         let outcome = scenario::simulate(seed, kind, true);
