Soak of the scheduler: agents are cut off, also right after their restart; tasks outlast leases

It cut no links, its tasks took 0.4 s at most while a lease lasts 3 s, and its workers tried a refused heartbeat again after 0.2 s. Change: agents reach the control machines through relays of the soak, which hold messages back during a cut; an agent is cut off at random, and in half of the cases soon after its restart; one job in five has tasks of 3.5 to 7 s; a worker without an answer waits 0.5 s, the deployment's heartbeat interval.

--- a/crates/controlplane/examples/cluster/machines.rs
+++ b/crates/controlplane/examples/cluster/machines.rs
@@ -52,10 +52,41 @@
 pub(crate) struct MachineCounts {
     /// Machines with a gate; at most 10.
     pub(crate) gates: u8,
-    /// Machines with an agent and a worker; at most 200.
+    /// Machines with an agent and a worker; at most 200, or [`MAX_RELAYED_AGENTS`] with relays.
     pub(crate) agents: u8,
 }
 
+/// How agents reach the control machines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AgentPath {
+    /// At their own addresses.
+    Direct,
+    /// Through relays that the example runs.
+    Relayed,
+}
+
+/// The last byte of the address of the first relay.
+const FIRST_RELAY_HOST: u8 = 101;
+/// Maximum number of agents with relays: each has one for each control machine.
+pub(crate) const MAX_RELAYED_AGENTS: u8 = 50;
+
+/// The address of a control machine, and the one at which an agent reaches it through a relay.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReplacedAddress {
+    pub(crate) own: Ipv4Addr,
+    pub(crate) shown: Ipv4Addr,
+}
+
+/// The relays of one agent.
+pub(crate) struct RelayedAgent {
+    /// Name of the agent's machine.
+    pub(crate) name: String,
+    /// Where each relay listens, and where it forwards to.
+    pub(crate) routes: Vec<(SocketAddr, SocketAddr)>,
+    /// The addresses that the relays replace in responses.
+    pub(crate) replaced_addresses: Vec<ReplacedAddress>,
+}
+
 /// A signal sent to a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Signal {
@@ -85,18 +116,23 @@
 /// All machines. Dropping the value kills the processes and removes their folder.
 pub(crate) struct Machines {
     folder: PathBuf,
-    machines: Vec<Machine>,
+    started: Vec<Machine>,
+    agent_path: AgentPath,
 }
 
 impl Machines {
     /// Starts all processes with empty disks.
-    pub(crate) fn start(counts: MachineCounts) -> Result<Machines> {
+    pub(crate) fn start(counts: MachineCounts, agent_path: AgentPath) -> Result<Machines> {
+        if agent_path == AgentPath::Relayed && counts.agents > MAX_RELAYED_AGENTS {
+            bail!("at most {MAX_RELAYED_AGENTS} agents have relays");
+        }
         let folder =
             std::env::temp_dir().join(format!("streamusher-cluster-{}", std::process::id()));
         fs::create_dir_all(&folder).with_context(|| format!("{}", folder.display()))?;
         let mut machines = Machines {
             folder,
-            machines: Vec::new(),
+            started: Vec::new(),
+            agent_path,
         };
         for (role, count) in [
             (Role::Control, CONTROL_MACHINES),
@@ -115,7 +151,7 @@
         let name = format!("{kind}-{}", number + 1);
         let address = loopback_address(role.first_host() + number);
         let settings = self.folder.join(format!("{name}.toml"));
-        fs::write(&settings, self.settings(role, &name, address))?;
+        fs::write(&settings, self.settings(role, number, &name, address))?;
         let mut command = Command::new(std::env::current_exe()?);
         command
             .arg(role.argument())
@@ -126,7 +162,7 @@
         let process = command
             .spawn()
             .with_context(|| format!("starting {name}"))?;
-        self.machines.push(Machine {
+        self.started.push(Machine {
             name,
             role,
             number,
@@ -136,14 +172,18 @@
         Ok(())
     }
 
-    fn settings(&self, role: Role, name: &str, address: Ipv4Addr) -> String {
-        let seeds: Vec<String> = (0..CONTROL_MACHINES)
-            .map(|seed| {
-                format!(
-                    "\"{}:{CONTROL_PORT}\"",
-                    loopback_address(Role::Control.first_host() + seed)
-                )
+    fn settings(&self, role: Role, number: u8, name: &str, address: Ipv4Addr) -> String {
+        let uses_relays = role == Role::Agent && self.agent_path == AgentPath::Relayed;
+        let seeds: Vec<String> = replaced_addresses(number)
+            .into_iter()
+            .map(|control| {
+                if uses_relays {
+                    control.shown
+                } else {
+                    control.own
+                }
             })
+            .map(|address| format!("\"{address}:{CONTROL_PORT}\""))
             .collect();
         let last_port = INTERNAL_PORT + 15;
         let shared = format!(
@@ -165,7 +205,7 @@
     }
 
     fn with_role(&self, role: Role) -> impl Iterator<Item = &Machine> {
-        self.machines
+        self.started
             .iter()
             .filter(move |machine| machine.role == role)
     }
@@ -203,6 +243,24 @@
         self.addresses(Role::Agent, CONTROL_PORT)
     }
 
+    /// The relays of all agents; none unless agents use them.
+    pub(crate) fn relayed_agents(&self) -> Vec<RelayedAgent> {
+        if self.agent_path == AgentPath::Direct {
+            return Vec::new();
+        }
+        let agents = self.with_role(Role::Agent);
+        agents
+            .map(|agent| {
+                let replaced_addresses = replaced_addresses(agent.number);
+                RelayedAgent {
+                    name: agent.name.clone(),
+                    routes: relay_routes(&replaced_addresses),
+                    replaced_addresses,
+                }
+            })
+            .collect()
+    }
+
     /// The names of the machines of a role.
     pub(crate) fn names(&self, role: Role) -> Vec<String> {
         self.with_role(role)
@@ -212,14 +270,14 @@
 
     /// Sends a signal to the process of a machine.
     pub(crate) fn send(&self, name: &str, signal: Signal) -> Result<()> {
-        let machine = self.machines.iter().find(|machine| machine.name == name);
+        let machine = self.started.iter().find(|machine| machine.name == name);
         let machine = machine.with_context(|| format!("no machine has the name {name}"))?;
         send_signal(&machine.process, signal)
     }
 
     /// The exit status of a machine's process; `None` while it runs.
     pub(crate) fn exit_status(&mut self, name: &str) -> Result<Option<ExitStatus>> {
-        let mut machines = self.machines.iter_mut();
+        let mut machines = self.started.iter_mut();
         let machine = machines.find(|machine| machine.name == name);
         let machine = machine.with_context(|| format!("no machine has the name {name}"))?;
         Ok(machine.process.try_wait()?)
@@ -228,24 +286,24 @@
     /// Restarts a machine whose process has ended, with its existing disk.
     pub(crate) fn restart(&mut self, name: &str) -> Result<()> {
         let index = self
-            .machines
+            .started
             .iter()
             .position(|machine| machine.name == name)
             .with_context(|| format!("no machine has the name {name}"))?;
-        let ended = self.machines.remove(index);
+        let ended = self.started.remove(index);
         self.start_one(ended.role, ended.number)
     }
 
     /// Kills the process of a control machine and removes the machine from the list.
     pub(crate) fn kill(&mut self, internal: SocketAddr) -> Result<String> {
         let found = self
-            .machines
+            .started
             .iter()
             .position(|machine| internal.ip() == machine.address);
         let Some(index) = found else {
             bail!("no machine has the address {internal}")
         };
-        let mut machine = self.machines.remove(index);
+        let mut machine = self.started.remove(index);
         machine.process.kill()?;
         machine.process.wait()?;
         Ok(machine.name)
@@ -269,7 +327,7 @@
 
     fn terminate(&mut self, chosen: impl Fn(&Machine) -> bool) -> Result<()> {
         let mut chosen: Vec<&mut Machine> = self
-            .machines
+            .started
             .iter_mut()
             .filter(|machine| chosen(machine))
             .collect();
@@ -288,7 +346,7 @@
 
 impl Drop for Machines {
     fn drop(&mut self) {
-        for machine in &mut self.machines {
+        for machine in &mut self.started {
             // Killing a process that has already ended fails, which is ignored.
             let _ = machine.process.kill();
             let _ = machine.process.wait();
@@ -305,6 +363,29 @@
     Ok(())
 }
 
+/// The addresses of the control machines, and those of an agent's relays to them.
+fn replaced_addresses(agent: u8) -> Vec<ReplacedAddress> {
+    let first_relay = FIRST_RELAY_HOST.saturating_add(agent.saturating_mul(CONTROL_MACHINES));
+    (0..CONTROL_MACHINES)
+        .map(|number| ReplacedAddress {
+            own: loopback_address(Role::Control.first_host() + number),
+            shown: loopback_address(first_relay.saturating_add(number)),
+        })
+        .collect()
+}
+
+fn relay_routes(replaced: &[ReplacedAddress]) -> Vec<(SocketAddr, SocketAddr)> {
+    let mut routes = Vec::new();
+    for address in replaced {
+        for port in [CONTROL_PORT, INTERNAL_PORT] {
+            let listen = SocketAddr::from((address.shown, port));
+            let target = SocketAddr::from((address.own, port));
+            routes.push((listen, target));
+        }
+    }
+    routes
+}
+
 /// Returns an address that only this run of the example uses.
 fn loopback_address(host: u8) -> Ipv4Addr {
     let id = std::process::id();
--- a/crates/controlplane/examples/cluster/scenario.rs
+++ b/crates/controlplane/examples/cluster/scenario.rs
@@ -2,7 +2,7 @@
 
 use crate::client::{configure, JobClient};
 use crate::execution_log::SharedExecutionLog;
-use crate::machines::{MachineCounts, Machines};
+use crate::machines::{AgentPath, MachineCounts, Machines};
 use crate::worker::SimulatedWorker;
 use anyhow::{bail, Result};
 use serde_json::json;
@@ -35,7 +35,7 @@
 /// Runs all stages of the demonstration.
 pub(crate) async fn run() -> Result<()> {
     print_step("starting 3 control machines, 2 gates and 3 agents on loopback");
-    let mut machines = Machines::start(MACHINES)?;
+    let mut machines = Machines::start(MACHINES, AgentPath::Direct)?;
     let primary = wait_for_primary(&machines, None).await;
     print_step(&format!(
         "the control plane has elected a primary: {primary}"
--- a/crates/controlplane/examples/cluster/worker.rs
+++ b/crates/controlplane/examples/cluster/worker.rs
@@ -23,6 +23,8 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Interval of heartbeats if the agent's response contains none.
 const HEARTBEAT_INTERVAL_MS: Millis = 200;
+/// Interval of heartbeats while the agent does not answer, as in the settings of the machines.
+const UNANSWERED_RETRY_MS: Millis = 500;
 /// Delay between the end of a run and the heartbeat that reports it.
 const REPORT_DELAY_MS: Millis = 50;
 /// How long a draining worker remains available.
@@ -107,7 +109,7 @@
             let sent_at = clock::steady();
             self.finish_due_runs(sent_at);
             let response = self.heartbeat(sent_at).await;
-            let mut interval_ms = HEARTBEAT_INTERVAL_MS;
+            let mut interval_ms = UNANSWERED_RETRY_MS;
             if let Some(response) = response {
                 interval_ms = response.retry_after_ms.unwrap_or(HEARTBEAT_INTERVAL_MS);
                 self.apply(sent_at, response);
--- a/crates/controlplane/examples/soak/disruptions.rs
+++ b/crates/controlplane/examples/soak/disruptions.rs
@@ -1,7 +1,8 @@
-//! Random disruptions: signals to processes, restarts, and configuration changes. Several can be in progress
-//! at once.
+//! Random disruptions: signals to processes, restarts, and agents that are cut off, also right after their
+//! restart. Several can be in progress at once.
 
 use crate::machines::{Machines, Role, Signal};
+use crate::relays::Relays;
 use anyhow::{bail, Result};
 use rand::seq::IndexedRandom;
 use rand::Rng;
@@ -18,6 +19,14 @@
 const KILL_EFFECT_MS: Millis = 2_000;
 /// Range of the time for which a machine stays down.
 const DOWN_MS: std::ops::Range<Millis> = 50..1_500;
+/// Range of the time for which an agent is cut off; the leases of the soak's workers last 3 s.
+const CUT_MS: std::ops::Range<Millis> = 300..6_000;
+/// Range of the time from an agent's restart to its cut: until its worker calls it again, or shortly later.
+const CUT_DELAY_MS: std::ops::Range<Millis> = 0..700;
+/// Probability that an agent is cut off after its restart.
+const CUT_AFTER_RESTART_PROBABILITY: f64 = 0.5;
+/// Probability that a disruption cuts an agent off instead of sending a signal.
+const CUT_PROBABILITY: f64 = 0.15;
 
 /// The progress of a machine between its signal and its next start.
 #[derive(Clone, Copy, Debug)]
@@ -35,6 +44,17 @@
     started_at: BTreeMap<String, Millis>,
     kills: Vec<Kill>,
     sent: u64,
+    relays: Relays,
+    /// Agents that are to be cut off, and when.
+    planned_cuts: Vec<PlannedCut>,
+    cuts: u64,
+}
+
+/// An agent that is to be cut off.
+#[derive(Clone, Debug)]
+struct PlannedCut {
+    agent: String,
+    at_ms: Millis,
 }
 
 /// A process that was killed, and when.
@@ -45,13 +65,16 @@
 }
 
 impl Disruptions {
-    pub(crate) fn new(random: Pcg32) -> Disruptions {
+    pub(crate) fn new(random: Pcg32, relays: Relays) -> Disruptions {
         Disruptions {
             random,
             outages: BTreeMap::new(),
             started_at: BTreeMap::new(),
             kills: Vec::new(),
             sent: 0,
+            relays,
+            planned_cuts: Vec::new(),
+            cuts: 0,
         }
     }
 
@@ -68,13 +91,50 @@
         self.sent
     }
 
+    /// Number of times that an agent was cut off.
+    pub(crate) fn cuts(&self) -> u64 {
+        self.cuts
+    }
+
     /// Whether all machines are up.
     pub(crate) fn are_all_machines_up(&self) -> bool {
         self.outages.is_empty()
     }
 
-    /// Sends a random signal to a random machine, unless too few machines of its role would remain up.
+    /// Disrupts a random machine, unless too few machines of its role would remain undisturbed.
     pub(crate) fn disrupt(&mut self, machines: &Machines) -> Result<()> {
+        if !self.random.random_bool(CUT_PROBABILITY) {
+            return self.send_random_signal(machines);
+        }
+        let agents = machines.names(Role::Agent);
+        if let Some(agent) = agents.choose(&mut self.random) {
+            self.cut(clock::steady(), agents.len(), agent);
+        }
+        Ok(())
+    }
+
+    /// Cuts an agent off, unless half of the agents are cut off.
+    fn cut(&mut self, now: Millis, agent_count: usize, agent: &str) {
+        if self.relays.cut_count(now) < max_down(Role::Agent, agent_count) {
+            let until = now + self.random.random_range(CUT_MS);
+            self.relays.cut(agent, until);
+            self.cuts += 1;
+        }
+    }
+
+    fn begin_planned_cuts(&mut self, now: Millis, agent_count: usize) {
+        let is_due = |cut: &PlannedCut| cut.at_ms <= now;
+        let (due, later) = std::mem::take(&mut self.planned_cuts)
+            .into_iter()
+            .partition(is_due);
+        self.planned_cuts = later;
+        let due: Vec<PlannedCut> = due;
+        for planned in due {
+            self.cut(now, agent_count, &planned.agent);
+        }
+    }
+
+    fn send_random_signal(&mut self, machines: &Machines) -> Result<()> {
         let roles = [Role::Control, Role::Gate, Role::Agent];
         let role = roles[self.random.random_range(0..roles.len())];
         let names = machines.names(role);
@@ -124,9 +184,25 @@
                 self.advance_one(now, machines, &name)?;
             }
         }
+        self.begin_planned_cuts(now, machines.names(Role::Agent).len());
         Ok(())
     }
 
+    fn on_restarted(&mut self, now: Millis, machines: &Machines, name: &str) {
+        self.outages.remove(name);
+        self.started_at.insert(name.to_owned(), now);
+        let is_agent = machines
+            .names(Role::Agent)
+            .iter()
+            .any(|agent| agent == name);
+        if is_agent && self.random.random_bool(CUT_AFTER_RESTART_PROBABILITY) {
+            self.planned_cuts.push(PlannedCut {
+                agent: name.to_owned(),
+                at_ms: now + self.random.random_range(CUT_DELAY_MS),
+            });
+        }
+    }
+
     fn advance_one(&mut self, now: Millis, machines: &mut Machines, name: &str) -> Result<()> {
         match (self.outages.get(name).copied(), machines.exit_status(name)?) {
             (None, Some(status)) => bail!("{name} ended without a signal, with {status}"),
@@ -137,8 +213,7 @@
             }
             (Some(Outage::Down { until }), _) if now >= until => {
                 machines.restart(name)?;
-                self.outages.remove(name);
-                self.started_at.insert(name.to_owned(), now);
+                self.on_restarted(now, machines, name);
             }
             _ => {}
         }
--- a/crates/controlplane/examples/soak/job_stream.rs
+++ b/crates/controlplane/examples/soak/job_stream.rs
@@ -14,6 +14,10 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// One job in this many is long-running; it is cancelled once it runs.
 const LONG_RUNNING_EVERY: u64 = 8;
+/// One job in this many has tasks that outlast the lease of a worker.
+const LONG_TASKS_EVERY: u64 = 5;
+/// Range of the duration of these tasks.
+const LONG_TASK_MS: std::ops::Range<u64> = 3_500..7_000;
 
 /// The totals of one client, or of all clients.
 #[derive(Debug, Default)]
@@ -35,6 +39,8 @@
         let id = format!("{number:08x}{jobs:08x}");
         if jobs % LONG_RUNNING_EVERY == 0 {
             follow_long_running(&mut client, &id).await?;
+        } else if jobs % LONG_TASKS_EVERY == 0 {
+            follow(&mut client, &id, &long_tasks(&mut random)).await?;
         } else {
             follow(&mut client, &id, &two_steps(&mut random)).await?;
         }
@@ -60,6 +66,13 @@
     wait_for(client, id, JobState::Cancelled).await
 }
 
+fn long_tasks(random: &mut Pcg32) -> Value {
+    let work_ms = random.random_range(LONG_TASK_MS);
+    json!({ "spec": work_ms.to_string(), "steps": [
+        { "count": random.random_range(1..4), "cpu": 500, "mem_mb": 64, "estimated_ms": work_ms },
+    ]})
+}
+
 fn two_steps(random: &mut Pcg32) -> Value {
     let work_ms: u64 = random.random_range(20..400);
     let counts: [u32; 2] = [random.random_range(1..6), random.random_range(1..4)];
--- a/crates/controlplane/examples/soak/soak.rs
+++ b/crates/controlplane/examples/soak/soak.rs
@@ -4,8 +4,9 @@
 use crate::disruptions::Disruptions;
 use crate::execution_log::SharedExecutionLog;
 use crate::job_stream::{self, JobStreamReport};
-use crate::machines::{MachineCounts, Machines};
+use crate::machines::{AgentPath, MachineCounts, Machines};
 use crate::options::SoakOptions;
+use crate::relays::Relays;
 use crate::worker::SimulatedWorker;
 use anyhow::{bail, Context, Result};
 use rand::Rng;
@@ -39,10 +40,12 @@
 /// Runs a soak to its end.
 pub(crate) async fn run(options: SoakOptions) -> Result<()> {
     let mut random = Pcg32::seed_from_u64(options.seed);
-    let mut machines = Machines::start(MachineCounts {
+    let counts = MachineCounts {
         gates: GATES,
         agents: options.agents,
-    })?;
+    };
+    let mut machines = Machines::start(counts, AgentPath::Relayed)?;
+    let relays = Relays::start(&machines)?;
     change_configuration(&machines, 0).await?;
     let executions = SharedExecutionLog::default();
     for (index, agent) in machines.agents().into_iter().enumerate() {
@@ -51,7 +54,7 @@
     }
     let stop_requested = Rc::new(Cell::new(false));
     let clients = start_clients(&machines, &mut random, &stop_requested);
-    let mut disruptions = Disruptions::new(Pcg32::seed_from_u64(random.random()));
+    let mut disruptions = Disruptions::new(Pcg32::seed_from_u64(random.random()), relays);
     let changes = disrupt(&options, &mut random, &mut machines, &mut disruptions).await?;
     stop_requested.set(true);
     let report = settle(clients, &mut machines, &mut disruptions).await?;
@@ -59,10 +62,11 @@
     let starts = executions.borrow().check()?;
     machines.stop()?;
     println!(
-        "seed {}: {} jobs, {starts} starts, {} signals, {changes} changes of the configuration, {} requests unanswered at a kill",
+        "seed {}: {} jobs, {starts} starts, {} signals, {} cuts, {changes} changes of the configuration, {} requests unanswered at a kill",
         options.seed,
         report.jobs,
         disruptions.sent(),
+        disruptions.cuts(),
         report.unanswered.len()
     );
     Ok(())
