Agent: a late heartbeat at a restarted agent does not end holds of its former process

Cause: an agent takes a heartbeat without runs as the proof that the holds granted so far are unused. That holds for its own: a later heartbeat has a higher sequence, and the agent has heard none. A restarted agent has not heard those that its former process answered. A late idle heartbeat was then followed by silence, or by a deregistration, and the worker was reported gone up to 4.1 s early while it ran tasks under the former process's hold; the primary starts these elsewhere at once. Change: until the longest hold of a former process is over, a heartbeat without runs ends none, and a deregistration leaves the worker draining. Tests, failing before: presence::idle_heartbeat_at_a_restarted_agent_does_not_end_earlier_holds and silence_after_idle_heartbeats_at_a_restarted_agent_waits_for_earlier_holds. Simulation::with_lease is now an agent that has outlasted such holds, as the tests on idle workers mean.

--- a/crates/dataplane/src/agent/state_machine.rs
+++ b/crates/dataplane/src/agent/state_machine.rs
@@ -232,7 +232,7 @@
         }
         self.supersede_long_poll(actions);
         if let Some(worker) = self.worker_of(&instance) {
-            worker.on_deregister();
+            worker.on_deregister(now);
         } else {
             let hold_until = self.earlier_hold_until();
             self.replace_worker(Worker::new_leaving(instance, now, hold_until));
--- a/crates/dataplane/src/agent/worker.rs
+++ b/crates/dataplane/src/agent/worker.rs
@@ -48,6 +48,9 @@
     lease_until: Millis,
     /// Time after which no run can be executing on the worker.
     hold_until: Millis,
+    /// Latest end of a hold that an earlier process of this agent may have granted. A heartbeat without runs
+    /// does not end such a hold: it may have been sent before that process answered a later one.
+    earlier_hold_until: Millis,
     /// Runs whose start commands were sent since the newest heartbeat was received.
     offered: Vec<RunId>,
     /// Stop commands that were sent and are still in force.
@@ -64,17 +67,13 @@
         now: Millis,
         earlier_hold_until: Millis,
     ) -> Worker {
-        let hold_until = if heartbeat.running.is_empty() {
-            now
-        } else {
-            earlier_hold_until.max(now)
-        };
         Worker {
             instance,
             heartbeat,
             received_at: now,
             lease_until: 0,
-            hold_until,
+            hold_until: earlier_hold_until.max(now),
+            earlier_hold_until,
             offered: Vec::new(),
             sent_stops: BTreeSet::new(),
             presence: Presence::Active,
@@ -95,9 +94,8 @@
         now: Millis,
         earlier_hold_until: Millis,
     ) -> Worker {
-        let mut worker = Worker::new(instance, Heartbeat::default(), now, now);
+        let mut worker = Worker::new(instance, Heartbeat::default(), now, earlier_hold_until);
         worker.presence = Presence::Leaving;
-        worker.hold_until = earlier_hold_until;
         worker
     }
 
@@ -107,9 +105,13 @@
             || !self.offered.is_empty()
             || has_significant_change(&self.heartbeat, &heartbeat);
         if heartbeat.running.is_empty() {
-            // Nothing is running, and start commands in earlier responses arrive too late: the holds granted
-            // with them are unused.
-            self.hold_until = now;
+            // Nothing is running, and start commands in earlier responses of this process arrive too late: the
+            // holds granted with them are unused.
+            self.hold_until = if cfg!(feature = "mutant-earlier-holds") {
+                now
+            } else {
+                self.earlier_hold_until.max(now)
+            };
         }
         self.offered.clear();
         self.presence = Presence::Active;
@@ -147,8 +149,9 @@
 
     /// Records the deregistration. It is unknown when the worker's process ends: runs that are executing or
     /// offered may continue until the hold ends.
-    pub(super) fn on_deregister(&mut self) {
-        let may_run = !self.heartbeat.running.is_empty() || !self.offered.is_empty();
+    pub(super) fn on_deregister(&mut self, now: Millis) {
+        let has_runs = !self.heartbeat.running.is_empty() || !self.offered.is_empty();
+        let may_run = has_runs || now < self.earlier_hold_until;
         self.presence = if may_run {
             Presence::Leaving
         } else {
--- a/crates/dataplane/tests/agent/presence.rs
+++ b/crates/dataplane/tests/agent/presence.rs
@@ -238,6 +238,43 @@
     assert_eq!((&*report.instance, report.gone), ("i-5", true));
 }
 
+/// A heartbeat may arrive seconds late: one that a restarted agent receives first may have been sent before the
+/// worker started the runs of a later one, under a hold of the agent's former process.
+#[test]
+fn idle_heartbeat_at_a_restarted_agent_does_not_end_earlier_holds() {
+    let mut simulation = Simulation::start();
+    let restarted_at = simulation.now;
+    simulation.heartbeat(heartbeat(3));
+    simulation.advance(50);
+    simulation.heartbeat(heartbeat(4));
+
+    simulation.deregister("i-1");
+    simulation.now = restarted_at + LONGEST_GRANT_MS * 1_000 / 980 + 50;
+    simulation.tick();
+    let before = simulation.agent.status(simulation.now).gone;
+    simulation.advance(50);
+
+    assert!(!before);
+    assert!(simulation.agent.status(simulation.now).gone);
+}
+
+#[test]
+fn silence_after_idle_heartbeats_at_a_restarted_agent_waits_for_earlier_holds() {
+    let mut simulation = Simulation::start();
+    let restarted_at = simulation.now;
+    simulation.heartbeat(heartbeat(3));
+    simulation.advance(50);
+    simulation.heartbeat(heartbeat(4));
+
+    simulation.now = restarted_at + LONGEST_GRANT_MS * 1_000 / 980 + 50;
+    simulation.tick();
+    let before = simulation.agent.status(simulation.now).gone;
+    simulation.advance(50);
+
+    assert!(!before);
+    assert!(simulation.agent.status(simulation.now).gone);
+}
+
 #[test]
 fn new_instance_replaces_the_former_one() {
     let mut simulation = Simulation::with_lease();
--- a/crates/dataplane/tests/agent/simulation.rs
+++ b/crates/dataplane/tests/agent/simulation.rs
@@ -12,6 +12,8 @@
 pub(crate) const HOLD_MAX_MS: Millis = 6_000;
 /// Longest hold that an agent grants.
 pub(crate) const LONGEST_GRANT_MS: Millis = 4_000;
+/// Longest time that such a hold can last on the agent's clock, including slack.
+pub(crate) const LONGEST_HOLD_MS: Millis = LONGEST_GRANT_MS * 1_000 / 980 + 51;
 /// Longer than the minimum interval between two syncs.
 pub(crate) const SYNC_INTERVAL_MS: Millis = 40;
 /// Remaining lease in a simulation created by [`Simulation::with_lease`].
@@ -122,10 +124,12 @@
         }
     }
 
-    /// An agent whose first sync reported the idle worker `i-1`, and was answered by the primary of epoch 1
-    /// without commands. The primary holds the agent's next sync, and another may be sent immediately.
+    /// An agent that has outlasted the holds of its former process, and whose first sync reported the idle
+    /// worker `i-1` and was answered by the primary of epoch 1 without commands. The primary holds the agent's
+    /// next sync, and another may be sent immediately.
     pub(crate) fn with_lease() -> Simulation {
         let mut simulation = Simulation::start();
+        simulation.now += LONGEST_HOLD_MS;
         simulation.heartbeat(heartbeat(0));
         simulation.respond_to_sync(commands(1, 1, &[]));
         simulation.advance(2 * SYNC_INTERVAL_MS);
