--- a/crates/emulator/tests/search.rs
+++ b/crates/emulator/tests/search.rs
@@ -53,6 +53,30 @@
     assert!(outcome.violations.is_empty(), "{outcome}");
 }
 
+/// Seeds in which a control machine goes on using an epoch after it has learned of a newer one.
+#[test]
+fn seeds_with_a_refused_epoch_in_use_break_no_rule() {
+    let seeds = [
+        (ScenarioKind::Ordinary, 2288),
+        (ScenarioKind::Control, 1682),
+        (ScenarioKind::Control, 2376),
+        (ScenarioKind::Control, 2824),
+        (ScenarioKind::Control, 3030),
+        (ScenarioKind::Control, 3684),
+        (ScenarioKind::Agents, 3793),
+    ];
+    let failed: Vec<Outcome> = seeds
+        .into_iter()
+        .map(|(kind, seed)| scenario::simulate(seed, kind, false))
+        .filter(|outcome| !outcome.violations.is_empty())
+        .collect();
+
+    for outcome in &failed {
+        println!("{outcome}");
+    }
+    assert!(failed.is_empty(), "{} scenarios failed", failed.len());
+}
+
 #[test]
 fn ordinary_scenarios_break_no_rule() {
     simulate_and_check(ScenarioKind::Ordinary);
