--- a/crates/controlplane/examples/cluster/main.rs
+++ b/crates/controlplane/examples/cluster/main.rs
@@ -11,6 +11,7 @@
 #[allow(dead_code, reason = "the example `soak` uses all of it")]
 mod client;
 mod execution_log;
+mod machine_process;
 #[allow(dead_code, reason = "the example `soak` uses all of it")]
 mod machines;
 mod scenario;
@@ -20,8 +21,7 @@
 use machines::Role;
 use std::process::ExitCode;
 use std::time::Duration;
-use streamusher_dataplane::{agent_process, gate, process};
-use streamusher_runtime::{clock, event_loop, logs, settings};
+use streamusher_runtime::{clock, event_loop};
 
 /// The scenario takes about 10 s; a busy machine may need longer.
 const MAX_DURATION: Duration = Duration::from_secs(90);
@@ -33,7 +33,7 @@
         None => event_loop::block_on(run_scenario())
             .map_err(anyhow::Error::from)
             .flatten(),
-        Some(Some(role)) => run_process(role),
+        Some(Some(role)) => machine_process::run(role),
         Some(None) => Err(anyhow::anyhow!("the example takes no arguments")),
     };
     match ended {
@@ -45,17 +45,6 @@
     }
 }
 
-/// Runs the process of one machine. The example starts itself once for each machine.
-fn run_process(role: Role) -> Result<()> {
-    logs::start(None);
-    let settings = settings::load()?;
-    match role {
-        Role::Control => Ok(streamusher_controlplane::process::run(&settings, None)?),
-        Role::Gate => process::run(gate::run(settings)),
-        Role::Agent => process::run(agent_process::run(settings)),
-    }
-}
-
 async fn run_scenario() -> Result<()> {
     match tokio::time::timeout(MAX_DURATION, scenario::run()).await {
         Ok(ended) => ended,
--- a/crates/controlplane/examples/soak/main.rs
+++ b/crates/controlplane/examples/soak/main.rs
@@ -14,6 +14,8 @@
 #[path = "../cluster/execution_log.rs"]
 mod execution_log;
 mod job_stream;
+#[path = "../cluster/machine_process.rs"]
+mod machine_process;
 #[allow(dead_code, reason = "the example `cluster` uses the rest")]
 #[path = "../cluster/machines.rs"]
 mod machines;
@@ -28,8 +30,7 @@
 use machines::Role;
 use options::SoakOptions;
 use std::process::ExitCode;
-use streamusher_dataplane::{agent_process, gate, process};
-use streamusher_runtime::{clock, event_loop, logs, settings};
+use streamusher_runtime::{clock, event_loop};
 
 fn main() -> ExitCode {
     clock::steady();
@@ -38,7 +39,7 @@
         .first()
         .and_then(|first| Role::from_argument(first));
     let ended = match role {
-        Some(role) => run_process(role),
+        Some(role) => machine_process::run(role),
         None => run_soak(&arguments),
     };
     match ended {
@@ -50,17 +51,6 @@
     }
 }
 
-/// Runs the process of one machine. The example starts itself once for each machine.
-fn run_process(role: Role) -> Result<()> {
-    logs::start(None);
-    let settings = settings::load()?;
-    match role {
-        Role::Control => Ok(streamusher_controlplane::process::run(&settings, None)?),
-        Role::Gate => process::run(gate::run(settings)),
-        Role::Agent => process::run(agent_process::run(settings)),
-    }
-}
-
 fn run_soak(arguments: &[String]) -> Result<()> {
     let options = SoakOptions::parse(arguments)?;
     event_loop::block_on(soak::run(options))
