--- a/crates/controlplane/tests/soak.rs
+++ b/crates/controlplane/tests/soak.rs
@@ -16,6 +16,16 @@
 /// Other seeds: `cargo run --profile system -p streamusher-controlplane --example soak -- --seed N`.
 #[rstest]
 fn accepted_jobs_reach_their_expected_state_despite_disruptions(#[values(1, 2, 3)] seed: u64) {
+    run_soak(seed);
+}
+
+/// On a heavily loaded machine, a gate that was not killed closed a connection without a response.
+#[test]
+fn gates_answer_the_requests_that_they_have_read_in_the_soak_of_seed_305() {
+    run_soak(305);
+}
+
+fn run_soak(seed: u64) {
     // Cargo builds the examples before it runs all tests of a package, but not for `--test NAME`.
     let example = Path::new(PROGRAM).with_file_name("examples").join("soak");
     let output = Command::new(example)
