Emulator: rule LEASE also at a worker that the primary does not know

Cause: the rule passed over a worker without an entry at the primary. Change: no entry counts as no lease. The rule became stricter.

--- a/crates/emulator/src/fleet/process/control.rs
+++ b/crates/emulator/src/fleet/process/control.rs
@@ -55,11 +55,9 @@
         self.driver.replication().may_act(now.steady_ms)
     }
 
-    /// Remaining duration of the lease that the scheduler counts for a worker; `None` if it does not know the
-    /// worker.
-    pub(crate) fn worker_lease_ms(&self, steady_ms: Millis, worker: &Arc<str>) -> Option<Millis> {
-        let status = self.driver.scheduler()?.worker_status(steady_ms, worker)?;
-        Some(status.lease_remaining_ms)
+    /// The scheduler; `None` while the process is not the primary, or recovers the state.
+    pub(crate) fn scheduler(&self) -> Option<&Scheduler> {
+        self.driver.scheduler()
     }
 
     pub(crate) fn tick(&mut self, now: Now) -> Vec<Action> {
--- a/crates/emulator/src/fleet/worker_effects.rs
+++ b/crates/emulator/src/fleet/worker_effects.rs
@@ -134,7 +134,7 @@
 }
 
 /// Compares the lease that a worker was granted with the lease that the primary counts for it. The primary
-/// does not know a worker that it has not been told of yet, or that it has given up.
+/// counts none for a worker that it does not know: it may have given the worker's runs to other workers.
 fn check_lease(env: &mut Environment, instance: &Arc<str>, until: Millis) {
     let now = env.now;
     let Some(primary) = env.machines.primary(now) else {
@@ -142,12 +142,13 @@
     };
     let steady_ms = env.clocks(primary).steady_ms;
     let control = env.machines.control_mut(primary);
-    let counted_ms = control.and_then(|control| control.worker_lease_ms(steady_ms, instance));
-    if let Some(counted_ms) = counted_ms {
-        let counted_until = now + counted_ms;
-        env.checker
-            .on_lease_extended(now, instance, until, counted_until);
-    }
+    let Some(scheduler) = control.and_then(|control| control.scheduler()) else {
+        return;
+    };
+    let status = scheduler.worker_status(steady_ms, instance);
+    let counted_ms = status.map_or(0, |status| status.lease_remaining_ms);
+    env.checker
+        .on_lease_extended(now, instance, until, now + counted_ms);
 }
 
 fn on_run_started(
