Agent: one bound decides at a deregistration; two pairs of alike tests stand once

InFlightSync::reported is reported_instance. The tests of a sync without a worker are two cases of one, those of late heartbeats share their last part; what is asserted stays.

--- a/crates/dataplane/src/agent/state_machine.rs
+++ b/crates/dataplane/src/agent/state_machine.rs
@@ -38,7 +38,7 @@
 /// primary ignored because its commands are for another worker. The lease counts from the time when the sync
 /// was sent, which is before the primary received it.
 fn granted_lease(answered: &InFlightSync, commands: &AgentCommands) -> Option<WorkerLease> {
-    let instance = answered.reported.as_ref()?;
+    let instance = answered.reported_instance.as_ref()?;
     if commands.instance.as_ref() != Some(instance) {
         return None;
     }
@@ -353,11 +353,11 @@
         if self.syncs.next_sync_at().is_none_or(|due_at| now < due_at) {
             return;
         }
-        let reported = self
+        let reported_instance = self
             .worker
             .as_ref()
             .map(|worker| Arc::clone(&worker.instance));
-        let sequence = self.syncs.begin(now, reported);
+        let sequence = self.syncs.begin(now, reported_instance);
         actions.push(AgentAction::SendSync(AgentSync {
             agent: Arc::clone(&self.settings.name),
             boot: self.settings.boot,
--- a/crates/dataplane/src/agent/sync_schedule.rs
+++ b/crates/dataplane/src/agent/sync_schedule.rs
@@ -27,7 +27,7 @@
     /// Time at which the sync was sent.
     pub(super) sent_at: Millis,
     /// Instance id of the worker that the sync reports.
-    pub(super) reported: Option<Arc<str>>,
+    pub(super) reported_instance: Option<Arc<str>>,
 }
 
 /// The syncs in flight, and when the next one is due.
@@ -78,16 +78,16 @@
         Some(earliest_at.max(self.retry_at))
     }
 
-    /// Records a new sync as in flight and returns its sequence number. `reported` is the instance id of the
-    /// worker that it reports.
-    pub(super) fn begin(&mut self, now: Millis, reported: Option<Arc<str>>) -> u64 {
+    /// Records a new sync as in flight and returns its sequence number. `reported_instance` is the id
+    /// of the worker that it reports.
+    pub(super) fn begin(&mut self, now: Millis, reported_instance: Option<Arc<str>>) -> u64 {
         self.newest_sequence += 1;
         self.is_sync_requested = false;
         self.last_sent_at = Some(now);
         self.in_flight.push(InFlightSync {
             sequence: self.newest_sequence,
             sent_at: now,
-            reported,
+            reported_instance,
         });
         self.newest_sequence
     }
--- a/crates/dataplane/src/agent/worker.rs
+++ b/crates/dataplane/src/agent/worker.rs
@@ -151,7 +151,7 @@
     /// offered may continue until the hold ends.
     pub(super) fn on_deregister(&mut self, now: Millis) {
         let has_runs = !self.heartbeat.running.is_empty() || !self.offered.is_empty();
-        let may_run = has_runs || now < self.earlier_hold_until;
+        let may_run = has_runs || now < self.hold_until;
         self.presence = if may_run {
             Presence::Leaving
         } else {
--- a/crates/dataplane/tests/agent/presence.rs
+++ b/crates/dataplane/tests/agent/presence.rs
@@ -2,11 +2,12 @@
 
 use super::simulation::{
     busy_heartbeat, commands, draining_heartbeat, heartbeat, response_to, running, settings, start,
-    Simulation, HEARTBEAT_MS, LONGEST_GRANT_MS, SYNC_INTERVAL_MS,
+    Simulation, HEARTBEAT_MS, LONGEST_GRANT_MS, LONGEST_HOLD_MS, SYNC_INTERVAL_MS,
 };
 use streamusher_dataplane::agent::{Agent, AgentAction, AgentEvent};
 use streamusher_protocol::heartbeat::WorkerState;
 use streamusher_protocol::internal::AgentCommands;
+use streamusher_protocol::Millis;
 
 #[test]
 fn restarted_agent_rebuilds_its_state_from_the_heartbeat() {
@@ -238,6 +239,17 @@
     assert_eq!((&*report.instance, report.gone), ("i-5", true));
 }
 
+/// Fails if the worker of an agent that restarted at `restarted_at` counts as gone before the longest hold of
+/// the agent's former process is over, or does not right after it.
+fn assert_gone_after_earlier_holds(simulation: &mut Simulation, restarted_at: Millis) {
+    simulation.now = restarted_at + LONGEST_HOLD_MS - 1;
+    simulation.tick();
+    assert!(!simulation.agent.status(simulation.now).gone);
+
+    simulation.advance(50);
+    assert!(simulation.agent.status(simulation.now).gone);
+}
+
 /// A heartbeat may arrive seconds late: one that a restarted agent receives first may have been sent before the
 /// worker started the runs of a later one, under a hold of the agent's former process.
 #[test]
@@ -249,13 +261,8 @@
     simulation.heartbeat(heartbeat(4));
 
     simulation.deregister("i-1");
-    simulation.now = restarted_at + LONGEST_GRANT_MS * 1_000 / 980 + 50;
-    simulation.tick();
-    let before = simulation.agent.status(simulation.now).gone;
-    simulation.advance(50);
 
-    assert!(!before);
-    assert!(simulation.agent.status(simulation.now).gone);
+    assert_gone_after_earlier_holds(&mut simulation, restarted_at);
 }
 
 #[test]
@@ -266,13 +273,7 @@
     simulation.advance(50);
     simulation.heartbeat(heartbeat(4));
 
-    simulation.now = restarted_at + LONGEST_GRANT_MS * 1_000 / 980 + 50;
-    simulation.tick();
-    let before = simulation.agent.status(simulation.now).gone;
-    simulation.advance(50);
-
-    assert!(!before);
-    assert!(simulation.agent.status(simulation.now).gone);
+    assert_gone_after_earlier_holds(&mut simulation, restarted_at);
 }
 
 #[test]
--- a/crates/scheduler/tests/leases.rs
+++ b/crates/scheduler/tests/leases.rs
@@ -8,6 +8,7 @@
 
 mod support;
 
+use rstest::rstest;
 use streamusher_protocol::Millis;
 use support::scenarios::with_running_task;
 use support::{TestAgent, TestCluster, MAX_LEASE_MS};
@@ -36,23 +37,14 @@
 
 /// A restarted agent was granted a lease before its worker had called it; the primary counted none, and
 /// started the worker's runs elsewhere while the agent still extended them.
-#[test]
-fn sync_without_a_worker_is_granted_no_lease() {
-    let (mut cluster, mut agent) = with_running_task();
-    cluster.wait(1_000);
-    agent.boot = 2;
-
-    let commands = cluster.sync_without_worker(&mut agent).unwrap();
-
-    assert_eq!(commands.instance.as_deref(), Some("i-1"));
-    assert_eq!(commands.lease_ms, 0);
-    assert_eq!(counted_ms(&cluster, "i-1"), MAX_LEASE_MS - 1_000);
-}
-
-#[test]
-fn sync_without_a_worker_is_granted_no_lease_after_a_takeover() {
+#[rstest]
+#[case::same_primary(false)]
+#[case::new_primary(true)]
+fn sync_without_a_worker_is_granted_no_lease(#[case] has_taken_over: bool) {
     let (mut cluster, mut agent) = with_running_task();
-    cluster.take_over();
+    if has_taken_over {
+        cluster.take_over();
+    }
     cluster.wait(1_000);
     agent.boot = 2;
 
