--- a/crates/controlplane/examples/soak/disruptions.rs
+++ b/crates/controlplane/examples/soak/disruptions.rs
@@ -1,4 +1,4 @@
-//! Random disruptions: signals to processes, restarts, and agents that are cut off, also right after their
+//! Random disruptions: signals to processes, restarts, and agents that are isolated from the control machines, also right after their
 //! restart. Several can be in progress at once.
 
 use crate::machines::{Machines, Role, Signal};
@@ -19,14 +19,14 @@
 const KILL_EFFECT_MS: Millis = 2_000;
 /// Range of the time for which a machine stays down.
 const DOWN_MS: std::ops::Range<Millis> = 50..1_500;
-/// Range of the time for which an agent is cut off; the leases of the soak's workers last 3 s.
-const CUT_MS: std::ops::Range<Millis> = 300..6_000;
-/// Range of the time from an agent's restart to its cut: until its worker calls it again, or shortly later.
-const CUT_DELAY_MS: std::ops::Range<Millis> = 0..700;
-/// Probability that an agent is cut off after its restart.
-const CUT_AFTER_RESTART_PROBABILITY: f64 = 0.5;
-/// Probability that a disruption cuts an agent off instead of sending a signal.
-const CUT_PROBABILITY: f64 = 0.15;
+/// Range of the time for which an agent is isolated; the leases of the soak's workers last 3 s.
+const ISOLATION_MS: std::ops::Range<Millis> = 300..6_000;
+/// Range of the time from an agent's restart to its isolation: until its worker calls it again, or shortly later.
+const ISOLATION_DELAY_MS: std::ops::Range<Millis> = 0..700;
+/// Probability that an agent is isolated after its restart.
+const ISOLATION_AFTER_RESTART_PROBABILITY: f64 = 0.5;
+/// Probability that a disruption isolates an agent instead of sending a signal.
+const ISOLATION_PROBABILITY: f64 = 0.15;
 
 /// The progress of a machine between its signal and its next start.
 #[derive(Clone, Copy, Debug)]
@@ -45,14 +45,14 @@
     kills: Vec<Kill>,
     sent: u64,
     relays: Relays,
-    /// Agents that are to be cut off, and when.
-    planned_cuts: Vec<PlannedCut>,
-    cuts: u64,
+    /// Agents that are to be isolated, and when.
+    planned_isolations: Vec<PlannedIsolation>,
+    isolations: u64,
 }
 
-/// An agent that is to be cut off.
+/// An agent that is to be isolated.
 #[derive(Clone, Debug)]
-struct PlannedCut {
+struct PlannedIsolation {
     agent: String,
     at_ms: Millis,
 }
@@ -73,8 +73,8 @@
             kills: Vec::new(),
             sent: 0,
             relays,
-            planned_cuts: Vec::new(),
-            cuts: 0,
+            planned_isolations: Vec::new(),
+            isolations: 0,
         }
     }
 
@@ -91,9 +91,9 @@
         self.sent
     }
 
-    /// Number of times that an agent was cut off.
-    pub(crate) fn cuts(&self) -> u64 {
-        self.cuts
+    /// Number of times that an agent was isolated.
+    pub(crate) fn isolations(&self) -> u64 {
+        self.isolations
     }
 
     /// Whether all machines are up.
@@ -103,34 +103,34 @@
 
     /// Disrupts a random machine, unless too few machines of its role would remain undisturbed.
     pub(crate) fn disrupt(&mut self, machines: &Machines) -> Result<()> {
-        if !self.random.random_bool(CUT_PROBABILITY) {
+        if !self.random.random_bool(ISOLATION_PROBABILITY) {
             return self.send_random_signal(machines);
         }
         let agents = machines.names(Role::Agent);
         if let Some(agent) = agents.choose(&mut self.random) {
-            self.cut(clock::steady(), agents.len(), agent);
+            self.isolate(clock::steady(), agents.len(), agent);
         }
         Ok(())
     }
 
-    /// Cuts an agent off, unless half of the agents are cut off.
-    fn cut(&mut self, now: Millis, agent_count: usize, agent: &str) {
-        if self.relays.cut_count(now) < max_down(Role::Agent, agent_count) {
-            let until = now + self.random.random_range(CUT_MS);
-            self.relays.cut(agent, until);
-            self.cuts += 1;
+    /// Isolates an agent, unless half of the agents are isolated.
+    fn isolate(&mut self, now: Millis, agent_count: usize, agent: &str) {
+        if self.relays.isolated_count(now) < max_down(Role::Agent, agent_count) {
+            let until = now + self.random.random_range(ISOLATION_MS);
+            self.relays.isolate(agent, until);
+            self.isolations += 1;
         }
     }
 
-    fn begin_planned_cuts(&mut self, now: Millis, agent_count: usize) {
-        let is_due = |cut: &PlannedCut| cut.at_ms <= now;
-        let (due, later) = std::mem::take(&mut self.planned_cuts)
+    fn begin_planned_isolations(&mut self, now: Millis, agent_count: usize) {
+        let is_due = |planned: &PlannedIsolation| planned.at_ms <= now;
+        let (due, later) = std::mem::take(&mut self.planned_isolations)
             .into_iter()
             .partition(is_due);
-        self.planned_cuts = later;
-        let due: Vec<PlannedCut> = due;
+        self.planned_isolations = later;
+        let due: Vec<PlannedIsolation> = due;
         for planned in due {
-            self.cut(now, agent_count, &planned.agent);
+            self.isolate(now, agent_count, &planned.agent);
         }
     }
 
@@ -184,7 +184,7 @@
                 self.advance_one(now, machines, &name)?;
             }
         }
-        self.begin_planned_cuts(now, machines.names(Role::Agent).len());
+        self.begin_planned_isolations(now, machines.names(Role::Agent).len());
         Ok(())
     }
 
@@ -195,10 +195,10 @@
             .names(Role::Agent)
             .iter()
             .any(|agent| agent == name);
-        if is_agent && self.random.random_bool(CUT_AFTER_RESTART_PROBABILITY) {
-            self.planned_cuts.push(PlannedCut {
+        if is_agent && self.random.random_bool(ISOLATION_AFTER_RESTART_PROBABILITY) {
+            self.planned_isolations.push(PlannedIsolation {
                 agent: name.to_owned(),
-                at_ms: now + self.random.random_range(CUT_DELAY_MS),
+                at_ms: now + self.random.random_range(ISOLATION_DELAY_MS),
             });
         }
     }
--- a/crates/controlplane/examples/soak/main.rs
+++ b/crates/controlplane/examples/soak/main.rs
@@ -1,6 +1,6 @@
 //! A soak test of the whole system with real processes on loopback. Clients keep submitting jobs over
-//! persistent connections, while overlapping disruptions terminate, kill, reload and restart processes, cut
-//! agents off from the control machines and change the configuration. The exit code is 0 if each accepted job reached its expected state, no task ran
+//! persistent connections, while overlapping disruptions terminate, kill, reload and restart processes, isolate
+//! agents from the control machines and change the configuration. The exit code is 0 if each accepted job reached its expected state, no task ran
 //! twice at once, and no process ended without a signal.
 //!
 //!     cargo run --profile system -p streamusher-controlplane --example soak -- --seed 7 --seconds 20
--- a/crates/controlplane/examples/soak/relays.rs
+++ b/crates/controlplane/examples/soak/relays.rs
@@ -1,4 +1,4 @@
-//! Relays between the agents and the control machines, so that an agent can be cut off while its process and
+//! Relays between the agents and the control machines, so that an agent can be isolated while its process and
 //! its worker keep running. Each agent reaches each control machine through a relay with an address of its
 //! own; the relays replace the control machines' addresses in responses.
 
@@ -18,20 +18,20 @@
 
 /// Time-out of a relayed request; longer than the time for which the primary holds a sync.
 const RELAY_TIMEOUT: Duration = Duration::from_secs(3);
-/// Interval at which a message that is held back checks whether the cut is over.
-const CUT_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Interval at which a message that is held back checks whether the isolation is over.
+const ISOLATION_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// The links of one agent to all control machines. Clones share their state.
 #[derive(Clone, Default)]
 struct AgentLinks {
     /// Time of the steady clock until which messages are held back.
-    cut_until: Rc<Cell<Millis>>,
+    isolated_until: Rc<Cell<Millis>>,
 }
 
 impl AgentLinks {
     async fn wait_until_connected(&self) {
-        while clock::steady() < self.cut_until.get() {
-            tokio::time::sleep(CUT_CHECK_INTERVAL).await;
+        while clock::steady() < self.isolated_until.get() {
+            tokio::time::sleep(ISOLATION_CHECK_INTERVAL).await;
         }
     }
 }
@@ -57,17 +57,21 @@
         Ok(Relays { links })
     }
 
-    /// Cuts an agent off from all control machines. A message on its way arrives when the cut is over.
-    pub(crate) fn cut(&self, agent: &str, until: Millis) {
+    /// Isolates an agent from all control machines. A message on its way arrives when the isolation is over.
+    pub(crate) fn isolate(&self, agent: &str, until: Millis) {
         if let Some(links) = self.links.get(agent) {
-            links.cut_until.set(links.cut_until.get().max(until));
+            links
+                .isolated_until
+                .set(links.isolated_until.get().max(until));
         }
     }
 
-    /// Number of agents that are cut off.
-    pub(crate) fn cut_count(&self, now: Millis) -> usize {
+    /// Number of agents that are isolated.
+    pub(crate) fn isolated_count(&self, now: Millis) -> usize {
         let links = self.links.values();
-        links.filter(|links| now < links.cut_until.get()).count()
+        links
+            .filter(|links| now < links.isolated_until.get())
+            .count()
     }
 }
 
--- a/crates/controlplane/examples/soak/soak.rs
+++ b/crates/controlplane/examples/soak/soak.rs
@@ -62,11 +62,11 @@
     let starts = executions.borrow().check()?;
     machines.stop()?;
     println!(
-        "seed {}: {} jobs, {starts} starts, {} signals, {} cuts, {changes} changes of the configuration, {} requests unanswered at a kill",
+        "seed {}: {} jobs, {starts} starts, {} signals, {} isolations, {changes} changes of the configuration, {} requests unanswered at a kill",
         options.seed,
         report.jobs,
         disruptions.sent(),
-        disruptions.cuts(),
+        disruptions.isolations(),
         report.unanswered.len()
     );
     Ok(())
