Scheduler: a late report of a replaced worker at a new primary ends no lease

A task could run at two workers at once. Cause: the report of another instance ends the lease of the one that it replaces. Instances have no order of their own; a primary orders requests of an agent by their sequence, and ignores instances that it has seen replaced. A new primary knows neither. A sync from before the worker's restart that reaches it first ended the lease of the living instance. Change: a report that would end another worker's lease is applied only if its request confirms a revision of this primary for this agent process, so that it was sent after an answer of it; before, it is answered at once with the commands, and the agent's next sync confirms them.

--- a/crates/scheduler/src/worker_report.rs
+++ b/crates/scheduler/src/worker_report.rs
@@ -20,7 +20,7 @@
 /// defer its requests for at most 0.65 s and expect the next request within a fraction of a second.
 const WORKER_UNRESPONSIVE_TIMEOUT_MS: Millis = 1_300;
 
-/// Applies an agent's report of its worker, unless another worker has replaced it.
+/// Applies an agent's report of its worker, unless another worker has replaced it or may have done so.
 pub(crate) fn on_worker_report(
     state: &mut ClusterState,
     now: Now,
@@ -28,7 +28,9 @@
     report: &WorkerReport,
 ) -> LeaseRenewal {
     let worker = report.instance.clone();
-    if state.workers.is_superseded(&worker) {
+    let session = state.agents.get(agent);
+    let may_be_late = session.is_some_and(|session| may_precede_current_worker(session, &worker));
+    if may_be_late || state.workers.is_superseded(&worker) {
         return LeaseRenewal::NotRenewed;
     }
     supersede_former_workers(state, now, agent, &worker);
@@ -43,6 +45,20 @@
     LeaseRenewal::Renewed
 }
 
+/// Whether a report of `worker` may be older than the session's worker. A report ends the lease of the worker
+/// that it replaces, and two instances have no order of their own: a request that was sent before the worker
+/// restarted may reach a new primary after those that followed it, or before any other. A request that confirms
+/// a revision was sent after the response with it.
+fn may_precede_current_worker(session: &AgentSession, worker: &WorkerId) -> bool {
+    let replaces_another = session
+        .worker
+        .as_ref()
+        .is_some_and(|current| current != worker);
+    replaces_another
+        && !session.is_confirmed_by_current_process()
+        && !cfg!(feature = "mutant-unconfirmed-report")
+}
+
 /// A machine has one worker at a time, so a report of another worker proves that the former one is lost.
 fn supersede_former_workers(
     state: &mut ClusterState,
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -73,6 +73,33 @@
     assert_eq!(agent.start.len(), 1);
 }
 
+/// A new primary has heard neither of the two instances: a sync that was on its way since before the worker's
+/// restart ended the lease of the living instance, and its run was started elsewhere while it was running.
+#[test]
+fn late_report_of_a_replaced_worker_ends_no_lease_after_a_takeover() {
+    let (mut cluster, mut agent) = with_running_task();
+    agent.replace_worker("i-2");
+    cluster.settle(&mut agent);
+    agent.start_all();
+    cluster.settle(&mut agent);
+    cluster.take_over();
+
+    let mut late = TestAgent::new("side-1", "i-1");
+    let commands = cluster.sync(&mut late).unwrap();
+
+    assert_eq!(commands.lease_ms, 0);
+    let mut second = TestAgent::new("side-2", "i-9");
+    cluster.settle(&mut second);
+    cluster.wait(300);
+    cluster.settle(&mut second);
+    assert!(second.start.is_empty(), "i-2 is running the task");
+    cluster.settle(&mut agent);
+    assert!(agent.stop.is_empty());
+    agent.finish_all(RunEnd::Done);
+    cluster.settle(&mut agent);
+    assert!(cluster.job_status().contains("succeeded"));
+}
+
 #[test]
 fn new_primary_stops_no_run_before_agents_report() {
     let (mut cluster, mut agent) = with_running_task();
